Set down the workspace, core types and control state

Cause: the project starts from an empty tree. Change: the design page with its interfaces, a workspace of six crates, the core types, the settings tree, the fold of the change log, grants on both sides, and the messages of the node, dispatch and orders state machines.

--- /dev/null
+++ b/crates/balsam-daemon/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/crates/balsam-decide/src/control/apply.rs
@@ -0,0 +1,331 @@
+//! Applying log entries to the control state.
+
+use super::error::{
+    NotInRosterSnafu, NotPlacerSnafu, NothingToCloseSnafu, OutOfOrderSnafu, SettingsSnafu,
+    StillOwnerSnafu, UnknownUpstreamSnafu, WrongOwnerSnafu,
+};
+use super::{ApplyError, ControlState, Roster, ServicePlacement};
+use balsam_types::control::{Change, DaemonInfo, LogEntry, UnitMove, UnitOwner, UpstreamInfo};
+use balsam_types::{Epoch, Incarnation, KeyHash, ServiceName, UnitId, UpstreamName};
+use snafu::{ResultExt, ensure};
+use std::sync::Arc;
+
+impl ControlState {
+    /// Applies the next log entry.
+    ///
+    /// # Errors
+    ///
+    /// Returns an [`ApplyError`] if the entry does not fit; the state is then unchanged.
+    pub fn apply(&mut self, entry: &LogEntry) -> Result<(), ApplyError> {
+        ensure!(
+            entry.epoch == self.epoch.next(),
+            OutOfOrderSnafu {
+                entry: entry.epoch,
+                epoch: self.epoch
+            }
+        );
+        let mut next = self.clone();
+        next.epoch = entry.epoch;
+        next.apply_change(entry.author, &entry.change)?;
+        *self = next;
+        Ok(())
+    }
+
+    fn apply_change(&mut self, author: Incarnation, change: &Change) -> Result<(), ApplyError> {
+        if needs_placer(change) {
+            ensure!(self.placer == Some(author), NotPlacerSnafu { author });
+        }
+        match change {
+            Change::Settings { edits } => Arc::make_mut(&mut self.settings)
+                .apply(self.epoch, edits)
+                .context(SettingsSnafu),
+            Change::DaemonJoined { daemon } => {
+                self.join(daemon);
+                Ok(())
+            }
+            Change::DaemonsRemoved { incarnations, .. } => self.remove_daemons(incarnations),
+            Change::RostersClosed { through } => self.close_rosters(*through),
+            Change::PlacerTaken { incarnation } => {
+                self.known_daemon(*incarnation)?;
+                self.placer = Some(*incarnation);
+                Ok(())
+            }
+            Change::UpstreamsChanged { upstreams } => {
+                for upstream in upstreams {
+                    self.change_upstream(upstream);
+                }
+                Ok(())
+            }
+            Change::UpstreamsRemoved { names } => {
+                names.iter().try_for_each(|name| self.remove_upstream(name))
+            }
+            Change::DispatchersAssigned { pairs } => pairs
+                .iter()
+                .try_for_each(|(name, to)| self.assign_dispatcher(name, *to)),
+            Change::UnitsMoving { service, moves } => moves
+                .iter()
+                .try_for_each(|unit_move| self.start_move(service, unit_move)),
+            Change::UnitsOwned { service, units } => units
+                .iter()
+                .try_for_each(|(unit, owner)| self.own(service, *unit, owner)),
+            Change::HotKeysSplit { service, keys } => keys
+                .iter()
+                .try_for_each(|(key, to)| self.split(service, *key, to)),
+            Change::HotKeysMerged { service, keys } => {
+                keys.iter().try_for_each(|key| self.merge(service, *key))
+            }
+            Change::Quarantined { entry } => {
+                self.quarantine.insert(entry.fingerprint, entry.clone());
+                Ok(())
+            }
+            Change::QuarantineCleared { fingerprint } => {
+                self.quarantine.remove(fingerprint);
+                Ok(())
+            }
+        }
+    }
+
+    fn join(&mut self, daemon: &DaemonInfo) {
+        self.daemons.insert(daemon.incarnation, daemon.clone());
+        self.push_roster();
+    }
+
+    fn remove_daemons(&mut self, incarnations: &[Incarnation]) -> Result<(), ApplyError> {
+        for incarnation in incarnations {
+            self.known_daemon(*incarnation)?;
+            self.daemons.remove(incarnation);
+            if self.placer == Some(*incarnation) {
+                self.placer = None;
+            }
+            self.clear_dispatcher(*incarnation);
+        }
+        self.push_roster();
+        Ok(())
+    }
+
+    fn clear_dispatcher(&mut self, incarnation: Incarnation) {
+        for upstream in self.upstreams.values_mut() {
+            if upstream.dispatcher == Some(incarnation) {
+                upstream.dispatcher = None;
+                self.dispatcher_cleared
+                    .insert(upstream.name.clone(), self.epoch);
+            }
+        }
+    }
+
+    fn push_roster(&mut self) {
+        let members = self.daemons.keys().copied().collect();
+        self.open_rosters.push(Roster {
+            since: self.epoch,
+            members,
+        });
+    }
+
+    /// Closes all rosters but the current one that were replaced at or before `through`.
+    fn close_rosters(&mut self, through: Epoch) -> Result<(), ApplyError> {
+        let before = self.open_rosters.len();
+        let replaced_at: Vec<Epoch> = self
+            .open_rosters
+            .iter()
+            .skip(1)
+            .map(|roster| roster.since)
+            .collect();
+        let closed = replaced_at.iter().take_while(|at| **at <= through).count();
+        self.open_rosters.drain(..closed);
+        ensure!(
+            self.open_rosters.len() < before,
+            NothingToCloseSnafu { through }
+        );
+        Ok(())
+    }
+
+    fn known_daemon(&self, incarnation: Incarnation) -> Result<(), ApplyError> {
+        ensure!(
+            self.daemons.contains_key(&incarnation),
+            NotInRosterSnafu { incarnation }
+        );
+        Ok(())
+    }
+
+    fn known_upstream(&self, name: &UpstreamName) -> Result<(), ApplyError> {
+        ensure!(
+            self.upstreams.contains_key(name),
+            UnknownUpstreamSnafu { name: name.clone() }
+        );
+        Ok(())
+    }
+
+    fn change_upstream(&mut self, upstream: &UpstreamInfo) {
+        let known = self.upstreams.get(&upstream.name);
+        let dispatcher = known.and_then(|known| known.dispatcher);
+        if known.map(|known| known.status) != Some(upstream.status) {
+            self.status_epochs.insert(upstream.name.clone(), self.epoch);
+            self.raise_fence(&upstream.name);
+        }
+        let changed = UpstreamInfo {
+            dispatcher,
+            ..upstream.clone()
+        };
+        self.upstreams.insert(upstream.name.clone(), changed);
+    }
+
+    fn remove_upstream(&mut self, name: &UpstreamName) -> Result<(), ApplyError> {
+        self.known_upstream(name)?;
+        let holds = |owner: &UnitOwner| match owner {
+            UnitOwner::Owned(owner) => owner == name,
+            UnitOwner::Moving { from, to, .. } => from == name || to == name,
+        };
+        let mut owners = self
+            .services
+            .values()
+            .flat_map(|placement| placement.units.values());
+        ensure!(!owners.any(holds), StillOwnerSnafu { name: name.clone() });
+        self.upstreams.remove(name);
+        self.fence_epochs.remove(name);
+        self.status_epochs.remove(name);
+        self.dispatcher_cleared.remove(name);
+        Ok(())
+    }
+
+    fn assign_dispatcher(
+        &mut self,
+        name: &UpstreamName,
+        to: Option<Incarnation>,
+    ) -> Result<(), ApplyError> {
+        self.known_upstream(name)?;
+        if let Some(incarnation) = to {
+            self.known_daemon(incarnation)?;
+            self.dispatcher_cleared.remove(name);
+        } else {
+            self.dispatcher_cleared.insert(name.clone(), self.epoch);
+        }
+        if let Some(upstream) = self.upstreams.get_mut(name) {
+            upstream.dispatcher = to;
+        }
+        Ok(())
+    }
+
+    fn placement_mut(&mut self, service: &ServiceName) -> &mut ServicePlacement {
+        Arc::make_mut(self.services.entry(service.clone()).or_default())
+    }
+
+    fn start_move(
+        &mut self,
+        service: &ServiceName,
+        unit_move: &UnitMove,
+    ) -> Result<(), ApplyError> {
+        let UnitMove { unit, from, to, .. } = unit_move;
+        self.known_upstream(to)?;
+        let since_epoch = self.epoch;
+        let placement = self.placement_mut(service);
+        let held =
+            matches!(placement.units.get(unit), Some(UnitOwner::Owned(owner)) if owner == from);
+        ensure!(held, WrongOwnerSnafu { unit: *unit });
+        let moving = UnitOwner::Moving {
+            from: from.clone(),
+            to: to.clone(),
+            since_epoch,
+        };
+        placement.units.insert(*unit, moving);
+        self.raise_fence(from);
+        Ok(())
+    }
+
+    /// Gives a unit its owner; a unit on the move may get another owner than first planned.
+    fn own(
+        &mut self,
+        service: &ServiceName,
+        unit: UnitId,
+        owner: &UpstreamName,
+    ) -> Result<(), ApplyError> {
+        self.known_upstream(owner)?;
+        let placement = self.placement_mut(service);
+        let previous = placement.units.get(&unit).cloned();
+        ensure!(
+            !matches!(previous, Some(UnitOwner::Owned(_))),
+            WrongOwnerSnafu { unit }
+        );
+        placement
+            .units
+            .insert(unit, UnitOwner::Owned(owner.clone()));
+        self.raise_fence(owner);
+        if let Some(UnitOwner::Moving { from, .. }) = previous {
+            self.raise_fence(&from);
+        }
+        Ok(())
+    }
+
+    /// Splits a hot key off its slice; requests of older epochs are fenced at the slice's owner.
+    fn split(
+        &mut self,
+        service: &ServiceName,
+        key: KeyHash,
+        to: &UpstreamName,
+    ) -> Result<(), ApplyError> {
+        self.known_upstream(to)?;
+        let slice = self.slice_of(service, key);
+        let since_epoch = self.epoch;
+        let placement = self.placement_mut(service);
+        let unit = UnitId::hot_key(key);
+        let Some(UnitOwner::Owned(from)) = placement.units.get(&slice).cloned() else {
+            return WrongOwnerSnafu { unit: slice }.fail();
+        };
+        ensure!(placement.hot_keys.insert(key), WrongOwnerSnafu { unit });
+        let moving = UnitOwner::Moving {
+            from: from.clone(),
+            to: to.clone(),
+            since_epoch,
+        };
+        placement.units.insert(unit, moving);
+        self.raise_fence(&from);
+        Ok(())
+    }
+
+    fn merge(&mut self, service: &ServiceName, key: KeyHash) -> Result<(), ApplyError> {
+        let slice = self.slice_of(service, key);
+        let placement = self.placement_mut(service);
+        let unit = UnitId::hot_key(key);
+        let owner = placement.units.get(&unit).cloned();
+        let Some(UnitOwner::Owned(name)) = owner else {
+            return WrongOwnerSnafu { unit }.fail();
+        };
+        let same = placement.units.get(&slice) == Some(&UnitOwner::Owned(name.clone()));
+        ensure!(same, WrongOwnerSnafu { unit });
+        placement.units.remove(&unit);
+        placement.hot_keys.remove(&key);
+        self.raise_fence(&name);
+        Ok(())
+    }
+
+    fn slice_of(&self, service: &ServiceName, key: KeyHash) -> UnitId {
+        let slices = self
+            .settings
+            .service_policy(service)
+            .map_or(1, |policy| policy.slices);
+        UnitId::slice_of(key, slices)
+    }
+
+    fn raise_fence(&mut self, upstream: &UpstreamName) {
+        self.fence_epochs.insert(upstream.clone(), self.epoch);
+    }
+}
+
+const fn needs_placer(change: &Change) -> bool {
+    match change {
+        Change::RostersClosed { .. }
+        | Change::UpstreamsRemoved { .. }
+        | Change::DispatchersAssigned { .. }
+        | Change::UnitsMoving { .. }
+        | Change::UnitsOwned { .. }
+        | Change::HotKeysSplit { .. }
+        | Change::HotKeysMerged { .. } => true,
+        // An operator's drain comes through any daemon.
+        Change::UpstreamsChanged { .. }
+        | Change::Settings { .. }
+        | Change::DaemonJoined { .. }
+        | Change::DaemonsRemoved { .. }
+        | Change::PlacerTaken { .. }
+        | Change::Quarantined { .. }
+        | Change::QuarantineCleared { .. } => false,
+    }
+}
--- /dev/null
+++ b/crates/balsam-decide/src/control/error.rs
@@ -0,0 +1,64 @@
+//! Failures of applying a change.
+
+use crate::settings::SettingsError;
+use balsam_types::{Epoch, Incarnation, UnitId, UpstreamName};
+use snafu::Snafu;
+
+/// Why a change does not fit the control state.
+///
+/// A writer checks its change against its own fold before it commits, so a committed entry that
+/// fails here means that the log is damaged.
+#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+#[snafu(visibility(pub(crate)))]
+pub enum ApplyError {
+    /// The entry does not follow the state's epoch.
+    #[snafu(display("log entry {entry} does not follow epoch {epoch}"))]
+    OutOfOrder {
+        /// The entry's epoch.
+        entry: Epoch,
+        /// The state's epoch.
+        epoch: Epoch,
+    },
+    /// A settings edit is refused.
+    #[snafu(display("{source}"))]
+    Settings {
+        /// Why.
+        source: SettingsError,
+    },
+    /// The author of a placement change is not the placer.
+    #[snafu(display("daemon {author} is not the placer"))]
+    NotPlacer {
+        /// The author.
+        author: Incarnation,
+    },
+    /// The daemon is not in the roster.
+    #[snafu(display("daemon {incarnation} is not in the roster"))]
+    NotInRoster {
+        /// The daemon.
+        incarnation: Incarnation,
+    },
+    /// The upstream is not known.
+    #[snafu(display("upstream {name} is not known"))]
+    UnknownUpstream {
+        /// The upstream.
+        name: UpstreamName,
+    },
+    /// The upstream still owns units.
+    #[snafu(display("upstream {name} still owns units"))]
+    StillOwner {
+        /// The upstream.
+        name: UpstreamName,
+    },
+    /// The unit's owner is not the one that the change expects.
+    #[snafu(display("unit {unit} is not held as the change expects"))]
+    WrongOwner {
+        /// The unit.
+        unit: UnitId,
+    },
+    /// The rosters to close are not open.
+    #[snafu(display("no roster up to epoch {through} can be closed"))]
+    NothingToClose {
+        /// The last epoch to close.
+        through: Epoch,
+    },
+}
--- /dev/null
+++ b/crates/balsam-decide/src/dispatch/message.rs
@@ -0,0 +1,101 @@
+//! Messages of the dispatch state machine.
+
+use crate::settings::RankPolicy;
+use balsam_types::{KeyHash, Map, MemberName, NotRunReason, RankName, TimeMs, UnitId};
+use std::sync::Arc;
+
+/// Names one request at one dispatcher.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Ticket(pub u64);
+
+/// A request that waits for a slot.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct QueuedRequest {
+    /// The request.
+    pub ticket: Ticket,
+    /// Its rank.
+    pub rank: RankName,
+    /// The member that it belongs to.
+    pub member: MemberName,
+    /// Its unit, for load counts.
+    pub unit: UnitId,
+    /// Its key, for load counts.
+    pub key: KeyHash,
+    /// When the caller stops waiting.
+    pub deadline: TimeMs,
+}
+
+/// The limits of one upstream.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct DispatchPolicy {
+    /// Requests that the upstream runs at once.
+    pub slots: u32,
+    /// The policy of each rank of the service.
+    pub ranks: Map<RankName, RankPolicy>,
+    /// The weight of each member that differs from the rank's inherited weight.
+    pub weights: Map<(RankName, MemberName), u64>,
+    /// The weight of members without one of their own, by rank.
+    pub default_weights: Map<RankName, u64>,
+}
+
+/// How a request left its slot.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SlotResult {
+    /// The upstream answered.
+    Served,
+    /// The upstream shed the request.
+    Shed,
+    /// The connection failed or the request was not sent.
+    Failed,
+}
+
+/// An input of the dispatcher.
+#[derive(Clone, Debug)]
+pub enum DispatchInput {
+    /// A request wants a slot.
+    Enqueue(QueuedRequest),
+    /// A request gave its slot back.
+    Finished {
+        /// The request.
+        ticket: Ticket,
+        /// How it ended.
+        result: SlotResult,
+    },
+    /// The caller of a waiting request went away.
+    Cancel {
+        /// The request.
+        ticket: Ticket,
+    },
+    /// The limits changed.
+    Policy(Arc<DispatchPolicy>),
+    /// Time has passed.
+    Tick,
+}
+
+/// An output of the dispatcher.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DispatchOutput {
+    /// The request may be sent now; its slot is taken.
+    Start {
+        /// The request.
+        ticket: Ticket,
+    },
+    /// The request leaves the queue unsent.
+    Refuse {
+        /// The request.
+        ticket: Ticket,
+        /// Why.
+        reason: NotRunReason,
+    },
+}
+
+/// The load of one upstream since the last sample.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct LoadSample {
+    /// Slot time used, in milliseconds for each second.
+    pub load: f64,
+    /// The heaviest units with their share of `load`.
+    pub heavy_units: Vec<(UnitId, f64)>,
+    /// The heaviest keys with their share of `load`.
+    pub heavy_keys: Vec<(KeyHash, f64)>,
+}
--- /dev/null
+++ b/crates/balsam-decide/src/dispatch/mod.rs
@@ -0,0 +1,9 @@
+//! The queue and slots of one upstream at its dispatcher.
+//!
+//! See [the design page, section 7](../../../../docs/design.md#7-dispatch-and-limits).
+
+mod message;
+
+pub use message::{
+    DispatchInput, DispatchOutput, DispatchPolicy, LoadSample, QueuedRequest, SlotResult, Ticket,
+};
--- /dev/null
+++ b/crates/balsam-decide/src/entry/mod.rs
@@ -0,0 +1,3 @@
+//! The bounds on requests that one entry daemon holds.
+//!
+//! See [the design page, section 7](../../../../docs/design.md#7-dispatch-and-limits).
--- /dev/null
+++ b/crates/balsam-decide/src/grants/issuer.rs
@@ -0,0 +1,165 @@
+//! The daemon's side of grants.
+
+use super::{Grant, GrantReply, GrantUnits, GrantVerdict, GrantedUnits, UnitsDigest};
+use balsam_types::timing::SUSPECT_MS;
+use balsam_types::{Epoch, Incarnation, ServiceName, TimeMs};
+use std::sync::Arc;
+
+/// The clock of an upstream as last seen.
+#[derive(Clone, Copy, Debug)]
+struct SeenClock {
+    incarnation: Incarnation,
+    clock_ms: TimeMs,
+    received_at: TimeMs,
+}
+
+/// Whether an upstream answers grants.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum GrantHealth {
+    /// Too few exchanges to tell.
+    Unproved,
+    /// The last two exchanges succeeded.
+    Answering,
+    /// At least two exchanges failed in a row and none succeeded within [`SUSPECT_MS`].
+    Silent,
+}
+
+/// The exchange of grants with one upstream.
+#[derive(Debug)]
+pub struct Issuer {
+    service: ServiceName,
+    seen: Option<SeenClock>,
+    held: Option<UnitsDigest>,
+    last_success: TimeMs,
+    successes: u32,
+    failures: u32,
+    granted_fence: Option<Epoch>,
+    granted_until: TimeMs,
+    draining: bool,
+}
+
+impl Issuer {
+    /// Makes an issuer that has not met the upstream; `now` starts its count of silence.
+    pub fn new(service: ServiceName, now: TimeMs) -> Self {
+        Self {
+            service,
+            seen: None,
+            held: None,
+            last_success: now,
+            successes: 0,
+            failures: 0,
+            granted_fence: None,
+            granted_until: TimeMs(0),
+            draining: false,
+        }
+    }
+
+    /// Makes the next grant, or `None` while the daemon's right has lapsed and the clock is known.
+    ///
+    /// The grant expires no later than the daemon's right, also if the upstream's answer took
+    /// long: the upstream's clock is taken to have stood at its value when the answer arrived.
+    pub fn next_grant(
+        &self,
+        now: TimeMs,
+        right_until: TimeMs,
+        epoch: Epoch,
+        fence_epoch: Epoch,
+        units: &Arc<GrantedUnits>,
+        digest: UnitsDigest,
+    ) -> Option<Grant> {
+        let base = |incarnation, units, expires_at_ms| Grant {
+            service: self.service.clone(),
+            incarnation,
+            epoch,
+            fence_epoch,
+            units,
+            expires_at_ms,
+        };
+        let Some(seen) = self.seen else {
+            return Some(base(None, GrantUnits::Unchanged(digest), TimeMs(0)));
+        };
+        if right_until <= now {
+            return None;
+        }
+        let expires_at_ms = seen.clock_ms.after(right_until.since(seen.received_at));
+        let units = if self.held == Some(digest) {
+            GrantUnits::Unchanged(digest)
+        } else {
+            GrantUnits::Full(Arc::clone(units))
+        };
+        Some(base(Some(seen.incarnation), units, expires_at_ms))
+    }
+
+    /// Takes the upstream's answer to `grant`, which was sent at `sent_at` and under a right that
+    /// ends at `right_until`.
+    pub fn answered(
+        &mut self,
+        now: TimeMs,
+        sent_at: TimeMs,
+        right_until: TimeMs,
+        grant: &Grant,
+        reply: &GrantReply,
+    ) {
+        let restarted = self
+            .seen
+            .is_some_and(|seen| seen.incarnation != reply.incarnation);
+        if restarted {
+            self.held = None;
+            self.granted_fence = None;
+            self.granted_until = TimeMs(0);
+            self.successes = 0;
+        }
+        self.seen = Some(SeenClock {
+            incarnation: reply.incarnation,
+            clock_ms: reply.clock_ms,
+            received_at: now,
+        });
+        self.draining = reply.draining;
+        self.last_success = self.last_success.max(sent_at);
+        self.successes = self.successes.saturating_add(1);
+        self.failures = 0;
+        match reply.verdict {
+            GrantVerdict::Accepted => {
+                if let GrantUnits::Full(units) = &grant.units {
+                    self.held = Some(UnitsDigest::of(units));
+                }
+                self.granted_fence = Some(grant.fence_epoch);
+                self.granted_until = right_until;
+            }
+            GrantVerdict::NeedUnits | GrantVerdict::OtherIncarnation => self.held = None,
+            GrantVerdict::Fenced | GrantVerdict::Expired => {}
+        }
+    }
+
+    /// Takes note that an exchange failed.
+    pub fn failed(&mut self) {
+        self.failures = self.failures.saturating_add(1);
+        self.successes = 0;
+    }
+
+    /// Returns whether the upstream answers.
+    pub fn health(&self, now: TimeMs) -> GrantHealth {
+        if self.failures >= 2 && now.since(self.last_success) >= SUSPECT_MS {
+            return GrantHealth::Silent;
+        }
+        if self.successes >= 2 {
+            return GrantHealth::Answering;
+        }
+        GrantHealth::Unproved
+    }
+
+    /// Returns whether the upstream says that it is draining.
+    pub const fn draining(&self) -> bool {
+        self.draining
+    }
+
+    /// Returns the upstream's incarnation, if it has answered.
+    pub fn incarnation(&self) -> Option<Incarnation> {
+        self.seen.map(|seen| seen.incarnation)
+    }
+
+    /// Returns whether the upstream holds a grant of this fence at `now`.
+    pub fn is_granted(&self, now: TimeMs, fence_epoch: Epoch) -> bool {
+        self.granted_fence == Some(fence_epoch) && self.granted_until > now
+    }
+}
--- /dev/null
+++ b/crates/balsam-decide/src/grants/mod.rs
@@ -0,0 +1,14 @@
+//! Grants: the right of an upstream to run requests on its units.
+//!
+//! The [`Issuer`] is the daemon's side and the [`Holder`] the upstream's side.
+//! See [the design page, section 5.1](../../../../docs/design.md#51-grants).
+
+mod holder;
+mod issuer;
+mod message;
+
+pub use holder::{Holder, RefusedRequest, RunningRequest, WorkRequest};
+pub use issuer::{GrantHealth, Issuer};
+pub use message::{
+    Grant, GrantReply, GrantUnits, GrantVerdict, GrantedUnits, Revoke, RevokeReply, UnitsDigest,
+};
--- /dev/null
+++ b/crates/balsam-decide/src/lib.rs
@@ -0,0 +1,20 @@
+//! The decisions of balsamswitch as state machines without I/O.
+//!
+//! A state machine takes the time and one input and returns outputs. Time, randomness and addresses
+//! are arguments, so that tests drive the same decisions without sockets.
+//! See [the design page](../../../docs/design.md).
+
+pub mod control;
+pub mod dispatch;
+pub mod entry;
+pub mod grants;
+pub mod hotkeys;
+pub mod membership;
+pub mod node;
+pub mod orders;
+pub mod placement;
+pub mod placer;
+pub mod quarantine;
+pub mod retry;
+pub mod rights;
+pub mod settings;
--- /dev/null
+++ b/crates/balsam-decide/src/node/mod.rs
@@ -0,0 +1,18 @@
+//! The control decisions of one daemon, as one state machine.
+//!
+//! The `Node` folds the change log, keeps the freshness right, watches peers and upstreams, and,
+//! while its daemon is the placer, moves units. See
+//! [the design page, section 5](../../../../docs/design.md#5-freshness-right).
+
+mod input;
+mod output;
+mod view;
+
+pub use input::{
+    CommitResult, NodeInput, OperatorCommand, Pulse, PulseReply, TableResult, UpstreamReport,
+};
+pub use output::{
+    ChangesBody, CommandFailure, CommandResult, Decision, NodeOutput, PeerEpoch, RequestId,
+    SourcePeer,
+};
+pub use view::{Located, View, acting_dispatcher, rendezvous_weight};
--- /dev/null
+++ b/crates/balsam-decide/src/orders/mod.rs
@@ -0,0 +1,9 @@
+//! Claims and recorded outcomes of non-idempotent orders.
+//!
+//! See [the design page, section 8](../../../../docs/design.md#8-outcomes-and-orders).
+
+mod message;
+
+pub use message::{
+    ClaimRow, OrderInput, OrderKey, OrderOutput, OrderState, RecordedOutcome, RowWrite, TxResult,
+};
--- /dev/null
+++ b/crates/balsam-decide/src/placement/mod.rs
@@ -0,0 +1,1 @@
+//! To be filled in.
--- /dev/null
+++ b/crates/balsam-types/src/collections.rs
@@ -0,0 +1,25 @@
+//! Hash collections with a fast hasher.
+
+/// A hash map with a fast hasher that is seeded for each process.
+#[expect(
+    clippy::disallowed_types,
+    reason = "this alias is the one place that names the map"
+)]
+pub type Map<K, V> = std::collections::HashMap<K, V, foldhash::fast::RandomState>;
+
+/// A hash set with a fast hasher that is seeded for each process.
+#[expect(
+    clippy::disallowed_types,
+    reason = "this alias is the one place that names the set"
+)]
+pub type Set<T> = std::collections::HashSet<T, foldhash::fast::RandomState>;
+
+/// Returns an empty [`Map`].
+pub fn new_map<K, V>() -> Map<K, V> {
+    Map::default()
+}
+
+/// Returns an empty [`Set`].
+pub fn new_set<T>() -> Set<T> {
+    Set::default()
+}
--- /dev/null
+++ b/crates/balsam-types/src/control/mod.rs
@@ -0,0 +1,17 @@
+//! The data of the control state: daemons, upstreams, moves and the changes of the log.
+//!
+//! See [the design page, section 4](../../../docs/design.md#4-control-state).
+
+mod change;
+mod daemon;
+mod instance;
+mod placement;
+mod quarantine;
+mod upstream;
+
+pub use change::{Change, LogEntry, RemovalReason};
+pub use daemon::DaemonInfo;
+pub use instance::{Instance, InstanceKind, InstanceState};
+pub use placement::{MoveReason, UnitMove, UnitOwner};
+pub use quarantine::QuarantineEntry;
+pub use upstream::{UpstreamInfo, UpstreamStatus};
--- /dev/null
+++ b/crates/balsam-types/src/settings/key.rs
@@ -0,0 +1,198 @@
+//! The closed set of settings keys, with unit, range and default.
+
+use super::{SettingValue, ValueError};
+use serde::{Deserialize, Serialize};
+
+/// The unit of a numeric setting.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Unit {
+    /// A plain number.
+    Count,
+    /// Milliseconds.
+    Milliseconds,
+    /// Bytes.
+    Bytes,
+    /// Percent.
+    Percent,
+}
+
+enum Kind {
+    Number {
+        unit: Unit,
+        min: u64,
+        max: u64,
+        default: u64,
+    },
+    Flag {
+        default: bool,
+    },
+    Name {
+        default: &'static str,
+    },
+}
+
+macro_rules! setting_keys {
+    ($($(#[$doc:meta])* $variant:ident = $text:literal, $kind:expr;)+) => {
+        /// A key of the settings tree.
+        #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+        pub enum SettingKey {
+            $($(#[$doc])* #[serde(rename = $text)] $variant,)+
+        }
+
+        impl SettingKey {
+            /// All keys, in the order of their declaration.
+            pub const ALL: &'static [Self] = &[$(Self::$variant),+];
+
+            /// Returns the key's text in JSON and on the command line.
+            pub const fn as_str(self) -> &'static str {
+                match self {
+                    $(Self::$variant => $text,)+
+                }
+            }
+
+            const fn kind(self) -> Kind {
+                match self {
+                    $(Self::$variant => $kind,)+
+                }
+            }
+        }
+    };
+}
+
+const fn count(min: u64, max: u64, default: u64) -> Kind {
+    Kind::Number {
+        unit: Unit::Count,
+        min,
+        max,
+        default,
+    }
+}
+
+const fn millis(min: u64, max: u64, default: u64) -> Kind {
+    Kind::Number {
+        unit: Unit::Milliseconds,
+        min,
+        max,
+        default,
+    }
+}
+
+const fn percent(min: u64, max: u64, default: u64) -> Kind {
+    Kind::Number {
+        unit: Unit::Percent,
+        min,
+        max,
+        default,
+    }
+}
+
+const fn bytes(min: u64, max: u64, default: u64) -> Kind {
+    Kind::Number {
+        unit: Unit::Bytes,
+        min,
+        max,
+        default,
+    }
+}
+
+const GIB: u64 = 1 << 30;
+
+setting_keys! {
+    /// Slices that the key space of a service is divided into; fixed when the service is created.
+    Slices = "slices", count(1, 1 << 20, 4_096);
+    /// The rank of requests that name none.
+    DefaultRank = "default_rank", Kind::Name { default: "lookup" };
+    /// The region of a zone.
+    Region = "region", Kind::Name { default: "default" };
+    /// The priority of a rank; lower numbers are served first.
+    Priority = "priority", count(0, 100, 10);
+    /// Whether requests of the rank are non-idempotent and need an order id.
+    Orders = "orders", Kind::Flag { default: false };
+    /// Slots of each upstream that other ranks cannot take from this rank while it has work.
+    MinSlots = "min_slots", count(0, 1_000, 0);
+    /// Slots of each upstream that this rank can hold at once.
+    MaxSlots = "max_slots", count(1, 1_000, 1_000);
+    /// The deadline of requests that give none.
+    DeadlineMs = "deadline_ms", millis(1, 3_600_000, 2_000);
+    /// Requests of the rank that wait at one upstream's dispatcher.
+    QueueMax = "queue_max", count(0, 100_000, 256);
+    /// The weight of a member against the other members of a rank.
+    Weight = "weight", count(1, 1_000, 1);
+    /// Requests of the rank that one entry daemon holds at once.
+    EntryMaxRequests = "entry_max_requests", count(1, 1_000_000, 1_024);
+    /// Request body bytes that are accepted for one request.
+    BodyMaxBytes = "body_max_bytes", bytes(0, 64 * GIB, 8 << 20);
+    /// Retries as a share of the requests of the rank.
+    RetryBudgetPercent = "retry_budget_percent", percent(0, 100, 10);
+    /// Connections to each upstream.
+    Connections = "connections", count(1, 10_000, 120);
+    /// The shortest time between two transactions of order claims.
+    OrderGroupMs = "order_group_ms", millis(1, 1_000, 20);
+    /// Crashed upstream connections after which equal requests are refused.
+    QuarantineCrashes = "quarantine_crashes", count(1, 100, 3);
+    /// How long equal requests are refused after that.
+    QuarantineTtlMs = "quarantine_ttl_ms", millis(1_000, 86_400_000, 600_000);
+    /// The gain that a move must bring, as a share of the mean load of an upstream.
+    MoveMarginPercent = "move_margin_percent", percent(0, 100, 10);
+    /// Units of a service that balancing may move in a minute; losses are not counted.
+    MovesPerMinute = "moves_per_minute", count(0, 100_000, 64);
+    /// The share of an upstream's load at which a single key becomes a unit of its own.
+    HotKeyPercent = "hot_key_percent", percent(1, 100, 20);
+    /// The time over which a new or returned upstream is filled.
+    WarmupMs = "warmup_ms", millis(0, 3_600_000, 10_000);
+}
+
+impl SettingKey {
+    /// Finds the key with this text.
+    pub fn from_text(text: &str) -> Option<Self> {
+        Self::ALL.iter().copied().find(|key| key.as_str() == text)
+    }
+
+    /// Returns the built-in default, which the root of the tree inherits.
+    pub fn default_value(self) -> SettingValue {
+        match self.kind() {
+            Kind::Number { default, .. } => SettingValue::Number(default),
+            Kind::Flag { default } => SettingValue::Flag(default),
+            Kind::Name { default } => SettingValue::Text(default.into()),
+        }
+    }
+
+    /// Returns the unit of a numeric key.
+    pub const fn unit(self) -> Option<Unit> {
+        match self.kind() {
+            Kind::Number { unit, .. } => Some(unit),
+            Kind::Flag { .. } | Kind::Name { .. } => None,
+        }
+    }
+
+    /// Describes the accepted values.
+    pub fn accepted(self) -> String {
+        match self.kind() {
+            Kind::Number { min, max, .. } => format!("{min} to {max}"),
+            Kind::Flag { .. } => "true or false".to_owned(),
+            Kind::Name { .. } => "a name".to_owned(),
+        }
+    }
+
+    /// Checks that `value` has the key's type and lies in its range.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`ValueError`] that names the key, the value and the accepted range.
+    pub fn check(self, value: &SettingValue) -> Result<(), ValueError> {
+        let accepted = match (self.kind(), value) {
+            (Kind::Number { min, max, .. }, SettingValue::Number(n)) => (min..=max).contains(n),
+            (Kind::Flag { .. }, SettingValue::Flag(_)) => true,
+            (Kind::Name { .. }, SettingValue::Text(text)) => crate::RankName::new(text).is_ok(),
+            _ => false,
+        };
+        if accepted {
+            return Ok(());
+        }
+        Err(ValueError {
+            key: self,
+            value: value.clone(),
+            accepted: self.accepted(),
+        })
+    }
+}
