--- a/crates/balsam-decide/src/orders/message.rs
+++ b/crates/balsam-decide/src/orders/message.rs
@@ -60,6 +60,15 @@
     pub row: Option<ClaimRow>,
 }
 
+/// One row of a read.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ReadRow {
+    /// The order.
+    pub key: OrderKey,
+    /// The row's version and content; `None` if it is absent.
+    pub row: Option<(u64, ClaimRow)>,
+}
+
 /// How a grouped transaction ended.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum TxResult {
@@ -106,8 +115,8 @@
     ReadDone {
         /// The read.
         attempt: AttemptId,
-        /// Each wanted order with its row and the row's version.
-        rows: Option<Vec<(OrderKey, Option<(u64, ClaimRow)>)>>,
+        /// The wanted orders with their rows.
+        rows: Option<Vec<ReadRow>>,
     },
     /// Time has passed.
     Tick,
--- a/crates/balsam-decide/src/orders/mod.rs
+++ b/crates/balsam-decide/src/orders/mod.rs
@@ -5,5 +5,6 @@
 mod message;
 
 pub use message::{
-    ClaimRow, OrderInput, OrderKey, OrderOutput, OrderState, RecordedOutcome, RowWrite, TxResult,
+    ClaimRow, OrderInput, OrderKey, OrderOutput, OrderState, ReadRow, RecordedOutcome, RowWrite,
+    TxResult,
 };
