Add the placement planner

The placer needs to know which units should go where. placement::plan gives unowned units their first owners, empties lost and draining upstreams, splits and merges hot keys and balances within the margin, the moves per minute and the warm-up.

--- /dev/null
+++ b/crates/balsam-decide/src/placement/balance.rs
@@ -0,0 +1,81 @@
+//! Moves that even out load and keys.
+
+use super::ledger::{Host, Ledger};
+use super::{PlanInput, PlanStep};
+use balsam_types::UnitId;
+use balsam_types::control::{MoveReason, UnitMove};
+
+/// Plans moves from the fullest to the least filled upstream while they pay for themselves.
+///
+/// Balancing starts when the gap between the two exceeds the margin and ends at half of it, so
+/// that noise in the load does not start the next round at once.
+pub(super) fn plan_balance(
+    input: &PlanInput<'_>,
+    ledger: &mut Ledger<'_>,
+    budget: &mut u64,
+) -> Vec<PlanStep> {
+    let mean = ledger.mean_ratio();
+    let margin = mean * input.policy.move_margin_percent as f64 / 100.0;
+    let mut steps = Vec::new();
+    let mut exhausted = vec![false; ledger.hosts.len()];
+    for host in &mut ledger.hosts {
+        let by_cost =
+            |a: &(f64, UnitId), b: &(f64, UnitId)| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1));
+        host.movable.sort_unstable_by(by_cost);
+    }
+    while *budget > 0 {
+        let (Some(full), Some(low)) = (fullest(ledger, &exhausted), ledger.least_filled(None))
+        else {
+            break;
+        };
+        let gap = ledger.hosts[full].ratio() - ledger.hosts[low].ratio();
+        let enough = if steps.is_empty() {
+            margin
+        } else {
+            margin / 2.0
+        };
+        if full == low || gap <= enough {
+            break;
+        }
+        let Some((cost, unit)) = choose(&ledger.hosts[full], &ledger.hosts[low], mean, margin)
+        else {
+            exhausted[full] = true;
+            continue;
+        };
+        ledger.shift(unit, cost, full, low);
+        *budget -= 1;
+        steps.push(PlanStep::Move(UnitMove {
+            unit,
+            from: input.upstreams[full].name.clone(),
+            to: input.upstreams[low].name.clone(),
+            reason: MoveReason::Balance,
+        }));
+    }
+    steps
+}
+
+fn fullest(ledger: &Ledger<'_>, exhausted: &[bool]) -> Option<usize> {
+    let givers =
+        (0..ledger.hosts.len()).filter(|at| !exhausted[*at] && ledger.hosts[*at].weight > 0.0);
+    // The reversed order makes the first of equal hosts win.
+    givers.rev().max_by(|a, b| {
+        ledger.hosts[*a]
+            .ratio()
+            .total_cmp(&ledger.hosts[*b].ratio())
+    })
+}
+
+/// Returns the heaviest unit that brings both hosts towards the mean without overshooting, or the
+/// lightest unit if even that one overshoots but still narrows the gap by the margin.
+fn choose(full: &Host<'_>, low: &Host<'_>, mean: f64, margin: f64) -> Option<(f64, UnitId)> {
+    let excess = full.held - mean * full.weight;
+    let room = mean * low.weight - low.held;
+    let fits = excess.min(room);
+    let fitting = full.movable.partition_point(|(cost, _)| *cost <= fits);
+    if let Some(at) = fitting.checked_sub(1) {
+        return Some(full.movable[at]);
+    }
+    let (cost, unit) = *full.movable.first()?;
+    let after = (low.held + cost) / low.weight;
+    (after + margin <= full.ratio()).then_some((cost, unit))
+}
--- a/crates/balsam-decide/src/placement/mod.rs
+++ b/crates/balsam-decide/src/placement/mod.rs
@@ -2,6 +2,12 @@
 //!
 //! See [the design page, section 6](../../../../docs/design.md#6-placement).
 
+mod balance;
+mod homes;
+mod hot;
+mod ledger;
 mod message;
+mod plan;
 
 pub use message::{PlanInput, PlanStep, PlanUpstream};
+pub use plan::plan;
--- /dev/null
+++ b/crates/balsam-decide/src/placement/plan.rs
@@ -0,0 +1,24 @@
+//! The order in which the planner's rules apply.
+
+use super::ledger::Ledger;
+use super::{PlanInput, PlanStep, balance, homes, hot};
+
+/// Plans the next steps for one service.
+///
+/// Units without an available owner come first and without limit. Hot keys and balance share what
+/// is left of the moves per minute. Units that are already moving are never planned.
+pub fn plan(input: &PlanInput<'_>) -> Vec<PlanStep> {
+    let mut ledger = Ledger::new(input);
+    if !ledger.has_targets() {
+        return Vec::new();
+    }
+    let mut steps = homes::plan_homes(input, &mut ledger);
+    let mut budget = input
+        .policy
+        .moves_per_minute
+        .saturating_sub(input.recent_moves);
+    steps.extend(hot::plan_merges(input, &mut ledger, &mut budget));
+    steps.extend(hot::plan_splits(input, &mut ledger, &mut budget));
+    steps.extend(balance::plan_balance(input, &mut ledger, &mut budget));
+    steps
+}
