Add the dispatcher of one upstream's slots

One queue by rank and member decides which request gets the next slot. Dispatch keeps exact slots with minimum and maximum per rank, deficit round robin between members charged by slot time, a bounded queue that refuses late and excess requests, an adaptive limit and decaying load counts by unit and key.

--- a/crates/balsam-decide/src/dispatch/message.rs
+++ b/crates/balsam-decide/src/dispatch/message.rs
@@ -38,6 +38,15 @@
     pub default_weights: Map<RankName, u64>,
 }
 
+impl DispatchPolicy {
+    /// Returns the weight of a member within a rank.
+    pub fn weight(&self, rank: &RankName, member: &MemberName) -> f64 {
+        let own = self.weights.get(&(rank.clone(), member.clone()));
+        let weight = own.or_else(|| self.default_weights.get(rank));
+        weight.copied().unwrap_or(1).max(1) as f64
+    }
+}
+
 /// How a request left its slot.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum SlotResult {
@@ -89,13 +98,13 @@
     },
 }
 
-/// The load of one upstream since the last sample.
+/// The recent load of one upstream; older load counts less and less.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct LoadSample {
     /// Slot time used, in milliseconds for each second.
     pub load: f64,
-    /// The heaviest units with their share of `load`.
+    /// The heaviest units with their part of `load`.
     pub heavy_units: Vec<(UnitId, f64)>,
-    /// The heaviest keys with their share of `load`.
+    /// The heaviest keys with their part of `load`.
     pub heavy_keys: Vec<(KeyHash, f64)>,
 }
--- a/crates/balsam-decide/src/dispatch/mod.rs
+++ b/crates/balsam-decide/src/dispatch/mod.rs
@@ -2,8 +2,14 @@
 //!
 //! See [the design page, section 7](../../../../docs/design.md#7-dispatch-and-limits).
 
+mod dispatcher;
+mod limit;
+mod load;
 mod message;
+mod rank;
+mod service_time;
 
+pub use dispatcher::Dispatch;
 pub use message::{
     DispatchInput, DispatchOutput, DispatchPolicy, LoadSample, QueuedRequest, SlotResult, Ticket,
 };
