--- a/crates/balsam-decide/src/entry/mod.rs
+++ b/crates/balsam-decide/src/entry/mod.rs
@@ -1,3 +1,9 @@
 //! The bounds on requests that one entry daemon holds.
 //!
 //! See [the design page, section 7](../../../../docs/design.md#7-dispatch-and-limits).
+
+mod bounds;
+mod message;
+
+pub use bounds::EntryBounds;
+pub use message::{Arrival, EntryLimits, EntryRank, EntryTicket};
