--- a/crates/balsam-decide/tests/entry_bounds.rs
+++ b/crates/balsam-decide/tests/entry_bounds.rs
@@ -46,7 +46,7 @@
     }
     assert!(bounds.held() <= 100);
     let before = bounds.held();
-    assert!(bounds.admit(arrival("lookup", "a")).is_ok());
+    bounds.admit(arrival("lookup", "a")).expect("place");
     assert_eq!(bounds.held(), before + 1);
 }
 
--- a/crates/balsam-decide/tests/retry_budget.rs
+++ b/crates/balsam-decide/tests/retry_budget.rs
@@ -85,8 +85,8 @@
     let lost = Outcome::Unknown(UnknownReason::UpstreamLost);
     let late = machine().verdict(TimeMs(10_000), &attempt(lost, true, 1));
     assert_eq!(late, RetryVerdict::GiveUp(GiveUpReason::Deadline));
-    let last = machine().verdict(TimeMs(0), &attempt(lost, true, 4));
-    assert_eq!(last, RetryVerdict::GiveUp(GiveUpReason::Attempts));
+    let fourth = machine().verdict(TimeMs(0), &attempt(lost, true, 4));
+    assert_eq!(fourth, RetryVerdict::GiveUp(GiveUpReason::Attempts));
 }
 
 /// Guards against retries in step with each other, and against waits beyond a pulse.
