--- a/crates/balsam-decide/src/orders/message.rs
+++ b/crates/balsam-decide/src/orders/message.rs
@@ -34,6 +34,11 @@
 pub enum OrderState {
     /// The order is claimed, and its outcome is not recorded.
     Claimed,
+    /// The claim was given up without a run; the next arrival may claim the order.
+    ///
+    /// Released rows stay in the table: a row's version then only grows, so a transaction that
+    /// the table applies late can neither renew a claim nor release that of another daemon.
+    Released,
     /// The outcome is recorded.
     Done(RecordedOutcome),
 }
@@ -56,8 +61,8 @@
     pub key: OrderKey,
     /// The version that the row must have; 0 if it must be absent.
     pub version: u64,
-    /// The new row; `None` deletes it.
-    pub row: Option<ClaimRow>,
+    /// The new row.
+    pub row: ClaimRow,
 }
 
 /// One row of a read.
