Add the quarantine of requests that crash upstreams

A request that crashes each upstream that runs it is sent again by its caller. Quarantine counts crashes by fingerprint, merges the counts of all daemons from the shared row without counting any twice, and refuses at the threshold, by its own counts while the table is down. An entry's time runs from its adoption.

--- /dev/null
+++ b/crates/balsam-decide/src/quarantine/fingerprint.rs
@@ -0,0 +1,80 @@
+//! What equal requests have in common.
+
+use balsam_types::{Fingerprint, KeyHash, MemberName};
+
+/// The bytes that are hashed at once; the digest must not depend on how a body was cut up.
+const BLOCK_BYTES: usize = 1 << 10;
+
+/// The bytes of the digest so far at the start of each block.
+const CHAIN_BYTES: usize = 8;
+
+/// A digest of a body that arrives in parts.
+#[derive(Clone, Debug)]
+pub struct BodyDigest {
+    block: Vec<u8>,
+    length_bytes: u64,
+}
+
+impl BodyDigest {
+    /// Makes the digest of an empty body.
+    pub fn new() -> Self {
+        Self {
+            block: vec![0; CHAIN_BYTES],
+            length_bytes: 0,
+        }
+    }
+
+    /// Adds the next part of the body.
+    pub fn update(&mut self, part: impl AsRef<[u8]>) {
+        let mut rest = part.as_ref();
+        self.length_bytes += rest.len() as u64;
+        while !rest.is_empty() {
+            let room = CHAIN_BYTES + BLOCK_BYTES - self.block.len();
+            let (now, later) = rest.split_at(room.min(rest.len()));
+            self.block.extend_from_slice(now);
+            rest = later;
+            if self.block.len() == CHAIN_BYTES + BLOCK_BYTES {
+                self.fold_block();
+            }
+        }
+    }
+
+    /// Returns the digest of the whole body.
+    #[must_use]
+    pub fn finish(mut self) -> u64 {
+        let length = self.length_bytes.to_le_bytes();
+        self.block.extend_from_slice(&length);
+        KeyHash::of(&self.block).0
+    }
+
+    fn fold_block(&mut self) {
+        let hash = KeyHash::of(&self.block).0.to_le_bytes();
+        self.block.clear();
+        self.block.extend_from_slice(&hash);
+    }
+}
+
+impl Default for BodyDigest {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+/// Returns the fingerprint of a request; it is the same on every daemon.
+pub fn fingerprint(
+    member: &MemberName,
+    method: impl AsRef<str>,
+    path: impl AsRef<str>,
+    key: KeyHash,
+    body_digest: u64,
+) -> Fingerprint {
+    let mut bytes = Vec::new();
+    for text in [member.as_str(), method.as_ref(), path.as_ref()] {
+        // The length keeps the end of one text from being taken for the start of the next.
+        bytes.extend_from_slice(&(text.len() as u64).to_le_bytes());
+        bytes.extend_from_slice(text.as_bytes());
+    }
+    bytes.extend_from_slice(&key.0.to_le_bytes());
+    bytes.extend_from_slice(&body_digest.to_le_bytes());
+    Fingerprint(KeyHash::of(bytes).0)
+}
--- /dev/null
+++ b/crates/balsam-decide/src/quarantine/machine.rs
@@ -0,0 +1,221 @@
+//! The quarantine state machine.
+
+use super::tally::Tally;
+use super::{CrashCount, QuarantineInput, QuarantineOutput, QuarantinePolicy};
+use balsam_types::control::QuarantineEntry;
+use balsam_types::{Fingerprint, Incarnation, Map, ServiceName, TimeMs, new_map};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Fingerprints that one daemon counts; the one whose last crash is oldest makes room.
+const FINGERPRINTS_MAX: usize = 1_024;
+
+/// The time between two reports that an entry has ended, in milliseconds; a report is lost when
+/// the placer is.
+const CLEAR_RETRY_MS: u64 = 60_000;
+
+#[derive(Debug)]
+struct Adopted {
+    entry: QuarantineEntry,
+    until: TimeMs,
+    /// When the end of the entry is reported next.
+    clear_at: TimeMs,
+}
+
+/// Counts crashes by fingerprint and tells which requests are refused.
+#[derive(Debug)]
+pub struct Quarantine {
+    me: Incarnation,
+    policies: BTreeMap<ServiceName, QuarantinePolicy>,
+    tallies: Map<Fingerprint, Tally>,
+    adopted: BTreeMap<Fingerprint, Adopted>,
+}
+
+impl Quarantine {
+    /// Makes a machine of the daemon `me` without counts.
+    pub fn new(me: Incarnation) -> Self {
+        Self {
+            me,
+            policies: BTreeMap::new(),
+            tallies: new_map(),
+            adopted: BTreeMap::new(),
+        }
+    }
+
+    /// Takes one input and returns what follows from it.
+    pub fn handle(&mut self, now: TimeMs, input: QuarantineInput) -> Vec<QuarantineOutput> {
+        let mut outputs = self.expire(now);
+        match input {
+            QuarantineInput::Crashed {
+                service,
+                fingerprint,
+            } => {
+                self.count(now, service, fingerprint);
+                outputs.push(QuarantineOutput::ShareCounts);
+                outputs.extend(self.entry_due(now, fingerprint));
+            }
+            QuarantineInput::Row(counts) => {
+                for fingerprint in self.merge(now, counts) {
+                    outputs.extend(self.entry_due(now, fingerprint));
+                }
+            }
+            QuarantineInput::Adopted(entries) => self.adopt(now, entries),
+            QuarantineInput::Policies(policies) => self.policies = policies,
+            QuarantineInput::Tick => {}
+        }
+        outputs
+    }
+
+    /// Returns whether a request is refused.
+    ///
+    /// The counts apply in addition to the adopted entries, because no entry can be committed while
+    /// the table is down.
+    pub fn is_refused(&self, now: TimeMs, fingerprint: Fingerprint) -> bool {
+        let adopted = self.adopted.get(&fingerprint);
+        adopted.is_some_and(|adopted| now < adopted.until) || self.reached(fingerprint).is_some()
+    }
+
+    /// Returns the shared row as this daemon would write it after the last read.
+    pub fn row(&self) -> Vec<CrashCount> {
+        let counts = self.tallies.iter().flat_map(|(fingerprint, tally)| {
+            tally.live().map(|(by, crashes)| CrashCount {
+                fingerprint: *fingerprint,
+                service: tally.service.clone(),
+                by,
+                crashes,
+            })
+        });
+        let mut row: Vec<CrashCount> = counts.collect();
+        row.sort_by_key(|count| (count.fingerprint, count.by));
+        row
+    }
+
+    fn count(&mut self, now: TimeMs, service: ServiceName, fingerprint: Fingerprint) {
+        self.make_room(fingerprint);
+        let tally = self
+            .tallies
+            .entry(fingerprint)
+            .or_insert_with(|| Tally::new(service));
+        tally.add(now, self.me);
+    }
+
+    fn make_room(&mut self, fingerprint: Fingerprint) {
+        if self.tallies.len() < FINGERPRINTS_MAX || self.tallies.contains_key(&fingerprint) {
+            return;
+        }
+        let age =
+            |(fingerprint, tally): &(&Fingerprint, &Tally)| (tally.changed_at(), **fingerprint);
+        let oldest = self.tallies.iter().min_by_key(age);
+        if let Some(oldest) = oldest.map(|(fingerprint, _)| *fingerprint) {
+            self.tallies.remove(&oldest);
+        }
+    }
+
+    /// Takes over the other daemons' counts and returns the fingerprints in the row.
+    fn merge(&mut self, now: TimeMs, counts: Vec<CrashCount>) -> BTreeSet<Fingerprint> {
+        let me = self.me;
+        let remote = counts.iter().filter(|count| count.by != me);
+        let named: BTreeSet<_> = remote.map(|count| (count.fingerprint, count.by)).collect();
+        for (fingerprint, tally) in &mut self.tallies {
+            tally.retain_remote(me, |by| named.contains(&(*fingerprint, by)));
+        }
+        self.tallies.retain(|_, tally| !tally.is_empty());
+        for count in counts.into_iter().filter(|count| count.by != me) {
+            self.make_room(count.fingerprint);
+            let tally = self
+                .tallies
+                .entry(count.fingerprint)
+                .or_insert_with(|| Tally::new(count.service));
+            tally.set(now, count.by, count.crashes);
+        }
+        named
+            .into_iter()
+            .map(|(fingerprint, _)| fingerprint)
+            .collect()
+    }
+
+    /// Takes over the entries of a control state; their time runs from here on.
+    fn adopt(&mut self, now: TimeMs, entries: BTreeMap<Fingerprint, QuarantineEntry>) {
+        let cleared: Vec<Fingerprint> = self
+            .adopted
+            .keys()
+            .filter(|fingerprint| !entries.contains_key(fingerprint))
+            .copied()
+            .collect();
+        for fingerprint in cleared {
+            self.adopted.remove(&fingerprint);
+            self.clear_tally(fingerprint);
+        }
+        for (fingerprint, entry) in entries {
+            let known = self.adopted.get(&fingerprint);
+            if known.is_some_and(|known| known.entry == entry) {
+                continue;
+            }
+            let until = now.after(entry.ttl_ms);
+            let adopted = Adopted {
+                entry,
+                until,
+                clear_at: until,
+            };
+            self.adopted.insert(fingerprint, adopted);
+        }
+    }
+
+    fn clear_tally(&mut self, fingerprint: Fingerprint) {
+        if let Some(tally) = self.tallies.get_mut(&fingerprint) {
+            tally.clear(self.me);
+        }
+    }
+
+    fn expire(&mut self, now: TimeMs) -> Vec<QuarantineOutput> {
+        let mut outputs = Vec::new();
+        let mut ended = Vec::new();
+        for (fingerprint, adopted) in &mut self.adopted {
+            if now < adopted.clear_at {
+                continue;
+            }
+            if adopted.clear_at == adopted.until {
+                ended.push(*fingerprint);
+            }
+            adopted.clear_at = now.after(CLEAR_RETRY_MS);
+            outputs.push(QuarantineOutput::Clear {
+                fingerprint: *fingerprint,
+            });
+        }
+        for fingerprint in ended {
+            self.clear_tally(fingerprint);
+        }
+        let mut own_expired = false;
+        for tally in self.tallies.values_mut() {
+            if let Some(policy) = self.policies.get(&tally.service) {
+                own_expired |= tally.expire(now, self.me, policy.ttl_ms);
+            }
+        }
+        self.tallies.retain(|_, tally| !tally.is_empty());
+        if own_expired {
+            outputs.push(QuarantineOutput::ShareCounts);
+        }
+        outputs
+    }
+
+    /// Returns the crashes and the policy of a fingerprint that has reached its threshold.
+    fn reached(&self, fingerprint: Fingerprint) -> Option<(&Tally, QuarantinePolicy)> {
+        let tally = self.tallies.get(&fingerprint)?;
+        let policy = *self.policies.get(&tally.service)?;
+        (tally.crashes() >= policy.crashes).then_some((tally, policy))
+    }
+
+    /// Returns the entry to commit, unless one is in force.
+    fn entry_due(&self, now: TimeMs, fingerprint: Fingerprint) -> Option<QuarantineOutput> {
+        let adopted = self.adopted.get(&fingerprint);
+        if adopted.is_some_and(|adopted| now < adopted.until) {
+            return None;
+        }
+        let (tally, policy) = self.reached(fingerprint)?;
+        Some(QuarantineOutput::Commit(QuarantineEntry {
+            fingerprint,
+            service: tally.service.clone(),
+            crashes: tally.crashes(),
+            ttl_ms: policy.ttl_ms,
+        }))
+    }
+}
--- /dev/null
+++ b/crates/balsam-decide/src/quarantine/tally.rs
@@ -0,0 +1,108 @@
+//! The crashes of one fingerprint.
+
+use balsam_types::{Incarnation, ServiceName, TimeMs};
+use std::collections::BTreeMap;
+
+#[derive(Clone, Copy, Debug)]
+struct Count {
+    crashes: u32,
+    /// Crashes that expired or were cleared but are still in the shared row.
+    ignored: u32,
+    changed_at: TimeMs,
+}
+
+impl Count {
+    const fn live(self) -> u32 {
+        self.crashes.saturating_sub(self.ignored)
+    }
+}
+
+/// Crashes by the daemon that saw them.
+#[derive(Debug)]
+pub(super) struct Tally {
+    /// The service that the request addresses.
+    pub service: ServiceName,
+    counts: BTreeMap<Incarnation, Count>,
+}
+
+impl Tally {
+    /// Makes an empty tally.
+    pub fn new(service: ServiceName) -> Self {
+        Self {
+            service,
+            counts: BTreeMap::new(),
+        }
+    }
+
+    /// Adds a crash that this daemon saw.
+    pub fn add(&mut self, now: TimeMs, me: Incarnation) {
+        let crashes = self.counts.get(&me).map_or(0, |count| count.crashes);
+        self.set(now, me, crashes.saturating_add(1));
+    }
+
+    /// Takes over the count of a daemon.
+    pub fn set(&mut self, now: TimeMs, by: Incarnation, crashes: u32) {
+        let count = self.counts.entry(by).or_insert(Count {
+            crashes: 0,
+            ignored: 0,
+            changed_at: now,
+        });
+        if crashes < count.crashes {
+            // The daemon has dropped its old crashes and counts from the start.
+            count.ignored = 0;
+        }
+        if crashes != count.crashes {
+            count.crashes = crashes;
+            count.changed_at = now;
+        }
+    }
+
+    /// Drops the counts of other daemons that `in_row` does not name.
+    pub fn retain_remote(&mut self, me: Incarnation, in_row: impl Fn(Incarnation) -> bool) {
+        self.counts.retain(|by, _| *by == me || in_row(*by));
+    }
+
+    /// Ignores crashes that are older than `ttl_ms`; returns whether an own one was among them.
+    pub fn expire(&mut self, now: TimeMs, me: Incarnation, ttl_ms: u64) -> bool {
+        let is_old = |count: &Count| now.since(count.changed_at) >= ttl_ms;
+        let own_expired = self.counts.get(&me).is_some_and(is_old);
+        if own_expired {
+            self.counts.remove(&me);
+        }
+        for count in self.counts.values_mut().filter(|count| is_old(count)) {
+            count.ignored = count.crashes;
+        }
+        own_expired
+    }
+
+    /// Ignores all crashes so far.
+    pub fn clear(&mut self, me: Incarnation) {
+        self.counts.remove(&me);
+        for count in self.counts.values_mut() {
+            count.ignored = count.crashes;
+        }
+    }
+
+    /// Returns the crashes that count.
+    pub fn crashes(&self) -> u32 {
+        let live = self.counts.values().map(|count| count.live());
+        live.fold(0, u32::saturating_add)
+    }
+
+    /// Returns the counts that belong in the shared row.
+    pub fn live(&self) -> impl Iterator<Item = (Incarnation, u32)> {
+        let live = self.counts.iter().filter(|(_, count)| count.live() > 0);
+        live.map(|(by, count)| (*by, count.crashes))
+    }
+
+    /// Returns when the tally last changed.
+    pub fn changed_at(&self) -> TimeMs {
+        let times = self.counts.values().map(|count| count.changed_at);
+        times.max().unwrap_or_default()
+    }
+
+    /// Returns whether the tally holds no count.
+    pub fn is_empty(&self) -> bool {
+        self.counts.is_empty()
+    }
+}
