Refuse waiting requests that would probably be late

Waiting requests are now refused when less than the mean and four mean deviations is left, at most half of the rank's deadline; arriving requests that need not wait get a lower bound.

--- a/crates/balsam-decide/src/dispatch/dispatcher.rs
+++ b/crates/balsam-decide/src/dispatch/dispatcher.rs
@@ -55,7 +55,9 @@
         match input {
             DispatchInput::Enqueue(request) => {
                 arriving = Some(request.member.clone());
-                outputs.extend(self.enqueue(request));
+                outputs.extend(self.enqueue(now, request));
+                // A request that need not wait gets its chance even if the time is short.
+                self.start_ready(now, &mut outputs);
             }
             DispatchInput::Finished { ticket, result } => self.finish(now, ticket, result),
             DispatchInput::Cancel { ticket } => self.cancel(ticket),
@@ -99,7 +101,7 @@
         self.limit.get()
     }
 
-    fn enqueue(&mut self, request: QueuedRequest) -> Option<DispatchOutput> {
+    fn enqueue(&mut self, now: TimeMs, request: QueuedRequest) -> Option<DispatchOutput> {
         let ticket = request.ticket;
         if self.running.contains_key(&ticket) || self.waiting.contains_key(&ticket) {
             return None;
@@ -109,6 +111,10 @@
             let reason = NotRunReason::UnknownRank;
             return Some(DispatchOutput::Refuse { ticket, reason });
         };
+        if rank.is_too_late(now, request.deadline) {
+            let reason = NotRunReason::Deadline;
+            return Some(DispatchOutput::Refuse { ticket, reason });
+        }
         self.waiting.insert(ticket, request.rank.clone());
         rank.push(request, weight);
         None
--- a/crates/balsam-decide/src/dispatch/rank.rs
+++ b/crates/balsam-decide/src/dispatch/rank.rs
@@ -144,11 +144,16 @@
         Some(request)
     }
 
-    /// Removes and returns a request that cannot be served by its deadline.
+    /// Returns whether an arriving request cannot be served by `deadline` even without waiting.
+    pub fn is_too_late(&self, now: TimeMs, deadline: TimeMs) -> bool {
+        let least_ms = self.service_time.least_ms(now, self.running);
+        deadline <= now || now.after(least_ms) > deadline
+    }
+
+    /// Removes and returns a waiting request that would probably miss its deadline.
     pub fn pop_hopeless(&mut self, now: TimeMs) -> Option<QueuedRequest> {
         let (deadline, ticket) = *self.deadlines.first()?;
-        let ready_at = now.after(self.service_time.needed_ms(now, self.running));
-        if deadline > now && ready_at <= deadline {
+        if deadline > now && now.after(self.likely_ms(now)) <= deadline {
             return None;
         }
         self.remove(ticket)
@@ -157,7 +162,7 @@
     /// Returns when the next waiting request becomes hopeless.
     pub fn next_hopeless(&self, now: TimeMs) -> Option<TimeMs> {
         let (deadline, _) = self.deadlines.first()?;
-        let needed_ms = self.service_time.needed_ms(now, self.running);
+        let needed_ms = self.likely_ms(now);
         // A request that needs exactly the remaining time can still start.
         Some(TimeMs(deadline.0.saturating_sub(needed_ms.max(1) - 1)))
     }
@@ -193,6 +198,11 @@
         requests
     }
 
+    fn likely_ms(&self, now: TimeMs) -> u64 {
+        let deadline_ms = self.policy.deadline_ms;
+        self.service_time.likely_ms(now, self.running, deadline_ms)
+    }
+
     fn forget(&mut self, request: &QueuedRequest) {
         self.deadlines.remove(&(request.deadline, request.ticket));
         self.waiting.remove(&request.ticket);
--- a/crates/balsam-decide/src/dispatch/service_time.rs
+++ b/crates/balsam-decide/src/dispatch/service_time.rs
@@ -11,6 +11,12 @@
 /// corrects it.
 const ESTIMATE_TTL_MS: u64 = 1_000;
 
+/// Mean deviations above the mean within which nearly all requests are served.
+const LIKELY_DEVIATIONS: f64 = 4.0;
+
+/// Mean deviations below the mean before which hardly any request is served.
+const LEAST_DEVIATIONS: f64 = 2.0;
+
 /// A moving mean of service times with their mean deviation.
 #[derive(Debug, Default)]
 pub(super) struct ServiceTime {
@@ -36,16 +42,31 @@
         self.mean_ms.max(1.0)
     }
 
-    /// Returns the time that a request needs to be served in all likelihood, in milliseconds.
+    /// Returns the time within which nearly all requests are served, in milliseconds.
     ///
-    /// The deviation is included because a request that starts too late wastes its whole slot time.
-    pub fn needed_ms(&self, now: TimeMs, running: u32) -> u64 {
-        let stale = self
-            .last_sample
-            .is_none_or(|at| now.since(at) >= ESTIMATE_TTL_MS);
-        if stale && running == 0 {
+    /// A request that waited until less is left would probably waste its slot time. The margin over
+    /// the mean is bounded by half of the rank's deadline, because service times that vary widely
+    /// would otherwise empty the queue.
+    pub fn likely_ms(&self, now: TimeMs, running: u32, deadline_ms: u64) -> u64 {
+        if self.is_stale(now, running) {
+            return 0;
+        }
+        let most_ms = self.mean_ms.max(deadline_ms as f64 / 2.0);
+        let likely_ms = self.mean_ms + LIKELY_DEVIATIONS * self.deviation_ms;
+        likely_ms.min(most_ms).round() as u64
+    }
+
+    /// Returns the time below which hardly any request is served, in milliseconds.
+    pub fn least_ms(&self, now: TimeMs, running: u32) -> u64 {
+        if self.is_stale(now, running) {
             return 0;
         }
-        (self.mean_ms + self.deviation_ms).round() as u64
+        let least_ms = self.mean_ms - LEAST_DEVIATIONS * self.deviation_ms;
+        least_ms.max(0.0).round() as u64
+    }
+
+    fn is_stale(&self, now: TimeMs, running: u32) -> bool {
+        let is_old = |at| now.since(at) >= ESTIMATE_TTL_MS;
+        running == 0 && self.last_sample.is_none_or(is_old)
     }
 }
