Read and check a daemon's settings file

Cause: a daemon takes its addresses, zone and credentials from a settings file, and nothing read one. Change: config::Config reads the file, refuses unknown fields and lists all faults at once, each with field, value and accepted range. Secrets are never printed.

--- /dev/null
+++ b/crates/balsam-daemon/src/config/credential.rs
@@ -0,0 +1,47 @@
+//! Bearer credentials.
+
+use std::fmt;
+use std::sync::Arc;
+
+/// Shorter credentials can be guessed by trying them all.
+pub(super) const CREDENTIAL_MIN_BYTES: usize = 16;
+
+/// Longer credentials leave too little room in a bounded request head.
+pub(super) const CREDENTIAL_MAX_BYTES: usize = 256;
+
+/// A shared secret that a peer or an operator presents; never printed.
+#[derive(Clone, PartialEq, Eq)]
+pub struct Credential(Arc<str>);
+
+impl Credential {
+    /// Makes a credential of `text`; `None` if it is not 16 to 256 visible ASCII characters.
+    pub fn new(text: impl AsRef<str>) -> Option<Self> {
+        let text = text.as_ref();
+        let length_fits = (CREDENTIAL_MIN_BYTES..=CREDENTIAL_MAX_BYTES).contains(&text.len());
+        let visible = text.bytes().all(|byte| byte.is_ascii_graphic());
+        (length_fits && visible).then(|| Self(Arc::from(text)))
+    }
+
+    /// Returns the secret text.
+    pub fn expose(&self) -> &str {
+        &self.0
+    }
+
+    /// Returns whether `presented` is this credential, in a time that does not depend on where the
+    /// first difference is.
+    pub fn matches(&self, presented: impl AsRef<[u8]>) -> bool {
+        let presented = presented.as_ref();
+        let expected = self.0.as_bytes();
+        let difference = expected
+            .iter()
+            .zip(presented)
+            .fold(0, |difference, (a, b)| difference | (a ^ b));
+        expected.len() == presented.len() && difference == 0
+    }
+}
+
+impl fmt::Debug for Credential {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("Credential(..)")
+    }
+}
--- /dev/null
+++ b/crates/balsam-daemon/src/config/mod.rs
@@ -0,0 +1,15 @@
+//! The settings file of a daemon.
+//!
+//! The file is read once, at the start; everything that operators change at run time lives in the
+//! settings tree instead. See [the operators' page](../../../../docs/OPERATORS.md).
+
+mod credential;
+mod error;
+mod fields;
+mod file;
+mod limits;
+
+pub use credential::Credential;
+pub use error::{ConfigError, FieldFault, FieldFaults};
+pub use file::Config;
+pub use limits::Limits;
