--- a/crates/balsam-daemon/tests/settings_file.rs
+++ b/crates/balsam-daemon/tests/settings_file.rs
@@ -121,7 +121,8 @@
     settings["peer_listen"] = json!("0.0.0.0:7000");
     assert_eq!(faults_of(&settings)[0].0, "peer_advertise");
     settings["peer_advertise"] = json!("10.0.0.1:7000");
-    assert!(Config::from_json(settings.to_string()).is_ok());
+    let config = Config::from_json(settings.to_string()).unwrap();
+    assert_eq!(config.peer_advertise, "10.0.0.1:7000".parse().ok());
 }
 
 /// Guards against a file that is not an object being reported as missing fields.
