Set down the interface of the peer transport

The control tasks need a handle to call peers and a message for requests from peers before the transport itself is complete. No task serves the handle yet.

--- a/crates/balsam-daemon/src/lib.rs
+++ b/crates/balsam-daemon/src/lib.rs
@@ -1,1 +1,5 @@
-//! Placeholder.
+//! The tasks and filters of a balsamswitch daemon.
+//!
+//! See [the design page](../../../docs/design.md).
+
+pub mod peer;
