--- a/crates/balsam-daemon/src/lib.rs
+++ b/crates/balsam-daemon/src/lib.rs
@@ -1,5 +1,6 @@
-//! The daemon: tasks and filters around the decisions of `balsam-decide`.
+//! The tasks and filters of a balsamswitch daemon.
 //!
-//! See [the design page, section 2](../../../docs/design.md#2-shape-of-the-code).
+//! See [the design page](../../../docs/design.md).
 
 pub mod config;
+pub mod peer;
