--- a/crates/balsam-wire/src/lib.rs
+++ b/crates/balsam-wire/src/lib.rs
@@ -1,1 +1,6 @@
-//! Placeholder.
+//! Wire types and codecs, apart from the decisions that use them.
+//!
+//! See [the design page, section 9](../../../docs/design.md#9-interfaces).
+
+pub mod platform;
+pub mod upstream;
