Add the operators' wire types

Cause: the operator listener and balsamctl need one definition of the JSON interface of design section 9.2. Change: requests, answers and refusals as types of balsam-wire; 64-bit ids are text, because many JSON parsers round them; every refusal has a code, a message and help, and names the field, its value and the accepted range.

--- a/crates/balsam-wire/src/lib.rs
+++ b/crates/balsam-wire/src/lib.rs
@@ -2,5 +2,6 @@
 //!
 //! See [the design page, section 9](../../../docs/design.md#9-interfaces).
 
+pub mod operator;
 pub mod platform;
 pub mod upstream;
--- /dev/null
+++ b/crates/balsam-wire/src/operator/mod.rs
@@ -0,0 +1,46 @@
+//! The operators' JSON interface.
+//!
+//! See [the design page, section 9.2](../../../../docs/design.md#92-operators-http11--json-bearer-token-separate-listener).
+
+mod command;
+mod daemons;
+mod edit;
+mod error;
+mod id_text;
+mod owner;
+mod quarantine;
+mod settings;
+mod upstreams;
+
+pub use command::{CommandResponse, CommandState, DrainRequest, ForgetRequest};
+pub use daemons::{DaemonBody, DaemonsResponse, EpochBody, EpochsResponse, RosterBody};
+pub use edit::{EditBody, EditRequest};
+pub use error::{ErrorCode, ErrorResponse, FieldBody};
+pub use id_text::IdText;
+pub use owner::{OwnerResponse, OwnerState};
+pub use quarantine::{QuarantineBody, QuarantineResponse};
+pub use settings::{ExplainResponse, ExplainedBody, NodeBody, SettingsResponse};
+pub use upstreams::{UpstreamBody, UpstreamsResponse};
+
+/// Path of the settings in effect at a node; queries `path` and, for one value, `key`.
+pub const EXPLAIN_PATH: &str = "/v1/settings/explain";
+/// Path of the settings tree.
+pub const SETTINGS_PATH: &str = "/v1/settings";
+/// Path of edits of the settings tree.
+pub const EDIT_PATH: &str = "/v1/settings/edit";
+/// Path of the owner of a key; queries `service` and `key`.
+pub const OWNER_PATH: &str = "/v1/owner";
+/// Path of the roster.
+pub const DAEMONS_PATH: &str = "/v1/daemons";
+/// Path of the upstreams.
+pub const UPSTREAMS_PATH: &str = "/v1/upstreams";
+/// Last part of the path of a drain, behind the upstream's name.
+pub const DRAIN_SUFFIX: &str = "/drain";
+/// Path of quarantined requests; `DELETE` takes the query `fingerprint`.
+pub const QUARANTINE_PATH: &str = "/v1/quarantine";
+/// Path of the removal of a dead daemon from the roster.
+pub const FORGET_PATH: &str = "/v1/roster/forget";
+/// Path of the adopted epochs.
+pub const EPOCHS_PATH: &str = "/v1/epochs";
+/// Path of the metrics in Prometheus text.
+pub const METRICS_PATH: &str = "/metrics";
