Add the h2 transport between daemons

The control tasks and the relay need calls to peers. Relayed requests are streams of a bincode head, raw body frames and an end marker with the body's length.

--- a/crates/balsam-daemon/src/peer/error.rs
+++ b/crates/balsam-daemon/src/peer/error.rs
@@ -1,5 +1,6 @@
 //! Failures of exchanges with peers.
 
+use balsam_wire::peer::{PeerRefusal, WireError};
 use snafu::Snafu;
 use std::net::SocketAddr;
 
@@ -25,13 +26,44 @@
         /// The peer's address.
         address: SocketAddr,
     },
+    /// The peer refused the request and did nothing.
+    #[snafu(display("the peer refused the request: {}", refusal.as_str()))]
+    Refused {
+        /// Why.
+        refusal: PeerRefusal,
+    },
     /// The connection or stream broke after the request was sent.
-    #[snafu(display("peer {address}: the connection broke"))]
-    Lost {
-        /// The peer's address.
-        address: SocketAddr,
+    #[snafu(display("the stream broke: {source}"), context(false))]
+    Broken {
+        /// What the stream reported.
+        source: h2::Error,
     },
+    /// The stream ended before its message was complete.
+    #[snafu(display("the stream ended before its message was complete"))]
+    Truncated,
+    /// The peer sent something that is not accepted.
+    #[snafu(
+        display("the peer's message is not accepted: {source}"),
+        context(false)
+    )]
+    Message {
+        /// What is wrong.
+        source: WireError,
+    },
+    /// The peer answered with a message of another kind, or with an unknown status.
+    #[snafu(display("the peer's answer does not match the request"))]
+    Mismatched,
     /// The daemon's own peer tasks have ended.
     #[snafu(display("the peer transport has stopped"))]
     Stopped,
 }
+
+impl PeerError {
+    /// Returns whether the peer cannot have acted on the request.
+    pub const fn is_not_sent(&self) -> bool {
+        matches!(
+            self,
+            Self::Unreachable { .. } | Self::Busy { .. } | Self::Refused { .. } | Self::Stopped
+        )
+    }
+}
--- /dev/null
+++ b/crates/balsam-daemon/src/peer/exchange.rs
@@ -0,0 +1,121 @@
+//! One control request and its answer on an h2 stream.
+
+use super::error::{MismatchedSnafu, PeerError};
+use super::relay::read_refusal;
+use super::stream::{FrameReader, send_bytes};
+use super::{PeerRequest, PeerResponse};
+use balsam_decide::node::{ChangesBody, Pulse};
+use balsam_types::Epoch;
+use balsam_wire::peer::{
+    FrameKind, WireChanges, WireChangesRequest, WirePulse, WirePulseReply, decode, frame_message,
+};
+use bytes::Bytes;
+use h2::SendStream;
+use h2::client::{ResponseFuture, SendRequest};
+use http::{Method, Request, StatusCode};
+
+/// The closed set of paths that a daemon serves to its peers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum PeerPath {
+    /// Pulses.
+    Pulse,
+    /// Requests for changes.
+    Changes,
+    /// Relayed requests.
+    Relay,
+}
+
+impl PeerPath {
+    const fn as_str(self) -> &'static str {
+        match self {
+            Self::Pulse => "/pulse",
+            Self::Changes => "/changes",
+            Self::Relay => "/relay",
+        }
+    }
+
+    /// Finds the path with this text.
+    pub(super) fn from_text(text: &str) -> Option<Self> {
+        [Self::Pulse, Self::Changes, Self::Relay]
+            .into_iter()
+            .find(|path| path.as_str() == text)
+    }
+}
+
+/// Opens a stream to `path`.
+pub(super) fn open_stream(
+    sender: &mut SendRequest<Bytes>,
+    path: PeerPath,
+    credential: &str,
+) -> Result<(ResponseFuture, SendStream<Bytes>), PeerError> {
+    let request = Request::builder()
+        .method(Method::POST)
+        .uri(format!("http://peer{}", path.as_str()))
+        .header(http::header::AUTHORIZATION, format!("Bearer {credential}"))
+        .body(());
+    // Only a credential with control characters fails here; the peer would refuse it as well.
+    let request = request.map_err(|_| MismatchedSnafu.build())?;
+    Ok(sender.send_request(request, false)?)
+}
+
+/// Sends a control request and reads the answer.
+pub(super) async fn exchange(
+    mut sender: SendRequest<Bytes>,
+    credential: &str,
+    request: &PeerRequest,
+) -> Result<PeerResponse, PeerError> {
+    let (path, frame) = match request {
+        PeerRequest::Pulse(pulse) => (
+            PeerPath::Pulse,
+            frame_message(FrameKind::Message, &WirePulse::from(pulse))?,
+        ),
+        PeerRequest::Changes { after } => (
+            PeerPath::Changes,
+            frame_message(FrameKind::Message, &WireChangesRequest::from(*after))?,
+        ),
+    };
+    let (response, mut stream) = open_stream(&mut sender, path, credential)?;
+    drop(sender);
+    send_bytes(&mut stream, frame).await?;
+    stream.send_data(Bytes::new(), true)?;
+    let response = response.await?;
+    let status = response.status();
+    let mut frames = FrameReader::new(response.into_body());
+    if status != StatusCode::OK {
+        return Err(read_refusal(frames).await);
+    }
+    let payload = frames.require().await?.expect(FrameKind::Message)?;
+    Ok(match request {
+        PeerRequest::Pulse(_) => PeerResponse::Pulse(decode::<WirePulseReply>(payload)?.into()),
+        PeerRequest::Changes { .. } => {
+            PeerResponse::Changes(ChangesBody::try_from(decode::<WireChanges>(payload)?)?)
+        }
+    })
+}
+
+/// Decodes the control request that came to `path`.
+pub(super) fn decode_request(path: PeerPath, payload: &Bytes) -> Result<PeerRequest, PeerError> {
+    match path {
+        PeerPath::Pulse => {
+            let pulse = Pulse::try_from(decode::<WirePulse>(payload)?)?;
+            Ok(PeerRequest::Pulse(pulse))
+        }
+        PeerPath::Changes => {
+            let after = Epoch::from(decode::<WireChangesRequest>(payload)?);
+            Ok(PeerRequest::Changes { after })
+        }
+        PeerPath::Relay => MismatchedSnafu.fail(),
+    }
+}
+
+/// Encodes the answer to a control request.
+pub(super) fn encode_response(response: &PeerResponse) -> Result<Bytes, PeerError> {
+    Ok(match response {
+        PeerResponse::Pulse(reply) => {
+            frame_message(FrameKind::Message, &WirePulseReply::from(*reply))?
+        }
+        PeerResponse::Changes(body) => {
+            frame_message(FrameKind::Message, &WireChanges::try_from(body)?)?
+        }
+    })
+}
--- /dev/null
+++ b/crates/balsam-daemon/src/peer/pool.rs
@@ -0,0 +1,40 @@
+//! The task that hands commands to the task of each peer.
+
+use super::connection::run_peer;
+use super::error::BusySnafu;
+use super::settings::PEER_QUEUE;
+use super::{PeerClient, PeerCommand, PeerSettings};
+use balsam_types::{Map, new_map};
+use std::net::SocketAddr;
+use tokio::sync::mpsc;
+use tokio::sync::mpsc::error::TrySendError;
+
+/// Starts the client side of the peer transport; it ends when every handle is dropped.
+pub fn start_client(settings: &PeerSettings) -> PeerClient {
+    let (commands, receiver) = mpsc::channel(PEER_QUEUE);
+    tokio::spawn(run_pool(settings.clone(), receiver));
+    PeerClient::new(commands)
+}
+
+async fn run_pool(settings: PeerSettings, mut commands: mpsc::Receiver<PeerCommand>) {
+    let mut peers: Map<SocketAddr, mpsc::Sender<PeerCommand>> = new_map();
+    while let Some(command) = commands.recv().await {
+        let address = command.to();
+        // The task of a peer ends when it is idle, and is then started again.
+        if peers.get(&address).is_none_or(mpsc::Sender::is_closed) {
+            peers.retain(|_, peer| !peer.is_closed());
+            let (peer, work) = mpsc::channel(PEER_QUEUE);
+            tokio::spawn(run_peer(address, settings.clone(), work));
+            peers.insert(address, peer);
+        }
+        let Some(peer) = peers.get(&address) else {
+            continue;
+        };
+        match peer.try_send(command) {
+            Ok(()) => {}
+            Err(TrySendError::Full(command) | TrySendError::Closed(command)) => {
+                command.fail(BusySnafu { address }.build());
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/balsam-daemon/src/peer/relay.rs
@@ -0,0 +1,213 @@
+//! Relayed requests: a head, raw body frames and an end marker in both directions.
+
+use super::error::{MismatchedSnafu, PeerError, RefusedSnafu, TruncatedSnafu};
+use super::stream::{BodyPart, FrameReader, send_bytes};
+use balsam_wire::peer::{
+    BODY_FRAME_MAX_BYTES, FrameKind, PeerRefusal, RelayAnswer, RelayRequest, WireEnd,
+    WireRelayAnswer, WireRelayRequest, decode, frame_header, frame_message,
+};
+use bytes::Bytes;
+use h2::client::ResponseFuture;
+use h2::server::SendResponse;
+use h2::{Reason, RecvStream, SendStream};
+use http::{Response, StatusCode};
+use snafu::ensure;
+use std::future::poll_fn;
+
+/// Writes body frames and the end marker.
+#[derive(Debug)]
+pub struct RelayWriter {
+    stream: SendStream<Bytes>,
+    body_bytes: u64,
+}
+
+impl RelayWriter {
+    pub(super) const fn new(stream: SendStream<Bytes>) -> Self {
+        Self {
+            stream,
+            body_bytes: 0,
+        }
+    }
+
+    /// Sends the head of a request.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`PeerError`] if the stream breaks or the head is too long.
+    pub async fn send_request(&mut self, request: &RelayRequest) -> Result<(), PeerError> {
+        let frame = frame_message(FrameKind::Head, &WireRelayRequest::from(request))?;
+        send_bytes(&mut self.stream, frame).await
+    }
+
+    /// Sends the head of an answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`PeerError`] if the stream breaks or the head is too long.
+    pub async fn send_answer(&mut self, answer: &RelayAnswer) -> Result<(), PeerError> {
+        let frame = frame_message(FrameKind::Head, &WireRelayAnswer::from(answer))?;
+        send_bytes(&mut self.stream, frame).await
+    }
+
+    /// Sends a part of the body; [`BodyPart::End`] sends the end marker and ends the stream.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`PeerError`] if the stream breaks.
+    pub async fn send_part(&mut self, part: BodyPart) -> Result<(), PeerError> {
+        match part {
+            BodyPart::Chunk(bytes) => self.send_chunk(bytes).await,
+            BodyPart::End => {
+                let body_bytes = self.body_bytes;
+                let frame = frame_message(FrameKind::End, &WireEnd { body_bytes })?;
+                send_bytes(&mut self.stream, frame).await?;
+                self.stream.send_data(Bytes::new(), true)?;
+                Ok(())
+            }
+        }
+    }
+
+    async fn send_chunk(&mut self, mut bytes: Bytes) -> Result<(), PeerError> {
+        while !bytes.is_empty() {
+            let chunk = bytes.split_to(bytes.len().min(BODY_FRAME_MAX_BYTES));
+            self.body_bytes += chunk.len() as u64;
+            send_bytes(
+                &mut self.stream,
+                frame_header(FrameKind::Body, chunk.len())?,
+            )
+            .await?;
+            send_bytes(&mut self.stream, chunk).await?;
+        }
+        Ok(())
+    }
+
+    /// Waits until the other side resets the stream, as it does when its caller goes away.
+    pub async fn wait_reset(&mut self) {
+        // A broken connection also ends the wait, because no answer can be sent any more.
+        let _reset = poll_fn(|cx| self.stream.poll_reset(cx)).await;
+    }
+
+    /// Ends the stream without an end marker, so that the body does not look complete.
+    pub fn abort(mut self) {
+        self.stream.send_reset(Reason::CANCEL);
+    }
+}
+
+/// Reads body frames and checks the end marker.
+#[derive(Debug)]
+pub struct RelayReader {
+    frames: FrameReader,
+    body_bytes: u64,
+}
+
+impl RelayReader {
+    pub(super) fn new(stream: RecvStream) -> Self {
+        Self {
+            frames: FrameReader::new(stream),
+            body_bytes: 0,
+        }
+    }
+
+    pub(super) async fn read_request(&mut self) -> Result<RelayRequest, PeerError> {
+        let payload = self.frames.require().await?.expect(FrameKind::Head)?;
+        Ok(decode::<WireRelayRequest>(payload)?.try_into()?)
+    }
+
+    async fn read_answer(&mut self) -> Result<RelayAnswer, PeerError> {
+        let payload = self.frames.require().await?.expect(FrameKind::Head)?;
+        Ok(decode::<WireRelayAnswer>(payload)?.try_into()?)
+    }
+
+    /// Reads the next part of the body.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`PeerError`] if the stream ends without a matching end marker.
+    pub async fn next_part(&mut self) -> Result<BodyPart, PeerError> {
+        let frame = self.frames.require().await?;
+        if frame.kind == FrameKind::Body {
+            self.body_bytes += frame.payload.len() as u64;
+            return Ok(BodyPart::Chunk(frame.payload));
+        }
+        let end: WireEnd = decode(frame.expect(FrameKind::End)?)?;
+        ensure!(end.body_bytes == self.body_bytes, TruncatedSnafu);
+        Ok(BodyPart::End)
+    }
+}
+
+/// A stream to a dispatcher, before its head is sent.
+#[derive(Debug)]
+pub struct RelayCall {
+    /// Sends the request.
+    pub writer: RelayWriter,
+    pub(super) response: ResponseFuture,
+}
+
+impl RelayCall {
+    /// Splits the call into the request's writer and the wait for the answer.
+    pub fn split(self) -> (RelayWriter, RelayResponse) {
+        (self.writer, RelayResponse(self.response))
+    }
+}
+
+/// The wait for the answer of a relayed request.
+#[derive(Debug)]
+pub struct RelayResponse(ResponseFuture);
+
+impl RelayResponse {
+    /// Waits for the head of the answer and returns it with the reader of its body.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`PeerError`] if the dispatcher refuses the stream or the stream breaks.
+    pub async fn answer(self) -> Result<(RelayAnswer, RelayReader), PeerError> {
+        let response = self.0.await?;
+        let status = response.status();
+        let mut reader = RelayReader::new(response.into_body());
+        if status != StatusCode::OK {
+            return Err(read_refusal(reader.frames).await);
+        }
+        let answer = reader.read_answer().await?;
+        Ok((answer, reader))
+    }
+}
+
+/// Reads why a peer refused a stream.
+pub(super) async fn read_refusal(mut frames: FrameReader) -> PeerError {
+    let refusal = async {
+        let payload = frames.require().await?.expect(FrameKind::Message)?;
+        Ok::<PeerRefusal, PeerError>(decode(payload)?)
+    };
+    match refusal.await {
+        Ok(refusal) => RefusedSnafu { refusal }.build(),
+        Err(PeerError::Broken { source }) => PeerError::Broken { source },
+        Err(_) => MismatchedSnafu.build(),
+    }
+}
+
+/// A relayed request as the listener hands it to the request path.
+#[derive(Debug)]
+pub struct IncomingRelay {
+    /// The request's head.
+    pub request: RelayRequest,
+    /// The request's body.
+    pub body: RelayReader,
+    pub(super) respond: SendResponse<Bytes>,
+}
+
+impl IncomingRelay {
+    /// Starts the answer and returns its writer with the request and its body.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`PeerError`] if the stream has broken.
+    pub fn accept(mut self) -> Result<(RelayRequest, RelayReader, RelayWriter), PeerError> {
+        let stream = self.respond.send_response(Response::new(()), false)?;
+        Ok((self.request, self.body, RelayWriter::new(stream)))
+    }
+
+    /// Refuses the request; nothing was done.
+    pub fn refuse(mut self, refusal: PeerRefusal) {
+        super::incoming::refuse(&mut self.respond, refusal);
+    }
+}
