--- a/crates/balsam-standins/src/lib.rs
+++ b/crates/balsam-standins/src/lib.rs
@@ -1,1 +1,11 @@
-//! Placeholder.
+//! Stand-ins for the platform and the upstreams, a test harness and a load generator.
+//!
+//! See [the design page, section 9](../../../docs/design.md#9-interfaces).
+
+mod clock;
+
+pub mod harness;
+pub mod platform;
+pub mod serve;
+
+pub use clock::boot_time;
