Add the tasks for the platform, peers and upstreams

Cause: the control path needs tasks that own the connections to the platform's table, to peers and to upstreams, and that settle lost commit answers. The control task waits for the node.

--- /dev/null
+++ b/crates/balsam-daemon/src/control/distribute/mod.rs
@@ -0,0 +1,7 @@
+//! Messages to peers and upstreams.
+
+mod peers;
+mod upstreams;
+
+pub use peers::{PeerExchange, PeersTask};
+pub use upstreams::{UpstreamExchange, UpstreamsTask};
--- /dev/null
+++ b/crates/balsam-daemon/src/control/edge/mod.rs
@@ -0,0 +1,22 @@
+//! The outside systems that the control tasks use: the clock, the platform and the upstreams.
+//!
+//! These are the traits of the control path; tests and other front ends replace the systems here.
+
+mod clock;
+mod http_platform;
+mod http_upstream;
+mod platform;
+mod platform_task;
+mod table_client;
+mod upstream;
+
+pub(crate) mod rows;
+
+pub use clock::{BootClock, Clock};
+pub use http_platform::HttpPlatform;
+pub use http_upstream::HttpUpstreamControl;
+pub(crate) use platform::OrderSnafu;
+pub use platform::{Platform, PlatformError};
+pub use platform_task::{ControlExchange, PlatformTask, TableExchange};
+pub use table_client::TableClient;
+pub use upstream::{UpstreamControl, UpstreamControlError};
--- a/crates/balsam-daemon/src/lib.rs
+++ b/crates/balsam-daemon/src/lib.rs
@@ -3,4 +3,5 @@
 //! See [the design page](../../../docs/design.md).
 
 pub mod config;
+pub mod control;
 pub mod peer;
--- /dev/null
+++ b/crates/balsam-daemon/tests/lost_commit.rs
@@ -0,0 +1,138 @@
+//! Commits whose answer is lost, with the stand-in platform.
+
+use balsam_daemon::control::commit::commit_change;
+use balsam_daemon::control::edge::{BootClock, Clock, HttpPlatform};
+use balsam_daemon::control::observe::read_table;
+use balsam_decide::node::{CommitResult, TableResult};
+use balsam_standins::harness::{Client, PlatformClient};
+use balsam_standins::platform::start_platform;
+use balsam_standins::serve::ServerHandle;
+use balsam_types::control::{Change, LogEntry};
+use balsam_types::settings::{NodeEdit, NodePath, SettingKey, SettingValue};
+use balsam_types::{AttemptId, Epoch, Incarnation};
+use balsam_wire::platform::{OutageKind, PlatformFaults};
+use std::time::Duration;
+
+const WAIT: Duration = Duration::from_secs(5);
+
+struct Table {
+    server: ServerHandle,
+    platform: HttpPlatform,
+    switches: PlatformClient,
+}
+
+impl Table {
+    async fn start() -> Self {
+        let server = start_platform("127.0.0.1:0".parse().unwrap())
+            .await
+            .unwrap();
+        let switches = PlatformClient::new(Client::new(server.address(), WAIT));
+        let platform = HttpPlatform::new(server.address());
+        Self {
+            server,
+            platform,
+            switches,
+        }
+    }
+
+    async fn set(&self, faults: PlatformFaults) {
+        self.switches.set_faults(&faults).await.unwrap();
+    }
+
+    async fn commit(&self, entry: &LogEntry, give_up_ms: u64) -> CommitResult {
+        let give_up_at = BootClock.now().after(give_up_ms);
+        commit_change(&self.platform, &BootClock, entry, give_up_at).await
+    }
+
+    async fn entries(&self) -> Vec<LogEntry> {
+        match read_table(&self.platform, Epoch(0), WAIT).await {
+            TableResult::Read { entries, .. } => entries,
+            other => panic!("expected entries, got {other:?}"),
+        }
+    }
+}
+
+fn entry(epoch: u64, attempt: u64) -> LogEntry {
+    let edit = NodeEdit::new(NodePath::Root, Epoch(epoch - 1))
+        .with_value(SettingKey::QueueMax, SettingValue::Number(attempt));
+    LogEntry {
+        epoch: Epoch(epoch),
+        attempt: AttemptId(attempt),
+        author: Incarnation(1),
+        change: Change::Settings { edits: vec![edit] },
+    }
+}
+
+/// Guards against a change that is committed twice or reported as lost because its answer was.
+#[actix_rt::test]
+async fn a_lost_answer_is_settled_by_reading_back() {
+    let table = Table::start().await;
+    table
+        .set(PlatformFaults {
+            lose_answers: 1,
+            ..PlatformFaults::default()
+        })
+        .await;
+    let result = table.commit(&entry(1, 11), 5_000).await;
+    assert_eq!(result, CommitResult::Committed);
+    assert_eq!(table.entries().await, vec![entry(1, 11)]);
+    assert_eq!(table.switches.counters().await.unwrap().writes, 1);
+    table.server.stop().await;
+}
+
+/// Guards against a writer that takes another writer's change for its own.
+#[actix_rt::test]
+async fn another_attempt_in_the_row_loses_the_race() {
+    let table = Table::start().await;
+    assert_eq!(
+        table.commit(&entry(1, 11), 5_000).await,
+        CommitResult::Committed
+    );
+    assert_eq!(table.commit(&entry(1, 12), 5_000).await, CommitResult::Lost);
+    assert_eq!(table.entries().await, vec![entry(1, 11)]);
+    table.server.stop().await;
+}
+
+/// Guards against a commit that skips an epoch.
+#[actix_rt::test]
+async fn a_commit_ahead_of_the_table_is_refused() {
+    let table = Table::start().await;
+    assert_eq!(table.commit(&entry(2, 11), 5_000).await, CommitResult::Lost);
+    assert_eq!(table.entries().await, Vec::new());
+    table.server.stop().await;
+}
+
+/// Guards against a commit without an answer that is reported as settled.
+#[actix_rt::test]
+async fn a_silent_table_leaves_the_commit_unsettled() {
+    let table = Table::start().await;
+    let silent = PlatformFaults {
+        down: OutageKind::Silent,
+        ..PlatformFaults::default()
+    };
+    table.set(silent).await;
+    let result = table.commit(&entry(1, 11), 700).await;
+    assert_eq!(result, CommitResult::Unsettled);
+    table.set(PlatformFaults::default()).await;
+    assert_eq!(table.entries().await, Vec::new());
+    table.server.stop().await;
+}
+
+/// Guards against a write that is not repeated after a refusal proved that it had no effect.
+#[actix_rt::test]
+async fn a_refused_write_is_repeated_until_the_table_returns() {
+    let table = Table::start().await;
+    let refused = PlatformFaults {
+        down: OutageKind::Refused,
+        ..PlatformFaults::default()
+    };
+    table.set(refused).await;
+    let wanted = entry(1, 11);
+    let (result, ()) = tokio::join!(table.commit(&wanted, 5_000), async {
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        table.set(PlatformFaults::default()).await;
+    });
+    assert_eq!(result, CommitResult::Committed);
+    assert_eq!(table.entries().await, vec![entry(1, 11)]);
+    table.server.stop().await;
+}
