--- a/crates/balsam-daemon/tests/lost_commit.rs
+++ b/crates/balsam-daemon/tests/lost_commit.rs
@@ -23,9 +23,9 @@
 
 impl Table {
     async fn start() -> Self {
-        let server = start_platform("127.0.0.1:0".parse().unwrap())
+        let server = start_platform("127.0.0.1:0".parse().expect("an address"))
             .await
-            .unwrap();
+            .expect("a loopback listener");
         let switches = PlatformClient::new(Client::new(server.address(), WAIT));
         let platform = HttpPlatform::new(server.address());
         Self {
@@ -36,7 +36,10 @@
     }
 
     async fn set(&self, faults: PlatformFaults) {
-        self.switches.set_faults(&faults).await.unwrap();
+        self.switches
+            .set_faults(&faults)
+            .await
+            .expect("the switches answer");
     }
 
     async fn commit(&self, entry: &LogEntry, give_up_ms: u64) -> CommitResult {
