Add the operator listener

Cause: operators need settings, owners, upstreams, quarantine, roster and epochs on a listener of their own. Fields are checked before anything is changed.

--- a/crates/balsam-daemon/src/lib.rs
+++ b/crates/balsam-daemon/src/lib.rs
@@ -4,4 +4,5 @@
 
 pub mod config;
 pub mod control;
+pub mod operator;
 pub mod peer;
--- /dev/null
+++ b/crates/balsam-daemon/src/operator/endpoints/quarantine.rs
@@ -0,0 +1,29 @@
+//! Quarantined requests.
+
+use crate::operator::OperatorContext;
+use crate::operator::query::Query;
+use balsam_decide::node::{OperatorCommand, View};
+use balsam_types::Fingerprint;
+use balsam_wire::operator::{CommandResponse, ErrorResponse, IdText, QuarantineResponse};
+
+/// Lists quarantined requests.
+pub(crate) fn quarantine(view: &View) -> QuarantineResponse {
+    QuarantineResponse::new(&view.state)
+}
+
+/// Accepts a quarantined request again.
+pub(crate) async fn clear_quarantine<C>(
+    context: &OperatorContext<C>,
+    mut query: Query,
+) -> Result<CommandResponse, ErrorResponse> {
+    let accepted = "the decimal fingerprint of an entry";
+    let text = query.require("fingerprint", accepted)?;
+    query.finish()?;
+    let id: IdText = text
+        .parse()
+        .map_err(|_| ErrorResponse::bad_field("fingerprint", text, accepted))?;
+    let fingerprint = Fingerprint(id.0);
+    context
+        .command(OperatorCommand::ClearQuarantine { fingerprint })
+        .await
+}
--- /dev/null
+++ b/crates/balsam-daemon/src/operator/endpoints/settings.rs
@@ -0,0 +1,45 @@
+//! The settings tree.
+
+use crate::operator::OperatorContext;
+use crate::operator::query::Query;
+use balsam_decide::node::{OperatorCommand, View};
+use balsam_types::settings::NodeEdit;
+use balsam_wire::operator::{
+    CommandResponse, EditRequest, ErrorResponse, ExplainResponse, NodeBody, SettingsResponse,
+};
+
+/// Explains the values in effect at a node.
+pub(crate) fn explain(view: &View, mut query: Query) -> Result<ExplainResponse, ErrorResponse> {
+    let path = query.require("path", "the path of a settings node")?;
+    let key = query.take("key");
+    query.finish()?;
+    let state = &view.state;
+    ExplainResponse::of(state.epoch, &state.settings, &path, key.as_deref())
+}
+
+/// Lists the nodes of the tree.
+pub(crate) fn settings(view: &View) -> SettingsResponse {
+    let nodes = view.state.settings.nodes();
+    SettingsResponse {
+        epoch: view.state.epoch,
+        nodes: nodes
+            .map(|(path, node)| NodeBody::new(path, node))
+            .collect(),
+    }
+}
+
+/// Edits nodes of the tree, all or none.
+pub(crate) async fn edit<C>(
+    context: &OperatorContext<C>,
+    body: EditRequest,
+) -> Result<CommandResponse, ErrorResponse> {
+    if body.edits.is_empty() {
+        return Err(ErrorResponse::bad_field("edits", "[]", "at least one edit"));
+    }
+    let edits: Result<Vec<NodeEdit>, _> = body.edits.into_iter().map(TryInto::try_into).collect();
+    let command = OperatorCommand::Edit {
+        edits: edits?,
+        wait: body.wait,
+    };
+    context.command(command).await
+}
