--- a/crates/balsam-wire/src/lib.rs
+++ b/crates/balsam-wire/src/lib.rs
@@ -1,6 +1,7 @@
-//! The encodings of messages between processes.
+//! Wire types and codecs, apart from the decisions that use them.
 //!
-//! Wire types are separate from the types that decisions use, so that an encoding can change
-//! without touching a decision. See [the design page](../../../docs/design.md#9-interfaces).
+//! See [the design page, section 9](../../../docs/design.md#9-interfaces).
 
 pub mod peer;
+pub mod platform;
+pub mod upstream;
