--- a/crates/balsam-daemon/src/lib.rs
+++ b/crates/balsam-daemon/src/lib.rs
@@ -2,4 +2,7 @@
 //!
 //! See [the design page](../../../docs/design.md).
 
+pub mod logging;
+pub mod metrics;
 pub mod peer;
+pub mod request;
--- /dev/null
+++ b/crates/balsam-daemon/src/logging/format.rs
@@ -0,0 +1,66 @@
+//! The form of a log line.
+
+use super::DECISION_TARGET;
+use env_logger::{Builder, Target};
+use log::{LevelFilter, Record};
+use serde::Serialize;
+use serde::de::IgnoredAny;
+use snafu::{ResultExt, Snafu};
+use std::io::Write;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+/// Why the logger could not be installed.
+#[derive(Debug, Snafu)]
+#[snafu(display("logger: {source}"))]
+pub struct InitError {
+    source: log::SetLoggerError,
+}
+
+#[derive(Serialize)]
+struct Line<'a> {
+    time_ms: u64,
+    level: &'static str,
+    target: &'a str,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    message: Option<&'a str>,
+}
+
+/// Installs the logger, which writes to the standard error stream.
+///
+/// # Errors
+///
+/// Returns an [`InitError`] if the process has a logger already.
+pub fn init(level: LevelFilter) -> Result<(), InitError> {
+    let mut builder = Builder::new();
+    builder
+        .filter_level(level)
+        .target(Target::Stderr)
+        .format(|out, record| writeln!(out, "{}", render_line(unix_ms(), record)));
+    builder.try_init().context(InitSnafu)
+}
+
+/// Renders a record as one line of JSON without its line break.
+pub fn render_line(time_ms: u64, record: &Record<'_>) -> String {
+    let text = record.args().to_string();
+    let is_decision =
+        record.target() == DECISION_TARGET && serde_json::from_str::<IgnoredAny>(&text).is_ok();
+    let line = Line {
+        time_ms,
+        level: record.level().as_str(),
+        target: record.target(),
+        message: (!is_decision).then_some(&text),
+    };
+    // All fields are numbers and strings, so that writing them cannot fail.
+    let mut line = serde_json::to_string(&line).unwrap_or_default();
+    if is_decision && line.pop().is_some() {
+        line.push_str(",\"decision\":");
+        line.push_str(&text);
+        line.push('}');
+    }
+    line
+}
+
+fn unix_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(0, |since| since.as_millis() as u64)
+}
--- /dev/null
+++ b/crates/balsam-daemon/src/request/mod.rs
@@ -0,0 +1,1 @@
+//! The request path.
