--- a/crates/balsam-daemon/src/lib.rs
+++ b/crates/balsam-daemon/src/lib.rs
@@ -2,6 +2,8 @@
 //!
 //! See [the design page](../../../docs/design.md).
 
+pub mod config;
+pub mod control;
 pub mod logging;
 pub mod metrics;
 pub mod peer;
