--- a/crates/balsam-daemon/src/lib.rs
+++ b/crates/balsam-daemon/src/lib.rs
@@ -4,5 +4,8 @@
 
 pub mod config;
 pub mod control;
+pub mod logging;
+pub mod metrics;
 pub mod operator;
 pub mod peer;
+pub mod request;
