Add the upstream's stand-in

Cause: tests need upstreams that check grants, shed, drain, start cold, crash and answer wrongly. Observed: awc ends a body without an error when the connection closes before Content-Length bytes arrived; the test client compares the length itself.

--- a/crates/balsam-standins/src/harness/client.rs
+++ b/crates/balsam-standins/src/harness/client.rs
@@ -3,7 +3,7 @@
 use super::HarnessError;
 use super::error::{JsonSnafu, StatusSnafu};
 use awc::http::Method;
-use awc::http::header::HeaderMap;
+use awc::http::header::{CONTENT_LENGTH, HeaderMap};
 use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt;
 use serde::Serialize;
@@ -149,9 +149,12 @@
             Ok(whole) => complete &= whole,
             Err(_) => complete = false,
         }
+        let headers = response.headers().clone();
+        // The client library reports a connection that closes early as the end of the body.
+        complete &= announced_length(&headers).is_none_or(|length| length == body.len());
         Ok(Answer {
             status: response.status().as_u16(),
-            headers: response.headers().clone(),
+            headers,
             body: body.freeze(),
             complete,
         })
@@ -197,3 +200,7 @@
         serde_json::from_slice(&answer.body).context(JsonSnafu { url })
     }
 }
+
+fn announced_length(headers: &HeaderMap) -> Option<usize> {
+    headers.get(CONTENT_LENGTH)?.to_str().ok()?.parse().ok()
+}
--- a/crates/balsam-standins/src/harness/mod.rs
+++ b/crates/balsam-standins/src/harness/mod.rs
@@ -3,7 +3,9 @@
 mod client;
 mod error;
 mod platform_client;
+mod upstream_client;
 
 pub use client::{Answer, Client, Sent};
 pub use error::HarnessError;
 pub use platform_client::PlatformClient;
+pub use upstream_client::{UpstreamClient, Work};
--- a/crates/balsam-standins/src/lib.rs
+++ b/crates/balsam-standins/src/lib.rs
@@ -7,5 +7,6 @@
 pub mod harness;
 pub mod platform;
 pub mod serve;
+pub mod upstream;
 
 pub use clock::boot_time;
