Add the control core: rights, membership, placer and node

The daemon's tasks need one state machine for the freshness right, pulses, commits, grants and moves. Node composes rights, membership, grants and the placer; all of it takes the time and one input and returns outputs.

Changes that others meet: - Pulse has a field `leaving`, so that the placer hands over the upstreams of a stopping daemon; round 0 announces an epoch and gathers no statements. - ControlState has a field `departed`: daemons that left, were replaced or were forgotten count as having adopted every epoch of the open rosters. Without it a roster whose only member restarted could never be closed. - A grant to a lost upstream lists no units, so that the cover of a request on a hot key lapses together with that of its slice. - The issuer asks for the clock again when the last answer is older than a right, and grants to a new incarnation only under a right that is dated after its first answer.

The node itself has not run under a test yet; the property tests follow.

--- a/crates/balsam-decide/src/control/apply.rs
+++ b/crates/balsam-decide/src/control/apply.rs
@@ -1,11 +1,13 @@
 //! Applying log entries to the control state.
 
 use super::error::{
-    NotInRosterSnafu, NotPlacerSnafu, NothingToCloseSnafu, OutOfOrderSnafu, SettingsSnafu,
-    StillOwnerSnafu, UnknownUpstreamSnafu, WrongOwnerSnafu,
+    DepartedSnafu, NotInRosterSnafu, NotPlacerSnafu, NothingToCloseSnafu, OutOfOrderSnafu,
+    SettingsSnafu, StillOwnerSnafu, UnknownUpstreamSnafu, WrongOwnerSnafu,
 };
 use super::{ApplyError, ControlState, Roster, ServicePlacement};
-use balsam_types::control::{Change, DaemonInfo, LogEntry, UnitMove, UnitOwner, UpstreamInfo};
+use balsam_types::control::{
+    Change, DaemonInfo, LogEntry, RemovalReason, UnitMove, UnitOwner, UpstreamInfo,
+};
 use balsam_types::{Epoch, Incarnation, KeyHash, ServiceName, UnitId, UpstreamName};
 use snafu::{ResultExt, ensure};
 use std::sync::Arc;
@@ -39,11 +41,11 @@
             Change::Settings { edits } => Arc::make_mut(&mut self.settings)
                 .apply(self.epoch, edits)
                 .context(SettingsSnafu),
-            Change::DaemonJoined { daemon } => {
-                self.join(daemon);
-                Ok(())
-            }
-            Change::DaemonsRemoved { incarnations, .. } => self.remove_daemons(incarnations),
+            Change::DaemonJoined { daemon } => self.join(daemon),
+            Change::DaemonsRemoved {
+                incarnations,
+                reason,
+            } => self.remove_daemons(incarnations, *reason),
             Change::RostersClosed { through } => self.close_rosters(*through),
             Change::PlacerTaken { incarnation } => {
                 self.known_daemon(*incarnation)?;
@@ -85,15 +87,29 @@
         }
     }
 
-    fn join(&mut self, daemon: &DaemonInfo) {
-        self.daemons.insert(daemon.incarnation, daemon.clone());
+    fn join(&mut self, daemon: &DaemonInfo) -> Result<(), ApplyError> {
+        let incarnation = daemon.incarnation;
+        ensure!(
+            !self.departed.contains(&incarnation),
+            DepartedSnafu { incarnation }
+        );
+        self.daemons.insert(incarnation, daemon.clone());
         self.push_roster();
+        Ok(())
     }
 
-    fn remove_daemons(&mut self, incarnations: &[Incarnation]) -> Result<(), ApplyError> {
+    /// Removes daemons; all but silent ones are known to make no more statements.
+    fn remove_daemons(
+        &mut self,
+        incarnations: &[Incarnation],
+        reason: RemovalReason,
+    ) -> Result<(), ApplyError> {
         for incarnation in incarnations {
             self.known_daemon(*incarnation)?;
             self.daemons.remove(incarnation);
+            if reason != RemovalReason::Silent {
+                self.departed.insert(*incarnation);
+            }
             if self.placer == Some(*incarnation) {
                 self.placer = None;
             }
@@ -136,6 +152,9 @@
             self.open_rosters.len() < before,
             NothingToCloseSnafu { through }
         );
+        let rosters = &self.open_rosters;
+        self.departed
+            .retain(|departed| rosters.iter().any(|r| r.members.contains(departed)));
         Ok(())
     }
 
--- a/crates/balsam-decide/src/control/error.rs
+++ b/crates/balsam-decide/src/control/error.rs
@@ -37,6 +37,12 @@
         /// The daemon.
         incarnation: Incarnation,
     },
+    /// The daemon is recorded as ended and cannot join again under the same incarnation.
+    #[snafu(display("daemon {incarnation} has departed"))]
+    Departed {
+        /// The daemon.
+        incarnation: Incarnation,
+    },
     /// The upstream is not known.
     #[snafu(display("upstream {name} is not known"))]
     UnknownUpstream {
--- a/crates/balsam-decide/src/control/state.rs
+++ b/crates/balsam-decide/src/control/state.rs
@@ -39,6 +39,8 @@
     pub daemons: BTreeMap<Incarnation, DaemonInfo>,
     /// The open rosters from the oldest to the current one, which is always the last.
     pub open_rosters: Vec<Roster>,
+    /// Daemons of open rosters that are known to have ended and make no more statements.
+    pub departed: BTreeSet<Incarnation>,
     /// The daemon that may commit placement changes.
     pub placer: Option<Incarnation>,
     /// The upstreams by name.
@@ -82,17 +84,19 @@
 
     /// Returns the units that a grant to `upstream` covers.
     ///
-    /// Units that move away from a lost upstream are left out, so that its cover lapses.
+    /// A lost upstream gets no units, so that the cover of all its running requests lapses.
     pub fn granted_units(&self, upstream: &UpstreamInfo) -> GrantedUnits {
         let mut granted = GrantedUnits::default();
         let Some(placement) = self.services.get(&upstream.service) else {
             return granted;
         };
-        let may_finish = upstream.status != UpstreamStatus::Lost;
+        if upstream.status == UpstreamStatus::Lost {
+            return granted;
+        }
         for (unit, owner) in &placement.units {
             match owner {
                 UnitOwner::Owned(name) if *name == upstream.name => granted.owned.insert(*unit),
-                UnitOwner::Moving { from, .. } if may_finish && *from == upstream.name => {
+                UnitOwner::Moving { from, .. } if *from == upstream.name => {
                     granted.finishing.insert(*unit)
                 }
                 UnitOwner::Owned(_) | UnitOwner::Moving { .. } => false,
--- a/crates/balsam-decide/src/grants/holder.rs
+++ b/crates/balsam-decide/src/grants/holder.rs
@@ -143,8 +143,14 @@
             units.finishing.extend(&revoke.units);
             self.digest = UnitsDigest::of(units);
         }
+        // A request on a hot key that was merged back counts for every revocation, because the
+        // holder does not know the slice that the key belongs to now.
         let on_units = |running: &&Running| {
-            revoke.units.contains(&running.request.unit)
+            let unit = running.request.unit;
+            let unlisted =
+                !self.units.owned.contains(&unit) && !self.units.finishing.contains(&unit);
+            unlisted
+                || revoke.units.contains(&unit)
                 || revoke.units.contains(&UnitId::hot_key(running.request.key))
         };
         let running = self.running.values().filter(on_units).count() as u32;
--- a/crates/balsam-decide/src/grants/issuer.rs
+++ b/crates/balsam-decide/src/grants/issuer.rs
@@ -1,7 +1,7 @@
 //! The daemon's side of grants.
 
 use super::{Grant, GrantReply, GrantUnits, GrantVerdict, GrantedUnits, UnitsDigest};
-use balsam_types::timing::SUSPECT_MS;
+use balsam_types::timing::{RIGHT_TTL_MS, SUSPECT_MS};
 use balsam_types::{Epoch, Incarnation, ServiceName, TimeMs};
 use std::sync::Arc;
 
@@ -11,8 +11,15 @@
     incarnation: Incarnation,
     clock_ms: TimeMs,
     received_at: TimeMs,
+    /// When this incarnation first answered.
+    first_answer_at: TimeMs,
 }
 
+/// The age at which a seen clock is no longer used, in milliseconds.
+///
+/// The margin of a lapse wait covers different clock rates over the life of a right and this age.
+const CLOCK_AGE_MAX_MS: u64 = RIGHT_TTL_MS;
+
 /// Whether an upstream answers grants.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum GrantHealth {
@@ -54,10 +61,11 @@
         }
     }
 
-    /// Makes the next grant, or `None` while the daemon's right has lapsed and the clock is known.
+    /// Makes the next grant or question, or `None` while the daemon's right has lapsed.
     ///
     /// The grant expires no later than the daemon's right, also if the upstream's answer took
     /// long: the upstream's clock is taken to have stood at its value when the answer arrived.
+    /// It is a question while [`Issuer::can_grant`] is false.
     pub fn next_grant(
         &self,
         now: TimeMs,
@@ -67,27 +75,60 @@
         units: &Arc<GrantedUnits>,
         digest: UnitsDigest,
     ) -> Option<Grant> {
-        let base = |incarnation, units, expires_at_ms| Grant {
-            service: self.service.clone(),
-            incarnation,
-            epoch,
-            fence_epoch,
-            units,
-            expires_at_ms,
-        };
-        let Some(seen) = self.seen else {
-            return Some(base(None, GrantUnits::Unchanged(digest), TimeMs(0)));
-        };
         if right_until <= now {
             return None;
         }
-        let expires_at_ms = seen.clock_ms.after(right_until.since(seen.received_at));
+        let Some(seen) = self.seen.filter(|_| self.can_grant(now, right_until)) else {
+            return Some(self.question(epoch, fence_epoch));
+        };
         let units = if self.held == Some(digest) {
             GrantUnits::Unchanged(digest)
         } else {
             GrantUnits::Full(Arc::clone(units))
         };
-        Some(base(Some(seen.incarnation), units, expires_at_ms))
+        Some(Grant {
+            service: self.service.clone(),
+            incarnation: Some(seen.incarnation),
+            epoch,
+            fence_epoch,
+            units,
+            expires_at_ms: seen.clock_ms.after(right_until.since(seen.received_at)),
+        })
+    }
+
+    /// Makes the question for the upstream's incarnation and clock, which grants nothing.
+    pub fn question(&self, epoch: Epoch, fence_epoch: Epoch) -> Grant {
+        Grant {
+            service: self.service.clone(),
+            incarnation: None,
+            epoch,
+            fence_epoch,
+            units: GrantUnits::Unchanged(UnitsDigest::of(&GrantedUnits::default())),
+            expires_at_ms: TimeMs(0),
+        }
+    }
+
+    /// Returns whether the upstream's clock is known and the right is newer than its incarnation.
+    ///
+    /// A restarted upstream has lost its fence. A right that is dated after its first answer knows
+    /// every move that an earlier incarnation acknowledged.
+    pub fn can_grant(&self, now: TimeMs, right_until: TimeMs) -> bool {
+        self.seen.is_some_and(|seen| {
+            now.since(seen.received_at) <= CLOCK_AGE_MAX_MS
+                && right_until >= seen.first_answer_at.after(RIGHT_TTL_MS)
+        })
+    }
+
+    /// Returns whether a newer right is needed before the upstream can get a grant.
+    pub fn needs_newer_right(&self, right_until: TimeMs) -> bool {
+        self.seen
+            .is_some_and(|seen| right_until < seen.first_answer_at.after(RIGHT_TTL_MS))
+    }
+
+    /// Counts the upstream's silence anew, after a pause of this daemon itself.
+    pub fn resume(&mut self, now: TimeMs) {
+        self.last_success = now;
+        self.failures = 0;
     }
 
     /// Takes the upstream's answer to `grant`, which was sent at `sent_at` and under a right that
@@ -109,10 +150,14 @@
             self.granted_until = TimeMs(0);
             self.successes = 0;
         }
+        let known = self
+            .seen
+            .filter(|seen| seen.incarnation == reply.incarnation);
         self.seen = Some(SeenClock {
             incarnation: reply.incarnation,
             clock_ms: reply.clock_ms,
             received_at: now,
+            first_answer_at: known.map_or(now, |seen| seen.first_answer_at),
         });
         self.draining = reply.draining;
         self.last_success = self.last_success.max(sent_at);
@@ -124,7 +169,7 @@
                     self.held = Some(UnitsDigest::of(units));
                 }
                 self.granted_fence = Some(grant.fence_epoch);
-                self.granted_until = right_until;
+                self.granted_until = self.granted_until.max(right_until);
             }
             GrantVerdict::NeedUnits | GrantVerdict::OtherIncarnation => self.held = None,
             GrantVerdict::Fenced | GrantVerdict::Expired => {}
--- a/crates/balsam-decide/src/node/input.rs
+++ b/crates/balsam-decide/src/node/input.rs
@@ -18,10 +18,12 @@
     pub from: DaemonInfo,
     /// The sender's control epoch.
     pub epoch: Epoch,
-    /// The sender's round.
+    /// The sender's round; round 0 only announces the epoch and gathers no statements.
     pub round: Round,
     /// Whether the sender's last table read succeeded.
     pub table_ok: bool,
+    /// Whether the sender is stopping and hands over its upstreams.
+    pub leaving: bool,
     /// What the sender knows of its upstreams; filled only towards the placer.
     pub reports: Vec<UpstreamReport>,
 }
@@ -50,9 +52,9 @@
     pub draining: bool,
     /// Slot time used in the last reporting period, in milliseconds for each second.
     pub load: f64,
-    /// The heaviest units with their share of `load`, at most 64.
+    /// The heaviest units with their part of `load`, in its unit; at most 64.
     pub heavy_units: Vec<(UnitId, f64)>,
-    /// The heaviest keys with their share of `load`, at most 16.
+    /// The heaviest keys with their part of `load`, in its unit; at most 16.
     pub heavy_keys: Vec<(KeyHash, f64)>,
 }
 
--- /dev/null
+++ b/crates/balsam-decide/src/node/machine.rs
@@ -0,0 +1,219 @@
+//! The state machine of one daemon.
+
+use super::commands::Commands;
+use super::commits::Commits;
+use super::dispatching::Dispatching;
+use super::leaving::Phase;
+use super::log::RecentLog;
+use super::table::TableReads;
+use super::{Decision, NodeInput, NodeOutput, View};
+use crate::control::ControlState;
+use crate::membership::Membership;
+use crate::placer::Placer;
+use crate::rights::{Adoption, Rights, Safeguard};
+use balsam_types::control::DaemonInfo;
+use balsam_types::timing::SUSPECT_MS;
+use balsam_types::{TimeMs, UpstreamName};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+/// The gap between two inputs after which the daemon takes itself to have been paused.
+///
+/// Ticks arrive every 50 ms; silence that was counted during a longer pause says nothing of others.
+const PAUSE_MS: u64 = SUSPECT_MS / 2;
+
+/// The control decisions of one daemon.
+///
+/// It owns the control state, the freshness right, what is known of peers and upstreams, and, while
+/// its daemon is the placer, the moves. It does no I/O: see [`NodeInput`] and [`NodeOutput`].
+#[derive(Debug)]
+pub struct Node {
+    pub(super) me: DaemonInfo,
+    pub(super) state: Arc<ControlState>,
+    pub(super) log: RecentLog,
+    pub(super) rights: Rights,
+    pub(super) membership: Membership,
+    pub(super) adoption: Adoption,
+    pub(super) placer: Placer,
+    pub(super) upstreams: BTreeMap<UpstreamName, Dispatching>,
+    pub(super) table: TableReads,
+    pub(super) commits: Commits,
+    pub(super) commands: Commands,
+    pub(super) phase: Phase,
+    pub(super) next_pulse_at: TimeMs,
+    pub(super) next_instances_at: TimeMs,
+    pub(super) fetching_until: TimeMs,
+    pub(super) resumed_at: TimeMs,
+    pub(super) published: Option<Arc<View>>,
+    /// Set by inputs after which a commit may be due.
+    pub(super) decide: bool,
+    /// Whether a newer right was asked for, for an upstream that has restarted.
+    pub(super) newer_right_asked: bool,
+    last_input_at: TimeMs,
+    right_logged: bool,
+}
+
+impl Node {
+    /// Makes the node of the daemon `me`, which has no state yet.
+    ///
+    /// `seed` makes its attempt ids differ from those of other daemons.
+    pub fn new(me: DaemonInfo, seed: u64, now: TimeMs) -> Self {
+        let incarnation = me.incarnation;
+        Self {
+            me,
+            state: Arc::new(ControlState::new()),
+            log: RecentLog::new(),
+            rights: Rights::new(incarnation),
+            membership: Membership::new(incarnation),
+            adoption: Adoption::new(),
+            placer: Placer::new(),
+            upstreams: BTreeMap::new(),
+            table: TableReads::new(now),
+            commits: Commits::new(incarnation, seed),
+            commands: Commands::new(),
+            phase: Phase::Running,
+            next_pulse_at: now,
+            next_instances_at: now,
+            fetching_until: now,
+            resumed_at: now,
+            published: None,
+            decide: true,
+            newer_right_asked: false,
+            last_input_at: now,
+            right_logged: false,
+        }
+    }
+
+    /// Removes a safety rule; only for tests, which show that they notice its absence.
+    #[must_use]
+    pub fn without(mut self, safeguard: Safeguard) -> Self {
+        self.rights = self.rights.without(safeguard);
+        self.adoption = self.adoption.without(safeguard);
+        self
+    }
+
+    /// Returns the control state that the node has adopted.
+    pub const fn state(&self) -> &Arc<ControlState> {
+        &self.state
+    }
+
+    /// Takes one input and returns what is to be done, in order.
+    pub fn handle(&mut self, now: TimeMs, input: NodeInput) -> Vec<NodeOutput> {
+        let mut out = Vec::new();
+        if matches!(self.phase, Phase::Left) {
+            return out;
+        }
+        self.note_pause(now);
+        self.take(now, input, &mut out);
+        self.proceed(now, &mut out);
+        out
+    }
+
+    fn take(&mut self, now: TimeMs, input: NodeInput, out: &mut Vec<NodeOutput>) {
+        match input {
+            NodeInput::Tick => self.decide = true,
+            NodeInput::TableRead { started_at, result } => {
+                self.table_read(now, started_at, result, out);
+            }
+            NodeInput::CommitDone { attempt, result } => {
+                self.commit_done(now, attempt, result, out);
+            }
+            NodeInput::Pulse { request, pulse } => self.pulsed(now, request, pulse, out),
+            NodeInput::PulseReply(reply) => self.pulse_replied(now, reply, out),
+            NodeInput::ChangesWanted { request, after } => {
+                let body = self.log.after(after, &self.state);
+                out.push(NodeOutput::AnswerChanges { request, body });
+            }
+            NodeInput::Changes(body) => self.changes(now, body, out),
+            NodeInput::Instances(instances) => self.placer.set_instances(instances),
+            NodeInput::GrantReply {
+                upstream,
+                sent_at,
+                right_until,
+                grant,
+                reply,
+            } => self.grant_replied(now, &upstream, sent_at, right_until, &grant, reply.as_ref()),
+            NodeInput::RevokeReply {
+                upstream,
+                epoch,
+                units,
+                reply,
+            } => {
+                self.decide = true;
+                self.placer
+                    .revoke_replied(now, upstream, epoch, units, reply);
+            }
+            NodeInput::Load(report) => self.set_load(report),
+            NodeInput::Command { request, command } => self.command(now, request, command, out),
+            NodeInput::PeerReplaced {
+                address,
+                incarnation,
+            } => self.peer_replaced(address, incarnation),
+            NodeInput::Stop => self.stop(now),
+        }
+    }
+
+    /// Does whatever is due after an input.
+    fn proceed(&mut self, now: TimeMs, out: &mut Vec<NodeOutput>) {
+        self.observe_adoption(now);
+        self.follow_upstreams(now);
+        self.read_table(now, out);
+        self.read_instances(now, out);
+        self.pulse(now, out);
+        self.renew_grants(now, out);
+        self.settle_commands(now, out);
+        if std::mem::take(&mut self.decide) {
+            self.revoke(now, out);
+            self.begin_commit(now, out);
+        }
+        self.finish_leaving(now, out);
+        self.log_right(now, out);
+        self.publish(now, out);
+    }
+
+    pub(super) fn observe_adoption(&mut self, now: TimeMs) {
+        let me = self.me.incarnation;
+        let own_epoch = self.state.epoch;
+        let membership = &self.membership;
+        let epoch_of = |incarnation: &_| {
+            if *incarnation == me {
+                own_epoch
+            } else {
+                membership.epoch_of(incarnation)
+            }
+        };
+        if self.adoption.observe(now, &self.state, epoch_of) {
+            self.decide = true;
+        }
+    }
+
+    /// Returns whether this daemon is in the roster that it knows.
+    pub(super) fn is_member(&self) -> bool {
+        self.state.daemons.contains_key(&self.me.incarnation)
+    }
+
+    /// Returns whether this daemon is the placer.
+    pub(super) fn is_placer(&self) -> bool {
+        self.state.placer == Some(self.me.incarnation)
+    }
+
+    fn note_pause(&mut self, now: TimeMs) {
+        if now.since(self.last_input_at) >= PAUSE_MS {
+            self.resumed_at = now;
+            self.membership.resume(now);
+            for upstream in self.upstreams.values_mut() {
+                upstream.issuer.resume(now);
+            }
+            self.placer.resume(now);
+        }
+        self.last_input_at = self.last_input_at.max(now);
+    }
+
+    fn log_right(&mut self, now: TimeMs, out: &mut Vec<NodeOutput>) {
+        let held = self.rights.is_held(now);
+        if held != self.right_logged {
+            self.right_logged = held;
+            out.push(NodeOutput::Log(Decision::Right { held }));
+        }
+    }
+}
--- a/crates/balsam-decide/src/node/mod.rs
+++ b/crates/balsam-decide/src/node/mod.rs
@@ -4,13 +4,23 @@
 //! while its daemon is the placer, moves units. See
 //! [the design page, section 5](../../../../docs/design.md#5-freshness-right).
 
+mod commands;
+mod commits;
+mod dispatching;
 mod input;
+mod leaving;
+mod log;
+mod machine;
 mod output;
+mod publish;
+mod pulses;
+mod table;
 mod view;
 
 pub use input::{
     CommitResult, NodeInput, OperatorCommand, Pulse, PulseReply, TableResult, UpstreamReport,
 };
+pub use machine::Node;
 pub use output::{
     ChangesBody, CommandFailure, CommandResult, Decision, NodeOutput, PeerEpoch, RequestId,
     SourcePeer,
--- /dev/null
+++ b/crates/balsam-decide/src/node/pulses.rs
@@ -0,0 +1,172 @@
+//! Pulses, their answers and the fetching of changes from peers.
+
+use super::output::{NodeOutput, RequestId, SourcePeer};
+use super::{Node, Pulse, PulseReply};
+use balsam_types::control::DaemonInfo;
+use balsam_types::timing::PULSE_MS;
+use balsam_types::{Incarnation, Round, TimeMs};
+use std::net::SocketAddr;
+
+/// The time after which a fetch without an answer is given up, in milliseconds.
+const FETCH_TIMEOUT_MS: u64 = 300;
+
+impl Node {
+    /// Begins a round when one is due.
+    pub(super) fn pulse(&mut self, now: TimeMs, out: &mut Vec<NodeOutput>) {
+        if now < self.next_pulse_at || !self.is_member() || self.has_withdrawn() {
+            return;
+        }
+        self.next_pulse_at = now.after(PULSE_MS);
+        let Some(roster) = self.state.roster() else {
+            return;
+        };
+        let round = self.rights.begin_round(now, self.state.epoch, roster);
+        let peers: Vec<DaemonInfo> = self.peers().cloned().collect();
+        for peer in peers {
+            self.send_pulse(now, &peer, round, out);
+        }
+        if self.is_placer() {
+            let reports = self.reports(now);
+            self.placer.reported(now, self.me.incarnation, reports);
+        }
+    }
+
+    /// Tells the author of a change and the placer that this daemon has adopted its epoch.
+    pub(super) fn announce_epoch(
+        &mut self,
+        now: TimeMs,
+        author: Option<Incarnation>,
+        out: &mut Vec<NodeOutput>,
+    ) {
+        if !self.is_member() || self.has_withdrawn() {
+            return;
+        }
+        let waiting = |peer: &&DaemonInfo| {
+            Some(peer.incarnation) == author || Some(peer.incarnation) == self.state.placer
+        };
+        let peers: Vec<DaemonInfo> = self.peers().filter(waiting).cloned().collect();
+        for peer in peers {
+            self.send_pulse(now, &peer, Round(0), out);
+        }
+    }
+
+    /// Sends a pulse to the placer at once, because a report has changed.
+    pub(super) fn report_now(&mut self, now: TimeMs, out: &mut Vec<NodeOutput>) {
+        if self.is_placer() {
+            let reports = self.reports(now);
+            self.placer.reported(now, self.me.incarnation, reports);
+            self.decide = true;
+            return;
+        }
+        self.announce_epoch(now, None, out);
+    }
+
+    fn peers(&self) -> impl Iterator<Item = &DaemonInfo> {
+        let me = self.me.incarnation;
+        let daemons = self.state.daemons.values();
+        daemons.filter(move |daemon| daemon.incarnation != me)
+    }
+
+    fn send_pulse(&self, now: TimeMs, peer: &DaemonInfo, round: Round, out: &mut Vec<NodeOutput>) {
+        let to_placer = self.state.placer == Some(peer.incarnation);
+        let pulse = Pulse {
+            from: self.me.clone(),
+            epoch: self.state.epoch,
+            round,
+            table_ok: self.table.ok,
+            leaving: self.is_leaving(),
+            reports: if to_placer {
+                self.reports(now)
+            } else {
+                Vec::new()
+            },
+        };
+        out.push(NodeOutput::SendPulse {
+            to: source(peer),
+            pulse,
+        });
+    }
+
+    pub(super) fn pulsed(
+        &mut self,
+        now: TimeMs,
+        request: RequestId,
+        pulse: Pulse,
+        out: &mut Vec<NodeOutput>,
+    ) {
+        let from = pulse.from.incarnation;
+        self.membership.heard(now, from, pulse.epoch);
+        self.membership.set_leaving(from, pulse.leaving);
+        if self.placer.reported(now, from, pulse.reports) {
+            self.decide = true;
+        }
+        if self.has_withdrawn() {
+            return;
+        }
+        let reply = PulseReply {
+            incarnation: self.me.incarnation,
+            epoch: self.state.epoch,
+            round: pulse.round,
+        };
+        out.push(NodeOutput::AnswerPulse { request, reply });
+        if pulse.epoch > self.state.epoch {
+            self.fetch_changes(now, source(&pulse.from), out);
+        }
+    }
+
+    pub(super) fn pulse_replied(
+        &mut self,
+        now: TimeMs,
+        reply: PulseReply,
+        out: &mut Vec<NodeOutput>,
+    ) {
+        let from = reply.incarnation;
+        if reply.round == self.rights.round() {
+            self.membership.heard(now, from, reply.epoch);
+        } else {
+            self.membership.learn_epoch(from, reply.epoch);
+        }
+        if self.has_withdrawn() {
+            return;
+        }
+        self.rights.stated(now, from, reply.epoch, reply.round);
+        if reply.epoch > self.state.epoch
+            && let Some(peer) = self.state.daemons.get(&from)
+        {
+            let peer = source(peer);
+            self.fetch_changes(now, peer, out);
+        }
+    }
+
+    /// Fetches changes from a peer that is ahead; the table is asked as well.
+    fn fetch_changes(&mut self, now: TimeMs, from: SourcePeer, out: &mut Vec<NodeOutput>) {
+        if now < self.fetching_until {
+            return;
+        }
+        self.fetching_until = now.after(FETCH_TIMEOUT_MS);
+        self.table.hasten(now);
+        out.push(NodeOutput::FetchChanges {
+            from,
+            after: self.state.epoch,
+        });
+    }
+
+    pub(super) fn peer_replaced(&mut self, address: SocketAddr, incarnation: Incarnation) {
+        let replaced: Vec<Incarnation> = self
+            .peers()
+            .filter(|peer| peer.peer_address == address && peer.incarnation != incarnation)
+            .map(|peer| peer.incarnation)
+            .collect();
+        for peer in replaced {
+            self.membership.set_replaced(peer);
+        }
+        self.decide = true;
+    }
+}
+
+const fn source(daemon: &DaemonInfo) -> SourcePeer {
+    SourcePeer {
+        incarnation: daemon.incarnation,
+        address: daemon.peer_address,
+    }
+}
--- /dev/null
+++ b/crates/balsam-decide/src/node/table.rs
@@ -0,0 +1,206 @@
+//! Table reads and the adoption of changes.
+
+use super::{ChangesBody, Decision, Node, NodeOutput, TableResult};
+use crate::control::ControlState;
+use balsam_types::control::{Change, LogEntry};
+use balsam_types::timing::{PULSE_MS, SNAPSHOT_EVERY};
+use balsam_types::{Epoch, TimeMs};
+use std::sync::Arc;
+
+/// The time after which a table read without a result is given up, in milliseconds.
+///
+/// A slower read cannot extend the right. A result that still arrives is used, because the right
+/// is dated from the beginning of its read.
+const READ_TIMEOUT_MS: u64 = 1_000;
+
+/// The period of reads of the instance list, in milliseconds.
+const INSTANCES_MS: u64 = 1_000;
+
+/// The reads of row `control`, at most one at a time.
+#[derive(Debug)]
+pub(super) struct TableReads {
+    in_flight_since: Option<TimeMs>,
+    next_at: TimeMs,
+    /// Whether the last read succeeded.
+    pub(super) ok: bool,
+    /// The newest epoch that the table is known to hold.
+    pub(super) seen_epoch: Epoch,
+}
+
+impl TableReads {
+    pub(super) const fn new(now: TimeMs) -> Self {
+        Self {
+            in_flight_since: None,
+            next_at: now,
+            ok: false,
+            seen_epoch: Epoch(0),
+        }
+    }
+
+    /// Makes a read due at once.
+    pub(super) fn hasten(&mut self, now: TimeMs) {
+        self.next_at = self.next_at.min(now);
+    }
+}
+
+impl Node {
+    pub(super) fn read_table(&mut self, now: TimeMs, out: &mut Vec<NodeOutput>) {
+        let table = &mut self.table;
+        if let Some(since) = table.in_flight_since {
+            if now.since(since) < READ_TIMEOUT_MS {
+                return;
+            }
+            table.ok = false;
+        }
+        if now < table.next_at {
+            return;
+        }
+        table.in_flight_since = Some(now);
+        table.next_at = now.after(PULSE_MS);
+        out.push(NodeOutput::ReadTable {
+            after: self.state.epoch,
+        });
+    }
+
+    pub(super) fn read_instances(&mut self, now: TimeMs, out: &mut Vec<NodeOutput>) {
+        if self.is_placer() && now >= self.next_instances_at {
+            self.next_instances_at = now.after(INSTANCES_MS);
+            out.push(NodeOutput::ReadInstances);
+        }
+    }
+
+    pub(super) fn table_read(
+        &mut self,
+        now: TimeMs,
+        started_at: TimeMs,
+        result: TableResult,
+        out: &mut Vec<NodeOutput>,
+    ) {
+        // The result of a read that was given up does not end the one in flight.
+        if self.table.in_flight_since == Some(started_at)
+            || self
+                .table
+                .in_flight_since
+                .is_none_or(|since| since <= started_at)
+        {
+            self.table.in_flight_since = None;
+        }
+        let (epoch, entries) = match result {
+            TableResult::Failed => {
+                self.table.ok = false;
+                return;
+            }
+            TableResult::Read { epoch, entries } => (epoch, entries),
+            TableResult::Snapshot {
+                epoch,
+                state,
+                entries,
+            } => {
+                self.adopt_snapshot(now, *state, out);
+                (epoch, entries)
+            }
+        };
+        self.table.ok = true;
+        self.table.seen_epoch = self.table.seen_epoch.max(epoch);
+        self.adopt_entries(now, entries, out);
+        self.decide = true;
+        if self.state.epoch >= epoch {
+            self.rights.table_confirmed(now, started_at);
+        } else {
+            self.table.hasten(now);
+        }
+    }
+
+    pub(super) fn changes(&mut self, now: TimeMs, body: ChangesBody, out: &mut Vec<NodeOutput>) {
+        self.fetching_until = now;
+        match body {
+            ChangesBody::Entries(entries) => self.adopt_entries(now, entries, out),
+            ChangesBody::Snapshot(state) => self.adopt_snapshot(now, *state, out),
+        }
+    }
+
+    fn adopt_snapshot(&mut self, now: TimeMs, state: ControlState, out: &mut Vec<NodeOutput>) {
+        if state.epoch <= self.state.epoch {
+            return;
+        }
+        self.state = Arc::new(state);
+        self.log.clear();
+        self.adopted(now, None, out);
+    }
+
+    /// Applies the entries that follow the node's epoch and skips those that it has.
+    pub(super) fn adopt_entries(
+        &mut self,
+        now: TimeMs,
+        entries: Vec<LogEntry>,
+        out: &mut Vec<NodeOutput>,
+    ) {
+        let mut newest_author = None;
+        for entry in entries {
+            if entry.epoch <= self.state.epoch {
+                continue;
+            }
+            // A committed entry that does not fit means a damaged log: the node stays at its
+            // epoch, loses its right and reports that it is not ready.
+            if Arc::make_mut(&mut self.state).apply(&entry).is_err() {
+                break;
+            }
+            newest_author = Some(entry.author);
+            self.applied(now, &entry, out);
+            self.log.push(entry);
+        }
+        if newest_author.is_some() {
+            self.adopted(now, newest_author, out);
+        }
+    }
+
+    fn applied(&mut self, now: TimeMs, entry: &LogEntry, out: &mut Vec<NodeOutput>) {
+        self.commands.entry_adopted(now, entry);
+        self.commits.entry_adopted(entry);
+        self.placer.entry_adopted(now, entry);
+        log_change(entry, out);
+        let snapshot_due = entry.epoch.0.is_multiple_of(SNAPSHOT_EVERY);
+        if snapshot_due && self.is_placer() {
+            out.push(NodeOutput::WriteSnapshot(Arc::clone(&self.state)));
+        }
+    }
+
+    /// Follows a new epoch and tells those who wait for its adoption.
+    fn adopted(
+        &mut self,
+        now: TimeMs,
+        author: Option<balsam_types::Incarnation>,
+        out: &mut Vec<NodeOutput>,
+    ) {
+        self.table.seen_epoch = self.table.seen_epoch.max(self.state.epoch);
+        self.decide = true;
+        self.membership.follow(now, &self.state);
+        self.placer.follow(now, &self.state);
+        self.observe_adoption(now);
+        if author == Some(self.me.incarnation) {
+            // The peers learn of the change at once, because it may be waited for.
+            self.next_pulse_at = now;
+        } else {
+            self.announce_epoch(now, author, out);
+        }
+    }
+}
+
+/// Logs the decisions that the change's author took; the placer logs its moves itself.
+fn log_change(entry: &LogEntry, out: &mut Vec<NodeOutput>) {
+    match &entry.change {
+        Change::PlacerTaken { incarnation } => out.push(NodeOutput::Log(Decision::Placer {
+            incarnation: *incarnation,
+        })),
+        Change::DaemonsRemoved {
+            incarnations,
+            reason,
+        } => out.extend(incarnations.iter().map(|incarnation| {
+            NodeOutput::Log(Decision::DaemonRemoved {
+                incarnation: *incarnation,
+                reason: *reason,
+            })
+        })),
+        _ => {}
+    }
+}
--- a/crates/balsam-decide/src/placer/mod.rs
+++ b/crates/balsam-decide/src/placer/mod.rs
@@ -1,1 +1,17 @@
-//! To be filled in.
+//! The placer: the one daemon that commits placement changes.
+//!
+//! Every decision follows from the control state, so a new placer completes what its predecessor
+//! began. See [the design page, section 5.2](../../../../docs/design.md#52-membership-and-placer).
+
+mod dispatchers;
+mod machine;
+mod moves;
+mod planning;
+mod reports;
+mod revocations;
+mod roster;
+mod scene;
+mod statuses;
+
+pub use machine::Placer;
+pub use scene::Scene;
--- /dev/null
+++ b/crates/balsam-decide/src/placer/moves.rs
@@ -0,0 +1,104 @@
+//! The end of moves.
+
+use super::revocations::is_revocable;
+use super::{Placer, Scene};
+use balsam_types::control::{Change, UnitOwner, UpstreamStatus};
+use balsam_types::{Epoch, Map, ServiceName, UnitId, UpstreamName, new_map};
+
+/// Gives every unit its owner whose former owner can no longer run requests on it.
+pub(super) fn finish(placer: &Placer, scene: &Scene<'_>) -> Option<Change> {
+    let lapsed = scene.adoption.lapsed(scene.now);
+    for (service, placement) in &scene.state.services {
+        let mut targets = Targets::new(scene, service);
+        let mut units = Vec::new();
+        for (unit, owner) in &placement.units {
+            let UnitOwner::Moving {
+                from,
+                to,
+                since_epoch,
+            } = owner
+            else {
+                continue;
+            };
+            let free = placer.revocations.is_acknowledged(service, *unit)
+                || has_lapsed(scene, from, *since_epoch, lapsed);
+            if free && let Some(to) = targets.choose(to) {
+                units.push((*unit, to));
+            }
+        }
+        if !units.is_empty() {
+            return Some(Change::UnitsOwned {
+                service: service.clone(),
+                units,
+            });
+        }
+    }
+    None
+}
+
+/// Returns whether all grants have lapsed under which `from` could run requests on the unit.
+///
+/// Until an upstream's status changed to lost, grants let its running requests finish, so the
+/// rights of epochs before that change must have lapsed too.
+fn has_lapsed(scene: &Scene<'_>, from: &UpstreamName, since_epoch: Epoch, lapsed: Epoch) -> bool {
+    let Some(upstream) = scene.state.upstreams.get(from) else {
+        return lapsed >= since_epoch;
+    };
+    if is_revocable(upstream) {
+        return false;
+    }
+    let status_epoch = scene.state.status_epochs.get(from).copied();
+    lapsed >= since_epoch.max(status_epoch.unwrap_or_default())
+}
+
+/// The upstreams of a service that can own units, with the number that each owns.
+struct Targets {
+    owned: Map<UpstreamName, usize>,
+}
+
+impl Targets {
+    fn new(scene: &Scene<'_>, service: &ServiceName) -> Self {
+        let mut owned = new_map();
+        for upstream in scene.state.upstreams.values() {
+            if upstream.service == *service && upstream.status == UpstreamStatus::Active {
+                owned.insert(upstream.name.clone(), 0);
+            }
+        }
+        let placement = scene.state.services.get(service);
+        let owners = placement
+            .into_iter()
+            .flat_map(|placement| placement.units.values());
+        for owner in owners {
+            let (UnitOwner::Owned(name) | UnitOwner::Moving { to: name, .. }) = owner;
+            if let Some(count) = owned.get_mut(name) {
+                *count += 1;
+            }
+        }
+        Self { owned }
+    }
+
+    /// Returns `planned` if it can own units, else the upstream with the fewest.
+    fn choose(&mut self, planned: &UpstreamName) -> Option<UpstreamName> {
+        if self.owned.contains_key(planned) {
+            return Some(planned.clone());
+        }
+        let fewest = self.owned.iter_mut().min_by_key(|(name, count)| {
+            let count: usize = **count;
+            (count, (*name).clone())
+        })?;
+        *fewest.1 += 1;
+        Some(fewest.0.clone())
+    }
+}
+
+/// Returns whether `unit` is in the planner's sense without an available owner.
+pub(super) fn is_homeless(scene: &Scene<'_>, service: &ServiceName, unit: UnitId) -> bool {
+    match scene.state.owner_of(service, unit) {
+        None => true,
+        Some(UnitOwner::Moving { .. }) => false,
+        Some(UnitOwner::Owned(name)) => {
+            let owner = scene.state.upstreams.get(name);
+            owner.is_none_or(|owner| owner.status != UpstreamStatus::Active)
+        }
+    }
+}
--- /dev/null
+++ b/crates/balsam-decide/src/placer/planning.rs
@@ -0,0 +1,152 @@
+//! The planner's steps as changes.
+
+use super::moves::is_homeless;
+use super::{Placer, Scene};
+use crate::placement::{PlanInput, PlanStep, PlanUpstream, plan};
+use balsam_types::control::{Change, MoveReason, UnitMove, UpstreamStatus};
+use balsam_types::{Map, ServiceName, TimeMs, UnitId, UpstreamName, new_map};
+
+/// The period at which balance is planned, in milliseconds.
+const PLAN_MS: u64 = 1_000;
+
+/// The period over which balancing moves are counted, in milliseconds.
+const MINUTE_MS: u64 = 60_000;
+
+/// Plans at once for services that have units without an available owner.
+pub(super) fn plan_homes(placer: &Placer, scene: &Scene<'_>) -> Option<Change> {
+    let services = scene.state.settings.services();
+    services
+        .filter(|service| has_homeless(scene, service))
+        .find_map(|service| plan_service(placer, scene, service))
+}
+
+/// Plans for all services, at most once in [`PLAN_MS`].
+pub(super) fn plan_balance(placer: &mut Placer, scene: &Scene<'_>) -> Option<Change> {
+    if scene.now < placer.next_plan_at {
+        return None;
+    }
+    placer.next_plan_at = scene.now.after(PLAN_MS);
+    let mut services = scene.state.settings.services();
+    services.find_map(|service| plan_service(placer, scene, service))
+}
+
+fn has_homeless(scene: &Scene<'_>, service: &ServiceName) -> bool {
+    let Some(policy) = scene.state.settings.service_policy(service) else {
+        return false;
+    };
+    let placement = scene.state.services.get(service);
+    let hot_keys = placement
+        .into_iter()
+        .flat_map(|placement| &placement.hot_keys);
+    let mut units = (0..policy.slices)
+        .map(UnitId)
+        .chain(hot_keys.map(|key| UnitId::hot_key(*key)));
+    units.any(|unit| is_homeless(scene, service, unit))
+}
+
+fn plan_service(placer: &Placer, scene: &Scene<'_>, service: &ServiceName) -> Option<Change> {
+    let policy = scene.state.settings.service_policy(service)?;
+    let mut unit_loads = new_map();
+    let upstreams = plan_upstreams(placer, scene, service, &mut unit_loads);
+    let nothing = crate::control::ServicePlacement::default();
+    let placement = scene.state.services.get(service);
+    let input = PlanInput {
+        now: scene.now,
+        policy: &policy,
+        upstreams: &upstreams,
+        placement: placement.map_or(&nothing, |placement| placement),
+        unit_loads: &unit_loads,
+        recent_moves: recent_moves(placer, scene.now, service),
+    };
+    change_of(service, plan(&input))
+}
+
+fn plan_upstreams(
+    placer: &Placer,
+    scene: &Scene<'_>,
+    service: &ServiceName,
+    unit_loads: &mut Map<UnitId, f64>,
+) -> Vec<PlanUpstream> {
+    let of_service = scene.state.upstreams.values();
+    let of_service = of_service.filter(|upstream| upstream.service == *service);
+    let mut upstreams = Vec::new();
+    for upstream in of_service {
+        let since = placer.status_since.get(&upstream.name);
+        let report = placer.reports.load(scene.now, &upstream.name);
+        if let Some(report) = report {
+            unit_loads.extend(report.heavy_units.iter().copied());
+        }
+        upstreams.push(PlanUpstream {
+            name: upstream.name.clone(),
+            status: upstream.status,
+            slots: upstream.slots,
+            load: report.map_or(0.0, |report| report.load),
+            active_since: match since {
+                Some((UpstreamStatus::Active, since)) => *since,
+                _ => scene.now,
+            },
+            heavy_keys: report.map_or_else(Vec::new, |report| report.heavy_keys.clone()),
+        });
+    }
+    upstreams
+}
+
+/// Batches the steps of the kind that is most urgent; the others are planned again after it.
+fn change_of(service: &ServiceName, steps: Vec<PlanStep>) -> Option<Change> {
+    let mut units: Vec<(UnitId, UpstreamName)> = Vec::new();
+    let mut moves: Vec<UnitMove> = Vec::new();
+    let mut split = Vec::new();
+    let mut merged = Vec::new();
+    for step in steps {
+        match step {
+            PlanStep::Assign { unit, to } => units.push((unit, to)),
+            PlanStep::Move(unit_move) => moves.push(unit_move),
+            PlanStep::Split { key, to } => split.push((key, to)),
+            PlanStep::Merge { key } => merged.push(key),
+        }
+    }
+    let service = service.clone();
+    if !units.is_empty() {
+        return Some(Change::UnitsOwned { service, units });
+    }
+    if !moves.is_empty() {
+        return Some(Change::UnitsMoving { service, moves });
+    }
+    if !split.is_empty() {
+        let keys = split;
+        return Some(Change::HotKeysSplit { service, keys });
+    }
+    (!merged.is_empty()).then_some(Change::HotKeysMerged {
+        service,
+        keys: merged,
+    })
+}
+
+/// Counts the balancing moves of an adopted change.
+pub(super) fn count_moves(placer: &mut Placer, now: TimeMs, change: &Change) {
+    let (service, count) = match change {
+        Change::UnitsMoving { service, moves } => {
+            let balancing = |unit_move: &&UnitMove| match unit_move.reason {
+                MoveReason::Balance | MoveReason::HotKey => true,
+                MoveReason::OwnerLost | MoveReason::OwnerDraining => false,
+            };
+            (service, moves.iter().filter(balancing).count())
+        }
+        Change::HotKeysSplit { service, keys } => (service, keys.len()),
+        Change::HotKeysMerged { service, keys } => (service, keys.len()),
+        _ => return,
+    };
+    let counted = &mut placer.balance_moves;
+    counted.retain(|(at, ..)| now.since(*at) < MINUTE_MS);
+    if count > 0 {
+        counted.push((now, service.clone(), count as u64));
+    }
+}
+
+fn recent_moves(placer: &Placer, now: TimeMs, service: &ServiceName) -> u64 {
+    let moves = placer.balance_moves.iter();
+    moves
+        .filter(|(at, of, _)| of == service && now.since(*at) < MINUTE_MS)
+        .map(|(_, _, count)| count)
+        .sum()
+}
--- /dev/null
+++ b/crates/balsam-decide/src/placer/roster.rs
@@ -0,0 +1,49 @@
+//! The roster and the placer's own succession.
+
+use super::Scene;
+use balsam_types::control::{Change, DaemonInfo, RemovalReason};
+use balsam_types::timing::{REMOVE_MS, SUSPECT_MS};
+use balsam_types::{Incarnation, KeyHash, TimeMs};
+
+/// Removes the daemons that have been silent for [`REMOVE_MS`].
+pub(super) fn remove_silent(scene: &Scene<'_>) -> Option<Change> {
+    let is_silent = |incarnation: &&Incarnation| {
+        scene.membership.silence_ms(scene.now, incarnation) >= REMOVE_MS
+    };
+    let daemons = scene.state.daemons.keys();
+    let incarnations: Vec<Incarnation> = daemons.filter(is_silent).copied().collect();
+    (!incarnations.is_empty()).then_some(Change::DaemonsRemoved {
+        incarnations,
+        reason: RemovalReason::Silent,
+    })
+}
+
+/// Closes the rosters under which every right has lapsed.
+pub(super) fn close(scene: &Scene<'_>) -> Option<Change> {
+    let lapsed = scene.adoption.lapsed(scene.now);
+    let mut later = scene.state.open_rosters.iter().skip(1);
+    later
+        .any(|roster| roster.since <= lapsed)
+        .then_some(Change::RostersClosed { through: lapsed })
+}
+
+/// Returns whether this daemon is next in line while the placer is missing or suspected.
+///
+/// A new placer is left in office for [`SUSPECT_MS`], so that daemons that cannot reach each other
+/// but all reach the table do not replace each other at every read.
+pub(super) fn takes_over(scene: &Scene<'_>, placer_since: TimeMs) -> bool {
+    if let Some(placer) = scene.state.placer {
+        let in_office = scene.now.since(placer_since) < SUSPECT_MS;
+        if in_office || !scene.membership.is_suspected(scene.now, &placer) {
+            return false;
+        }
+    }
+    let daemons = scene.state.daemons.values();
+    let candidates = daemons.filter(|daemon| scene.is_available(daemon));
+    let next = candidates.max_by_key(|daemon| placer_weight(daemon));
+    next.is_some_and(|daemon| daemon.incarnation == scene.me)
+}
+
+fn placer_weight(daemon: &DaemonInfo) -> u64 {
+    KeyHash::of(daemon.incarnation.0.to_le_bytes()).0
+}
