Assemble the control path into a daemon

Cause: the control tasks, the peer transport and the operator listener existed apart, and nothing started them. Change: the control task owns the node and routes its outputs; Daemon::start binds the listeners and starts the tasks, Daemon::run leaves the roster on a stop; balsamswitchd prints its bound addresses and handles SIGTERM and SIGINT. A commit ahead of the table now ends unsettled, because a lost race would make the node wait for an epoch that does not exist. The pulse's wire type carries the new field leaving.

--- a/crates/balsam-daemon/src/config/limits.rs
+++ b/crates/balsam-daemon/src/config/limits.rs
@@ -17,7 +17,8 @@
     pub header_bytes: usize,
     /// How long a stopping daemon waits for requests in flight, in milliseconds.
     pub drain_ms: u64,
-    /// How long a stopping daemon tries to leave the roster, in milliseconds.
+    /// How long a stopping daemon waits for its upstreams to be handed over and for its removal
+    /// from the roster, in milliseconds.
     pub leave_ms: u64,
 }
 
@@ -29,7 +30,7 @@
             peer_connections: 2_048,
             header_bytes: 32 << 10,
             drain_ms: 30_000,
-            leave_ms: 3_000,
+            leave_ms: 10_000,
         }
     }
 }
--- a/crates/balsam-daemon/src/control/commit/change.rs
+++ b/crates/balsam-daemon/src/control/commit/change.rs
@@ -26,7 +26,7 @@
 ///
 /// A write without an answer may have taken effect, so the log row is read back: the own attempt
 /// id proves the commit, another one proves its failure, and an absent row allows the same
-/// conditional write again.
+/// conditional write again. A write ahead of the table is never committed and ends unsettled.
 pub async fn commit_change(
     platform: &impl Platform,
     clock: &impl Clock,
@@ -37,7 +37,7 @@
         Ok(request) => request,
         Err(error) => {
             log::error!("change of epoch {}: {error}", entry.epoch);
-            return CommitResult::Lost;
+            return CommitResult::Unsettled;
         }
     };
     while let Some(wait) = next_wait(clock, give_up_at) {
@@ -48,11 +48,10 @@
         let Some(wait) = next_wait(clock, give_up_at) else {
             break;
         };
-        let settled = read_back(platform, entry, wait).await;
-        match (written, settled) {
-            (_, Ok(Settled::Own)) => return CommitResult::Committed,
-            (_, Ok(Settled::Other)) | (Ok(_), Ok(Settled::Absent)) => return CommitResult::Lost,
-            (Err(_), Ok(Settled::Absent)) | (_, Err(_)) => sleep(RETRY_PAUSE).await,
+        match read_back(platform, entry, wait).await {
+            Ok(Settled::Own) => return CommitResult::Committed,
+            Ok(Settled::Other) => return CommitResult::Lost,
+            Ok(Settled::Absent) | Err(_) => sleep(RETRY_PAUSE).await,
         }
     }
     CommitResult::Unsettled
--- a/crates/balsam-daemon/src/lib.rs
+++ b/crates/balsam-daemon/src/lib.rs
@@ -9,3 +9,7 @@
 pub mod operator;
 pub mod peer;
 pub mod request;
+
+mod assembly;
+
+pub use assembly::{Addresses, Daemon, RunError, run};
--- a/crates/balsam-daemon/src/operator/context.rs
+++ b/crates/balsam-daemon/src/operator/context.rs
@@ -2,6 +2,7 @@
 
 use crate::config::Credential;
 use crate::control::decide::ControlHandle;
+use crate::metrics::MetricsText;
 use balsam_decide::node::{CommandResult, OperatorCommand};
 use balsam_wire::operator::{CommandResponse, ErrorResponse};
 use std::time::Duration;
@@ -21,8 +22,8 @@
     pub clock: C,
     /// The secret that every request must carry.
     pub credential: Credential,
-    /// The largest accepted request head in bytes.
-    pub header_bytes: usize,
+    /// The metrics.
+    pub metrics: MetricsText,
 }
 
 impl<C> OperatorContext<C> {
--- a/crates/balsam-daemon/src/operator/serve.rs
+++ b/crates/balsam-daemon/src/operator/serve.rs
@@ -43,7 +43,7 @@
         Endpoint::Upstreams => answer::found(&endpoints::upstreams(&view)),
         Endpoint::Quarantine => answer::found(&endpoints::quarantine(&view)),
         Endpoint::Epochs => answer::found(&endpoints::epochs(&view, context.clock.now())),
-        Endpoint::Metrics => answer::metrics(endpoints::metrics()),
+        Endpoint::Metrics => answer::metrics(endpoints::metrics(context)?),
         Endpoint::Edit => {
             let body = read_json(request).await?;
             answer::command(&endpoints::edit(context, body).await?)
--- a/crates/balsam-wire/src/peer/pulse.rs
+++ b/crates/balsam-wire/src/peer/pulse.rs
@@ -21,6 +21,7 @@
     epoch: u64,
     round: u64,
     table_ok: bool,
+    leaving: bool,
     reports: Vec<WireReport>,
 }
 
@@ -53,6 +54,7 @@
             epoch: pulse.epoch.0,
             round: pulse.round.0,
             table_ok: pulse.table_ok,
+            leaving: pulse.leaving,
             reports: pulse.reports.iter().map(WireReport::from).collect(),
         }
     }
@@ -71,6 +73,7 @@
             epoch: Epoch(wire.epoch),
             round: Round(wire.round),
             table_ok: wire.table_ok,
+            leaving: wire.leaving,
             reports: reports.collect::<Result<_, _>>()?,
         })
     }
