--- a/crates/balsam-standins/src/harness/mod.rs
+++ b/crates/balsam-standins/src/harness/mod.rs
@@ -1,11 +1,21 @@
 //! Tools for tests: clients of the stand-ins, child processes, a fault proxy and a journal checker.
 
+mod child;
 mod client;
 mod error;
+mod fault_proxy;
+mod journal_check;
 mod platform_client;
+mod program;
+mod proxy_pump;
 mod upstream_client;
 
+pub use child::{Child, ChildBuilder};
 pub use client::{Answer, Client, Sent};
 pub use error::HarnessError;
+pub use fault_proxy::FaultProxy;
+pub use journal_check::{OrderReports, Violation, check_journals};
 pub use platform_client::PlatformClient;
+pub use program::Program;
+pub use proxy_pump::{Direction, LinkFaults, LinkMode};
 pub use upstream_client::{UpstreamClient, Work};
