Add an open-loop load generator

Cause: measurements must count the time that requests wait for a slow server, and must tell how fairly ranks and members are served. Change: a schedule fixed by its seed, bounded connections and requests, latencies from the scheduled time, and a report with quantiles, shares kept and Jain's index for each rank.

--- a/crates/balsam-standins/src/harness/client.rs
+++ b/crates/balsam-standins/src/harness/client.rs
@@ -12,6 +12,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+/// Open connections of a client without another limit.
+const CONNECTIONS: usize = 100;
+
 /// A request as the client sends it.
 #[derive(Clone, Debug)]
 pub struct Sent {
@@ -101,7 +104,15 @@
 impl Client {
     /// Makes a client that gives up on a request after `timeout`.
     pub fn new(address: SocketAddr, timeout: Duration) -> Self {
+        Self::with_connections(address, timeout, CONNECTIONS)
+    }
+
+    /// Makes a client that opens at most `connections` connections; further requests wait.
+    pub fn with_connections(address: SocketAddr, timeout: Duration, connections: usize) -> Self {
+        // A request that waits for a connection must be ended by its own timeout only.
+        let connector = awc::Connector::new().limit(connections).timeout(timeout);
         let inner = awc::Client::builder()
+            .connector(connector)
             .timeout(timeout)
             .disable_redirects()
             .finish();
--- a/crates/balsam-standins/src/harness/mod.rs
+++ b/crates/balsam-standins/src/harness/mod.rs
@@ -14,7 +14,7 @@
 pub use client::{Answer, Client, Sent};
 pub use error::HarnessError;
 pub use fault_proxy::FaultProxy;
-pub use journal_check::{OrderReports, Violation, check_journals};
+pub use journal_check::{OrderName, OrderReports, Violation, check_journals};
 pub use platform_client::PlatformClient;
 pub use program::Program;
 pub use proxy_pump::{Direction, LinkFaults, LinkMode};
--- a/crates/balsam-standins/src/lib.rs
+++ b/crates/balsam-standins/src/lib.rs
@@ -5,6 +5,7 @@
 mod clock;
 
 pub mod harness;
+pub mod load;
 pub mod platform;
 pub mod serve;
 pub mod upstream;
