--- a/crates/balsam-daemon/src/lib.rs
+++ b/crates/balsam-daemon/src/lib.rs
@@ -1,1 +1,15 @@
-//! Placeholder.
+//! The tasks and filters of a balsamswitch daemon.
+//!
+//! See [the design page](../../../docs/design.md).
+
+pub mod config;
+pub mod control;
+pub mod logging;
+pub mod metrics;
+pub mod operator;
+pub mod peer;
+pub mod request;
+
+mod assembly;
+
+pub use assembly::{Addresses, Daemon, RunError, run};
