Run nodes, upstreams and a table under random faults

A seeded driver now runs daemons, holders and an in-memory table with losses, late and doubled messages, freezes, restarts, partitions and table outages, and checks sole ownership, the age of served settings and the recovery of every unit.

Faults found and fixed: - A daemon that was removed as silent and then restarted left its old roster open for good. ControlState keeps silent daemons of open rosters; a new incarnation at the address, or `forget`, marks them as departed. - An edit was reported as in force everywhere while a daemon that had been removed still held a right. All daemons of open rosters count now.

--- a/crates/balsam-decide/src/control/apply.rs
+++ b/crates/balsam-decide/src/control/apply.rs
@@ -87,12 +87,17 @@
         }
     }
 
+    /// Adds a daemon, which proves that silent daemons at its address have ended.
     fn join(&mut self, daemon: &DaemonInfo) -> Result<(), ApplyError> {
         let incarnation = daemon.incarnation;
         ensure!(
             !self.departed.contains(&incarnation),
             DepartedSnafu { incarnation }
         );
+        self.silent.remove(&incarnation);
+        let ended = |silent: &DaemonInfo| silent.peer_address == daemon.peer_address;
+        let at_address = self.silent.extract_if(.., |_, silent| ended(silent));
+        self.departed.extend(at_address.map(|(ended, _)| ended));
         self.daemons.insert(incarnation, daemon.clone());
         self.push_roster();
         Ok(())
@@ -105,20 +110,37 @@
         reason: RemovalReason,
     ) -> Result<(), ApplyError> {
         for incarnation in incarnations {
-            self.known_daemon(*incarnation)?;
-            self.daemons.remove(incarnation);
-            if reason != RemovalReason::Silent {
-                self.departed.insert(*incarnation);
-            }
-            if self.placer == Some(*incarnation) {
-                self.placer = None;
-            }
-            self.clear_dispatcher(*incarnation);
+            self.remove_daemon(*incarnation, reason)?;
         }
         self.push_roster();
         Ok(())
     }
 
+    fn remove_daemon(
+        &mut self,
+        incarnation: Incarnation,
+        reason: RemovalReason,
+    ) -> Result<(), ApplyError> {
+        let forgotten = reason == RemovalReason::Forgotten;
+        if forgotten && self.silent.remove(&incarnation).is_some() {
+            self.departed.insert(incarnation);
+            return Ok(());
+        }
+        let Some(daemon) = self.daemons.remove(&incarnation) else {
+            return NotInRosterSnafu { incarnation }.fail();
+        };
+        if reason == RemovalReason::Silent {
+            self.silent.insert(incarnation, daemon);
+        } else {
+            self.departed.insert(incarnation);
+        }
+        if self.placer == Some(incarnation) {
+            self.placer = None;
+        }
+        self.clear_dispatcher(incarnation);
+        Ok(())
+    }
+
     fn clear_dispatcher(&mut self, incarnation: Incarnation) {
         for upstream in self.upstreams.values_mut() {
             if upstream.dispatcher == Some(incarnation) {
@@ -153,8 +175,9 @@
             NothingToCloseSnafu { through }
         );
         let rosters = &self.open_rosters;
-        self.departed
-            .retain(|departed| rosters.iter().any(|r| r.members.contains(departed)));
+        let is_open = |daemon: &Incarnation| rosters.iter().any(|r| r.members.contains(daemon));
+        self.departed.retain(is_open);
+        self.silent.retain(|silent, _| is_open(silent));
         Ok(())
     }
 
--- a/crates/balsam-decide/src/control/state.rs
+++ b/crates/balsam-decide/src/control/state.rs
@@ -41,6 +41,8 @@
     pub open_rosters: Vec<Roster>,
     /// Daemons of open rosters that are known to have ended and make no more statements.
     pub departed: BTreeSet<Incarnation>,
+    /// Daemons of open rosters that were removed as silent and may still run.
+    pub silent: BTreeMap<Incarnation, DaemonInfo>,
     /// The daemon that may commit placement changes.
     pub placer: Option<Incarnation>,
     /// The upstreams by name.
--- a/crates/balsam-decide/src/grants/holder.rs
+++ b/crates/balsam-decide/src/grants/holder.rs
@@ -56,6 +56,21 @@
     draining: bool,
     running: Map<RunningRequest, Running>,
     next_id: u64,
+    without: Option<HolderSafeguard>,
+}
+
+/// A safety rule of an upstream that a test removes to show that its checks notice the loss.
+///
+/// Upstreams never remove one. See
+/// [the design page, section 5.1](../../../../docs/design.md#51-grants).
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum HolderSafeguard {
+    /// Grants and requests that are older than the fence are refused.
+    Fence,
+    /// A grant ends at its expiry on the upstream's own clock.
+    Expiry,
+    /// A running request whose cover has lapsed is not covered by later grants.
+    CoverLapse,
 }
 
 impl Holder {
@@ -71,9 +86,34 @@
             draining: false,
             running: Map::default(),
             next_id: 0,
+            without: None,
         }
     }
 
+    /// Removes a safety rule; only for tests.
+    #[must_use]
+    pub const fn without(mut self, safeguard: HolderSafeguard) -> Self {
+        self.without = Some(safeguard);
+        self
+    }
+
+    /// Returns whether a request on `unit` may have an effect at `now`, one that runs or a new one.
+    pub fn may_run(&self, now: TimeMs, unit: UnitId) -> bool {
+        let new = self.units.owned.contains(&unit) && !self.is_over(now, self.expires_at);
+        let mut running = self.running.values();
+        new || running.any(|running| {
+            running.request.unit == unit && !self.is_over(now, running.covered_until)
+        })
+    }
+
+    fn is_over(&self, now: TimeMs, expires_at: TimeMs) -> bool {
+        expires_at <= now && self.without != Some(HolderSafeguard::Expiry)
+    }
+
+    fn is_fenced(&self, epoch: Epoch) -> bool {
+        epoch < self.fence_epoch && self.without != Some(HolderSafeguard::Fence)
+    }
+
     /// Takes a grant and answers it.
     pub fn grant(&mut self, now: TimeMs, grant: &Grant) -> GrantReply {
         let verdict = self.take_grant(now, grant);
@@ -91,10 +131,10 @@
         if grant.incarnation != Some(self.incarnation) {
             return GrantVerdict::OtherIncarnation;
         }
-        if grant.fence_epoch < self.fence_epoch {
+        if self.is_fenced(grant.fence_epoch) {
             return GrantVerdict::Fenced;
         }
-        if grant.expires_at_ms <= now {
+        if self.is_over(now, grant.expires_at_ms) {
             return GrantVerdict::Expired;
         }
         match &grant.units {
@@ -113,7 +153,7 @@
         } else {
             self.expires_at.max(grant.expires_at_ms)
         };
-        self.fence_epoch = grant.fence_epoch;
+        self.fence_epoch = self.fence_epoch.max(grant.fence_epoch);
         self.extend_running(now);
         GrantVerdict::Accepted
     }
@@ -126,7 +166,9 @@
         for running in self.running.values_mut() {
             let unit = &running.request.unit;
             let covers = self.units.owned.contains(unit) || self.units.finishing.contains(unit);
-            if covers && running.covered_until > now {
+            let lapsed =
+                running.covered_until <= now && self.without != Some(HolderSafeguard::CoverLapse);
+            if covers && !lapsed {
                 running.covered_until = running.covered_until.max(self.expires_at);
             }
         }
@@ -200,7 +242,9 @@
     pub fn recheck(&self, now: TimeMs, id: RunningRequest) -> Result<(), RefusedRequest> {
         match self.running.get(&id) {
             None => Err(RefusedRequest::NotOwned),
-            Some(running) if running.covered_until <= now => Err(RefusedRequest::GrantExpired),
+            Some(running) if self.is_over(now, running.covered_until) => {
+                Err(RefusedRequest::GrantExpired)
+            }
             Some(_) => Ok(()),
         }
     }
@@ -221,10 +265,10 @@
     }
 
     fn check(&self, now: TimeMs, request: &WorkRequest) -> Result<(), RefusedRequest> {
-        if self.expires_at <= now {
+        if self.is_over(now, self.expires_at) {
             return Err(RefusedRequest::GrantExpired);
         }
-        if request.epoch < self.fence_epoch {
+        if self.is_fenced(request.epoch) {
             return Err(RefusedRequest::OldEpoch);
         }
         if !self.units.owned.contains(&request.unit) {
--- a/crates/balsam-decide/src/node/commands.rs
+++ b/crates/balsam-decide/src/node/commands.rs
@@ -130,7 +130,9 @@
             })
         }
         OperatorCommand::Forget { incarnation } => {
-            if !state.daemons.contains_key(incarnation) {
+            let known =
+                state.daemons.contains_key(incarnation) || state.silent.contains_key(incarnation);
+            if !known {
                 return Err(not_found(&incarnation.to_string()));
             }
             Ok(Change::DaemonsRemoved {
@@ -261,11 +263,15 @@
         over(at, patience_ms).then_some(CommandResult::Pending { epoch })
     }
 
-    /// Returns whether each roster daemon has adopted `epoch` or has lost its right.
+    /// Returns whether each daemon that may hold a right has adopted `epoch`.
+    ///
+    /// A daemon that was removed or has left may still hold a right while its roster is open.
     fn is_everywhere(&self, now: TimeMs, epoch: Epoch) -> bool {
-        let me = self.me.incarnation;
-        let mut daemons = self.state.daemons.keys();
-        self.adoption.lapsed(now) >= epoch
-            || daemons.all(|daemon| *daemon == me || self.membership.epoch_of(daemon) >= epoch)
+        let has_adopted = |daemon: &Incarnation| {
+            *daemon == self.me.incarnation || self.membership.epoch_of(daemon) >= epoch
+        };
+        let rosters = &self.state.open_rosters;
+        let mut daemons = rosters.iter().flat_map(|roster| &roster.members);
+        self.adoption.lapsed(now) >= epoch || daemons.all(has_adopted)
     }
 }
--- /dev/null
+++ b/crates/balsam-decide/tests/common/faults.rs
@@ -0,0 +1,280 @@
+//! Faults and the profiles that choose among them.
+
+use super::participants::{Clock, DaemonProcess, Place, UpstreamProcess};
+use super::world::{Caller, Event, World};
+use balsam_decide::node::NodeInput;
+use balsam_types::Map;
+use rand::RngExt;
+
+/// The kind of faults that a schedule has.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Profile {
+    /// All faults.
+    Mixed,
+    /// Messages are often late.
+    Late,
+    /// Partitions that cut the table and most daemons apart.
+    Partitions,
+    /// Upstreams freeze, restart and are cut off while long requests run.
+    Upstreams,
+    /// Daemons restart, leave and join.
+    Daemons,
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Fault {
+    Partition,
+    CutTable,
+    CutUpstream,
+    FreezeNode,
+    FreezeUpstream,
+    RestartNode,
+    RestartUpstream,
+    StopNode,
+    AddNode,
+    TableDown,
+    LeaveUpstream,
+}
+
+impl Profile {
+    pub const fn daemons(self) -> usize {
+        match self {
+            Self::Upstreams => 2,
+            Self::Mixed | Self::Late | Self::Partitions | Self::Daemons => 3,
+        }
+    }
+
+    pub const fn upstreams(self) -> usize {
+        2
+    }
+
+    pub const fn loss_percent(self) -> u32 {
+        match self {
+            Self::Mixed | Self::Daemons => 2,
+            Self::Late => 5,
+            Self::Partitions | Self::Upstreams => 1,
+        }
+    }
+
+    pub const fn late_percent(self) -> u32 {
+        match self {
+            Self::Late => 10,
+            Self::Mixed => 2,
+            Self::Partitions | Self::Upstreams | Self::Daemons => 1,
+        }
+    }
+
+    pub const fn long_work_percent(self) -> u32 {
+        match self {
+            Self::Upstreams => 30,
+            Self::Mixed | Self::Late | Self::Partitions | Self::Daemons => 5,
+        }
+    }
+
+    const fn faults(self) -> &'static [Fault] {
+        match self {
+            Self::Mixed => &[
+                Fault::Partition,
+                Fault::CutTable,
+                Fault::CutUpstream,
+                Fault::FreezeNode,
+                Fault::FreezeUpstream,
+                Fault::RestartNode,
+                Fault::RestartUpstream,
+                Fault::StopNode,
+                Fault::AddNode,
+                Fault::TableDown,
+                Fault::LeaveUpstream,
+            ],
+            Self::Late => &[
+                Fault::Partition,
+                Fault::FreezeNode,
+                Fault::CutUpstream,
+                Fault::FreezeUpstream,
+                Fault::LeaveUpstream,
+            ],
+            Self::Partitions => &[
+                Fault::Partition,
+                Fault::CutTable,
+                Fault::CutTable,
+                Fault::CutUpstream,
+            ],
+            Self::Upstreams => &[
+                Fault::CutUpstream,
+                Fault::FreezeUpstream,
+                Fault::RestartUpstream,
+                Fault::LeaveUpstream,
+                Fault::CutUpstream,
+            ],
+            Self::Daemons => &[
+                Fault::RestartNode,
+                Fault::StopNode,
+                Fault::AddNode,
+                Fault::FreezeNode,
+                Fault::CutTable,
+            ],
+        }
+    }
+}
+
+impl World {
+    pub fn fault(&mut self) {
+        let pause = self.rng.random_range(200..1_200);
+        self.after(pause, Event::Fault);
+        let faults = self.options.profile.faults();
+        let fault = faults[self.rng.random_range(0..faults.len())];
+        let node = self.rng.random_range(0..self.nodes.len());
+        let upstream = self.rng.random_range(0..self.upstreams.len());
+        match fault {
+            Fault::Partition => self.partition(),
+            Fault::CutTable => self.cut_table(node, upstream),
+            Fault::CutUpstream => self.cut(Place::Upstream(upstream)),
+            Fault::FreezeNode => self.freeze(Place::Node(node)),
+            Fault::FreezeUpstream => self.freeze(Place::Upstream(upstream)),
+            Fault::RestartNode => self.restart_node(node),
+            Fault::RestartUpstream => self.restart_upstream(upstream),
+            Fault::StopNode => self.stop_node(node),
+            Fault::AddNode => self.add_node(),
+            Fault::TableDown => self.table.down = !self.table.down,
+            Fault::LeaveUpstream => self.leave_upstream(upstream),
+        }
+    }
+
+    /// Removes all faults, so that the system must recover.
+    pub fn heal(&mut self) {
+        self.healed = true;
+        self.sides.clear();
+        self.table.down = false;
+        self.queue.retain(|_, event| !matches!(event, Event::Fault));
+        for index in 0..self.nodes.len() {
+            let life = self.nodes[index].life;
+            self.resume(Place::Node(index), life);
+        }
+        self.restart_ended();
+        for index in 0..self.upstreams.len() {
+            let process = &mut self.upstreams[index];
+            process.leaving = false;
+            let life = process.life;
+            self.resume(Place::Upstream(index), life);
+        }
+    }
+
+    /// Starts a new daemon wherever one has left.
+    pub fn restart_ended(&mut self) {
+        for index in 0..self.nodes.len() {
+            if self.nodes[index].node.is_none() {
+                self.restart_node(index);
+            }
+        }
+    }
+
+    fn partition(&mut self) {
+        if !self.sides.is_empty() && self.chance(60) {
+            self.sides.clear();
+            return;
+        }
+        let places = self.places();
+        self.sides = Map::default();
+        for place in places {
+            let side = self.rng.random_range(0..2);
+            self.sides.insert(place, side);
+        }
+    }
+
+    /// Leaves the table with one daemon and one upstream, apart from everything else.
+    fn cut_table(&mut self, node: usize, upstream: usize) {
+        if !self.sides.is_empty() && self.chance(40) {
+            self.sides.clear();
+            return;
+        }
+        self.sides = Map::default();
+        self.sides.insert(Place::Table, 1);
+        self.sides.insert(Place::Node(node), 1);
+        self.sides.insert(Place::Upstream(upstream), 1);
+    }
+
+    fn cut(&mut self, place: Place) {
+        if self.sides.remove(&place).is_none() {
+            self.sides.insert(place, 2);
+        }
+    }
+
+    fn places(&self) -> Vec<Place> {
+        let nodes = (0..self.nodes.len()).map(Place::Node);
+        let upstreams = (0..self.upstreams.len()).map(Place::Upstream);
+        nodes.chain(upstreams).chain([Place::Table]).collect()
+    }
+
+    fn freeze(&mut self, place: Place) {
+        let life = match place {
+            Place::Node(node) => {
+                self.nodes[node].frozen = true;
+                self.nodes[node].life
+            }
+            Place::Upstream(upstream) => {
+                self.upstreams[upstream].frozen = true;
+                self.upstreams[upstream].life
+            }
+            Place::Table => return,
+        };
+        let pause = self.rng.random_range(100..4_000);
+        self.after(pause, Event::Resume(place, life));
+    }
+
+    /// Lets a frozen process go on; it finds all messages that arrived meanwhile.
+    pub fn resume(&mut self, place: Place, life: u64) {
+        let frozen = match place {
+            Place::Node(node) if self.nodes[node].life == life => &mut self.nodes[node].frozen,
+            Place::Upstream(upstream) if self.upstreams[upstream].life == life => {
+                &mut self.upstreams[upstream].frozen
+            }
+            _ => return,
+        };
+        *frozen = false;
+        for event in self.waiting.remove(&place).unwrap_or_default() {
+            self.after(0, event);
+        }
+    }
+
+    fn restart_node(&mut self, node: usize) {
+        let life = self.new_life();
+        let clock = self.nodes[node].clock;
+        let without = self.options.without;
+        self.waiting.remove(&Place::Node(node));
+        self.nodes[node] = DaemonProcess::new(node, life, clock, self.t, without);
+        self.start_ticks(node);
+    }
+
+    fn restart_upstream(&mut self, upstream: usize) {
+        let life = self.new_life();
+        let clock: Clock = self.upstreams[upstream].clock;
+        let leaving = self.upstreams[upstream].leaving;
+        self.waiting.remove(&Place::Upstream(upstream));
+        self.upstreams[upstream] = UpstreamProcess::new(life, clock, self.options.holder_without);
+        self.upstreams[upstream].leaving = leaving;
+    }
+
+    fn stop_node(&mut self, node: usize) {
+        let life = self.nodes[node].life;
+        if !self.nodes[node].frozen {
+            self.input(Caller { node, life }, NodeInput::Stop);
+        }
+    }
+
+    fn add_node(&mut self) {
+        if self.nodes.len() < 2 * self.options.profile.daemons() {
+            let index = self.nodes.len();
+            let clock = self.random_clock();
+            let life = self.new_life();
+            let without = self.options.without;
+            let node = DaemonProcess::new(index, life, clock, self.t, without);
+            self.nodes.push(node);
+            self.start_ticks(index);
+        }
+    }
+
+    fn leave_upstream(&mut self, upstream: usize) {
+        let leaving = &mut self.upstreams[upstream].leaving;
+        *leaving = !*leaving;
+    }
+}
--- /dev/null
+++ b/crates/balsam-decide/tests/common/mod.rs
@@ -0,0 +1,18 @@
+//! A seeded driver that runs nodes, upstreams and a table under faults, without sockets.
+//!
+//! Each schedule follows from its seed alone. Each participant has its own clock with its own
+//! offset and a rate within 1 % of true time.
+#![allow(dead_code, reason = "each test file uses a part of the driver")]
+
+mod check;
+mod control_calls;
+mod faults;
+mod participants;
+mod run;
+mod table;
+mod work;
+mod world;
+
+pub use faults::Profile;
+pub use run::{Report, expect_violation, run_schedule, run_schedules};
+pub use world::{Options, World};
--- /dev/null
+++ b/crates/balsam-decide/tests/common/participants.rs
@@ -0,0 +1,133 @@
+//! The participants of a schedule and their clocks.
+
+use balsam_decide::grants::{Holder, HolderSafeguard, RunningRequest};
+use balsam_decide::node::{Node, View};
+use balsam_decide::rights::Safeguard;
+use balsam_types::control::DaemonInfo;
+use balsam_types::{Incarnation, KeyHash, Map, ServiceName, TimeMs, UpstreamName, ZoneName};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// A place that messages go to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Place {
+    Node(usize),
+    Upstream(usize),
+    Table,
+}
+
+/// A clock that differs from true time in offset and rate.
+#[derive(Clone, Copy, Debug)]
+pub struct Clock {
+    pub offset: u64,
+    /// Parts of 10,000 by which the clock is fast or slow.
+    pub rate: i64,
+}
+
+impl Clock {
+    pub fn at(&self, t: u64) -> TimeMs {
+        let drift = t as i64 * self.rate / 10_000;
+        TimeMs((self.offset + t).saturating_add_signed(drift))
+    }
+}
+
+#[derive(Debug)]
+pub struct DaemonProcess {
+    /// `None` after the daemon has left or ended.
+    pub node: Option<Node>,
+    pub info: DaemonInfo,
+    pub life: u64,
+    pub clock: Clock,
+    pub frozen: bool,
+    pub view: Option<Arc<View>>,
+    /// The attempt that the commit task works on.
+    pub commit: Option<u64>,
+}
+
+/// A request that an upstream runs.
+#[derive(Clone, Copy, Debug)]
+pub struct Work {
+    pub id: RunningRequest,
+    pub key: KeyHash,
+    pub began: u64,
+}
+
+#[derive(Debug)]
+pub struct UpstreamProcess {
+    pub holder: Holder,
+    pub life: u64,
+    pub clock: Clock,
+    pub frozen: bool,
+    pub running: Map<u64, Work>,
+    pub leaving: bool,
+}
+
+pub fn service() -> ServiceName {
+    ServiceName::new("catalog").expect("the name is accepted")
+}
+
+pub fn upstream_name(index: usize) -> UpstreamName {
+    UpstreamName::new(format!("up-{index}")).expect("the name is accepted")
+}
+
+pub fn zone(index: usize) -> ZoneName {
+    ZoneName::new(format!("zone-{}", index % 2)).expect("the name is accepted")
+}
+
+pub fn node_address(index: usize) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 1_000 + index as u16))
+}
+
+pub fn upstream_address(index: usize) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 2_000 + index as u16))
+}
+
+pub fn daemon_info(index: usize, incarnation: u64) -> DaemonInfo {
+    DaemonInfo {
+        incarnation: Incarnation(incarnation),
+        peer_address: node_address(index),
+        zone: zone(index),
+    }
+}
+
+impl DaemonProcess {
+    pub fn new(
+        index: usize,
+        incarnation: u64,
+        clock: Clock,
+        t: u64,
+        without: Option<Safeguard>,
+    ) -> Self {
+        let info = daemon_info(index, incarnation);
+        let node = Node::new(info.clone(), incarnation, clock.at(t));
+        Self {
+            node: Some(match without {
+                Some(safeguard) => node.without(safeguard),
+                None => node,
+            }),
+            info,
+            life: incarnation,
+            clock,
+            frozen: false,
+            view: None,
+            commit: None,
+        }
+    }
+}
+
+impl UpstreamProcess {
+    pub fn new(incarnation: u64, clock: Clock, without: Option<HolderSafeguard>) -> Self {
+        let holder = Holder::new(Incarnation(incarnation));
+        Self {
+            holder: match without {
+                Some(safeguard) => holder.without(safeguard),
+                None => holder,
+            },
+            life: incarnation,
+            clock,
+            frozen: false,
+            running: Map::default(),
+            leaving: false,
+        }
+    }
+}
--- /dev/null
+++ b/crates/balsam-decide/tests/common/run.rs
@@ -0,0 +1,180 @@
+//! Running schedules and judging them.
+
+use super::check::Violation;
+use super::faults::Profile;
+use super::participants::{service, upstream_name};
+use super::work::UNITS;
+use super::world::{Event, Options, World};
+use balsam_decide::grants::HolderSafeguard;
+use balsam_decide::rights::Safeguard;
+use balsam_types::UnitId;
+use balsam_types::control::{UnitOwner, UpstreamStatus};
+
+/// When faults begin; the daemons have joined and the units have owners by then.
+const FAULTS_FROM_MS: u64 = 1_500;
+
+/// When all faults end.
+const HEAL_AT_MS: u64 = 8_000;
+
+/// The time after which the system must have recovered.
+const RECOVERED_BY_MS: u64 = HEAL_AT_MS + 15_000;
+
+/// The period at which a healed system is looked at.
+const LOOK_MS: u64 = 250;
+
+/// What a schedule did.
+#[derive(Clone, Debug, Default)]
+pub struct Report {
+    pub violation: Option<Violation>,
+    /// What is not as it should be at the end of a schedule without a violation.
+    pub unrecovered: Option<String>,
+    pub epochs: u64,
+    pub accepted: u64,
+    pub ran: u64,
+}
+
+pub fn run_schedule(options: Options) -> Report {
+    let mut world = World::new(options);
+    world.after(200, Event::Edit);
+    world.after(500, Event::Request);
+    world.after(FAULTS_FROM_MS, Event::Fault);
+    world.run_until(HEAL_AT_MS);
+    if world.checks.violation.is_none() {
+        world.heal();
+    }
+    let mut unrecovered: Option<String> = None;
+    while world.checks.violation.is_none() && world.t < RECOVERED_BY_MS {
+        world.run_until(world.t + LOOK_MS);
+        world.restart_ended();
+        unrecovered = world.unrecovered();
+        if unrecovered.is_none() {
+            break;
+        }
+    }
+    let unrecovered = unrecovered.map(|what| format!("{what}; {}", world.describe()));
+    Report {
+        violation: world.checks.violation.clone(),
+        unrecovered,
+        epochs: world.table.epoch().0,
+        accepted: world.checks.accepted_count,
+        ran: world.checks.ran_count,
+    }
+}
+
+/// Runs `count` schedules from `first_seed` on and fails at the first that breaks an invariant.
+pub fn run_schedules(profile: Profile, first_seed: u64, count: u64) {
+    let mut ran = 0;
+    let mut accepted = 0;
+    for seed in first_seed..first_seed + count {
+        let report = run_schedule(Options {
+            seed,
+            profile,
+            without: None,
+            holder_without: None,
+        });
+        let broken = (&report.violation, &report.unrecovered);
+        assert_eq!(broken, (&None, &None), "{profile:?} seed {seed}");
+        ran += report.ran;
+        accepted += report.accepted;
+    }
+    // Schedules in which nothing happens would show nothing.
+    assert!(ran > count, "only {ran} requests ran in {count} schedules");
+    assert!(
+        accepted > count,
+        "only {accepted} edits were accepted in {count} schedules"
+    );
+}
+
+/// Runs schedules without a safeguard until one breaks an invariant.
+pub fn expect_violation(
+    profile: Profile,
+    without: Option<Safeguard>,
+    holder_without: Option<HolderSafeguard>,
+    count: u64,
+) -> Violation {
+    let found = (0..count).find_map(|seed| {
+        run_schedule(Options {
+            seed,
+            profile,
+            without,
+            holder_without,
+        })
+        .violation
+    });
+    found.unwrap_or_else(|| panic!("no violation in {count} schedules"))
+}
+
+impl World {
+    fn describe(&self) -> String {
+        let state = &self.table.state;
+        let rosters: Vec<_> = state
+            .open_rosters
+            .iter()
+            .map(|r| (r.since.0, &r.members))
+            .collect();
+        let nodes: Vec<_> = self
+            .nodes
+            .iter()
+            .enumerate()
+            .map(|(index, process)| {
+                let now = process.clock.at(self.t);
+                let view = process.view.as_ref();
+                let epoch = view.map(|view| {
+                    (
+                        view.state.epoch.0,
+                        view.joined,
+                        view.has_right(now),
+                        view.table_ok,
+                        view.suspected.len(),
+                    )
+                });
+                (index, process.life, process.node.is_some(), epoch)
+            })
+            .collect();
+        let upstreams: Vec<_> = state
+            .upstreams
+            .values()
+            .map(|u| (&u.name, u.status, u.dispatcher))
+            .collect();
+        format!(
+            "epoch {} placer {:?} rosters {rosters:?} nodes {nodes:?} upstreams {upstreams:?} last {:?}",
+            state.epoch,
+            state.placer,
+            self.table.entries.last()
+        )
+    }
+
+    /// Describes what has not recovered, or returns `None`.
+    pub fn unrecovered(&self) -> Option<String> {
+        let state = &self.table.state;
+        for unit in (0..UNITS).map(UnitId) {
+            let owner = state.owner_of(&service(), unit);
+            let Some(UnitOwner::Owned(name)) = owner else {
+                return Some(format!("unit {unit} has owner {owner:?}"));
+            };
+            let status = state.upstreams.get(name).map(|upstream| upstream.status);
+            if status != Some(UpstreamStatus::Active) {
+                return Some(format!("the owner of unit {unit} is {status:?}"));
+            }
+            let index = self.upstream_named(name)?;
+            let process = &self.upstreams[index];
+            if !process.holder.may_run(process.clock.at(self.t), unit) {
+                return Some(format!("{} has no grant", upstream_name(index)));
+            }
+        }
+        for (index, process) in self.nodes.iter().enumerate() {
+            let now = process.clock.at(self.t);
+            let view = process.view.as_ref();
+            if !view.is_some_and(|view| view.is_ready(now) && view.has_right(now)) {
+                return Some(format!("daemon {index} is not ready"));
+            }
+        }
+        if state.daemons.len() != self.nodes.len() {
+            return Some(format!("the roster has {} daemons", state.daemons.len()));
+        }
+        if state.open_rosters.len() != 1 {
+            return Some(format!("{} rosters are open", state.open_rosters.len()));
+        }
+        None
+    }
+}
--- /dev/null
+++ b/crates/balsam-decide/tests/common/work.rs
@@ -0,0 +1,131 @@
+//! Requests and operator commands.
+
+use super::participants::{Place, Work, service};
+use super::world::{Caller, Event, World};
+use balsam_decide::grants::WorkRequest;
+use balsam_decide::node::{CommandResult, Located, NodeInput, OperatorCommand, RequestId};
+use balsam_types::settings::{NodeEdit, NodePath, SettingKey, SettingValue};
+use balsam_types::{Epoch, KeyHash, UnitId};
+use rand::RngExt;
+
+/// The units of the service; few, so that requests often meet on one.
+pub const UNITS: u64 = 3;
+
+impl World {
+    /// A random daemon routes a request for a random key by its view.
+    pub fn request(&mut self) {
+        let pause = self.rng.random_range(10..60);
+        self.after(pause, Event::Request);
+        let node = self.rng.random_range(0..self.nodes.len());
+        let process = &self.nodes[node];
+        let now = process.clock.at(self.t);
+        let Some(view) = process.view.clone().filter(|view| view.has_right(now)) else {
+            return;
+        };
+        if process.frozen || !view.joined {
+            return;
+        }
+        let key = KeyHash(self.rng.random_range(0..UNITS));
+        let Located::At { unit, upstream, .. } = view.locate(&service(), key) else {
+            return;
+        };
+        let Some(upstream) = self.upstream_named(&upstream.name) else {
+            return;
+        };
+        let arrives = Event::WorkArrives(upstream, unit, key, view.state.epoch);
+        let (from, to) = (Place::Node(node), Place::Upstream(upstream));
+        self.send(from, to, arrives, false);
+    }
+
+    pub fn work_arrives(&mut self, upstream: usize, unit: UnitId, key: KeyHash, epoch: Epoch) {
+        let lasts = if self.chance(self.options.profile.long_work_percent()) {
+            self.rng.random_range(500..4_000)
+        } else {
+            self.rng.random_range(1..80)
+        };
+        let process = &mut self.upstreams[upstream];
+        let now = process.clock.at(self.t);
+        let request = WorkRequest {
+            unit,
+            key,
+            epoch,
+            deadline: now.after(10_000),
+        };
+        let Ok(id) = process.holder.begin(now, request) else {
+            return;
+        };
+        let work = self.new_id();
+        let process = &mut self.upstreams[upstream];
+        let began = self.t;
+        process.running.insert(work, Work { id, key, began });
+        let life = process.life;
+        self.after(lasts, Event::WorkEnds(upstream, life, work));
+    }
+
+    /// Ends a request; only now the upstream checks whether it may have its effect.
+    pub fn work_ends(&mut self, upstream: usize, life: u64, work: u64) {
+        let process = &mut self.upstreams[upstream];
+        if process.life != life {
+            return;
+        }
+        let now = process.clock.at(self.t);
+        let Some(work) = process.running.remove(&work) else {
+            return;
+        };
+        let has_effect = process.holder.recheck(now, work.id).is_ok();
+        process.holder.end(work.id);
+        if has_effect {
+            self.checks.ran(upstream, work.key, work.began, self.t);
+        }
+    }
+
+    /// An operator edits a setting at a random daemon.
+    pub fn edit(&mut self) {
+        let pause = self.rng.random_range(150..600);
+        self.after(pause, Event::Edit);
+        let node = self.rng.random_range(0..self.nodes.len());
+        let Some(state) = self.nodes[node]
+            .node
+            .as_ref()
+            .map(|node| node.state().clone())
+        else {
+            return;
+        };
+        if self.nodes[node].frozen {
+            return;
+        }
+        let life = self.nodes[node].life;
+        let path = NodePath::Service(service());
+        let version = state
+            .settings
+            .node(&path)
+            .map_or(Epoch(0), |node| node.version);
+        self.edits += 1;
+        let mut edit = NodeEdit::new(path, version);
+        edit = if version == Epoch(0) {
+            edit.with_value(SettingKey::Slices, SettingValue::Number(UNITS))
+        } else {
+            let value = SettingValue::Number(self.edits);
+            edit.with_value(SettingKey::DeadlineMs, value)
+        };
+        let wait = self.chance(30);
+        let command = OperatorCommand::Edit {
+            edits: vec![edit],
+            wait,
+        };
+        let request = RequestId(self.new_id());
+        self.input(
+            Caller { node, life },
+            NodeInput::Command { request, command },
+        );
+    }
+
+    pub fn command_answered(&mut self, result: &CommandResult) {
+        match result {
+            CommandResult::Accepted { epoch, everywhere } => {
+                self.checks.accepted(self.t, *epoch, *everywhere);
+            }
+            CommandResult::Pending { .. } | CommandResult::Refused(_) => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/balsam-decide/tests/common/world.rs
@@ -0,0 +1,332 @@
+//! The state of a schedule: participants, links and the queue of events.
+
+use super::check::Checks;
+use super::faults::Profile;
+use super::participants::{
+    Clock, DaemonProcess, Place, UpstreamProcess, node_address, upstream_name,
+};
+use super::table::Table;
+use balsam_decide::grants::{Grant, GrantReply, HolderSafeguard, Revoke, RevokeReply};
+use balsam_decide::node::{NodeInput, NodeOutput};
+use balsam_decide::rights::Safeguard;
+use balsam_types::control::LogEntry;
+use balsam_types::{Epoch, KeyHash, Map, Set, TimeMs, UnitId, UpstreamName};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use std::collections::BTreeMap;
+
+/// What a schedule runs with.
+#[derive(Clone, Copy, Debug)]
+pub struct Options {
+    pub seed: u64,
+    pub profile: Profile,
+    pub without: Option<Safeguard>,
+    pub holder_without: Option<HolderSafeguard>,
+}
+
+/// An exchange with an upstream.
+#[derive(Clone, Debug)]
+pub enum UpstreamCall {
+    Grant {
+        sent_at: TimeMs,
+        right_until: TimeMs,
+        grant: Box<Grant>,
+    },
+    Revoke(Revoke),
+}
+
+/// The answer of an upstream.
+#[derive(Clone, Debug)]
+pub enum UpstreamAnswer {
+    Grant(GrantReply),
+    Revoke(RevokeReply),
+}
+
+/// The sender of a call, in the life that sent it.
+#[derive(Clone, Copy, Debug)]
+pub struct Caller {
+    pub node: usize,
+    pub life: u64,
+}
+
+/// Something that happens at a moment.
+#[derive(Clone, Debug)]
+pub enum Event {
+    Tick(Caller),
+    Input(Caller, Box<NodeInput>),
+    PeerRequest(usize, Caller, Box<PeerRequest>),
+    TableRead(Caller, Epoch, TimeMs),
+    CommitArrives(Caller, Box<LogEntry>),
+    CommitRetry(Caller, Box<LogEntry>, u64),
+    UpstreamArrives(usize, Caller, u64, UpstreamCall),
+    CallEnds(Caller, u64, usize, UpstreamCall, Option<UpstreamAnswer>),
+    WorkArrives(usize, UnitId, KeyHash, Epoch),
+    WorkEnds(usize, u64, u64),
+    Request,
+    Edit,
+    Fault,
+    Heal,
+    Resume(Place, u64),
+}
+
+/// A message between daemons.
+#[derive(Clone, Debug)]
+pub enum PeerRequest {
+    Pulse(balsam_decide::node::Pulse),
+    Changes(Epoch),
+}
+
+#[derive(Debug)]
+pub struct World {
+    pub t: u64,
+    pub options: Options,
+    pub rng: StdRng,
+    pub nodes: Vec<DaemonProcess>,
+    pub upstreams: Vec<UpstreamProcess>,
+    pub table: Table,
+    /// The side of each place; messages between sides are lost.
+    pub sides: Map<Place, u8>,
+    pub healed: bool,
+    pub checks: Checks,
+    pub queue: BTreeMap<(u64, u64), Event>,
+    pub waiting: Map<Place, Vec<Event>>,
+    pub peer_requests: Map<u64, (Caller, usize)>,
+    pub open_calls: Set<u64>,
+    pub next_id: u64,
+    pub edits: u64,
+    sequence: u64,
+}
+
+impl World {
+    pub fn new(options: Options) -> Self {
+        let mut world = Self {
+            t: 0,
+            options,
+            rng: StdRng::seed_from_u64(options.seed),
+            nodes: Vec::new(),
+            upstreams: Vec::new(),
+            table: Table::new(),
+            sides: Map::default(),
+            healed: false,
+            checks: Checks::new(),
+            queue: BTreeMap::new(),
+            waiting: Map::default(),
+            peer_requests: Map::default(),
+            open_calls: Set::default(),
+            next_id: 1,
+            edits: 0,
+            sequence: 0,
+        };
+        for index in 0..options.profile.daemons() {
+            let clock = world.random_clock();
+            let life = world.new_life();
+            let node = DaemonProcess::new(index, life, clock, 0, options.without);
+            world.nodes.push(node);
+            world.start_ticks(index);
+        }
+        for _ in 0..options.profile.upstreams() {
+            let clock = world.random_clock();
+            let life = world.new_life();
+            let process = UpstreamProcess::new(life, clock, options.holder_without);
+            world.upstreams.push(process);
+        }
+        world
+    }
+
+    pub fn new_life(&mut self) -> u64 {
+        self.rng.random_range(1..u64::MAX)
+    }
+
+    pub fn random_clock(&mut self) -> Clock {
+        Clock {
+            offset: self.rng.random_range(10_000..1_000_000_000),
+            rate: self.rng.random_range(-100..=100),
+        }
+    }
+
+    pub fn new_id(&mut self) -> u64 {
+        self.next_id += 1;
+        self.next_id
+    }
+
+    pub fn after(&mut self, delay_ms: u64, event: Event) {
+        self.sequence += 1;
+        self.queue.insert((self.t + delay_ms, self.sequence), event);
+    }
+
+    pub fn start_ticks(&mut self, node: usize) {
+        let life = self.nodes[node].life;
+        let delay = self.rng.random_range(0..50);
+        self.after(delay, Event::Tick(Caller { node, life }));
+    }
+
+    /// Sends `event` over a link; it may be lost, late or doubled.
+    pub fn send(&mut self, from: Place, to: Place, event: Event, may_double: bool) {
+        if !self.is_connected(from, to) || self.chance(self.loss_percent()) {
+            return;
+        }
+        if may_double && !self.healed && self.chance(2) {
+            let delay = self.delay();
+            self.after(delay, event.clone());
+        }
+        let delay = self.delay();
+        self.after(delay, event);
+    }
+
+    pub fn is_connected(&self, from: Place, to: Place) -> bool {
+        let side = |place| self.sides.get(&place).copied().unwrap_or(0);
+        side(from) == side(to)
+    }
+
+    pub fn chance(&mut self, percent: u32) -> bool {
+        self.rng.random_range(0..100) < percent
+    }
+
+    fn loss_percent(&self) -> u32 {
+        if self.healed {
+            return 0;
+        }
+        self.options.profile.loss_percent()
+    }
+
+    fn delay(&mut self) -> u64 {
+        let late_percent = self.options.profile.late_percent();
+        if !self.healed && self.chance(late_percent) {
+            return self.rng.random_range(20..2_500);
+        }
+        self.rng.random_range(1..4)
+    }
+
+    pub fn place_frozen(&self, place: Place) -> bool {
+        match place {
+            Place::Node(node) => self.nodes[node].frozen,
+            Place::Upstream(upstream) => self.upstreams[upstream].frozen,
+            Place::Table => false,
+        }
+    }
+
+    /// Runs all events until `until`, checking the invariants after each.
+    pub fn run_until(&mut self, until: u64) {
+        while let Some(entry) = self.queue.first_entry() {
+            let (at, _) = *entry.key();
+            if at > until || self.checks.violation.is_some() {
+                break;
+            }
+            let event = entry.remove();
+            self.t = at;
+            self.handle(event);
+        }
+        self.t = until;
+    }
+
+    fn handle(&mut self, event: Event) {
+        let place = event.place();
+        if let Some(place) = place
+            && self.place_frozen(place)
+        {
+            // A frozen process finds its messages when it resumes; its timers do not pile up.
+            self.waiting.entry(place).or_default().push(event);
+            return;
+        }
+        match event {
+            Event::Tick(caller) => {
+                if self.is_alive(caller) {
+                    self.after(50, Event::Tick(caller));
+                    self.input(caller, NodeInput::Tick);
+                }
+            }
+            Event::Input(caller, input) => self.input(caller, *input),
+            Event::PeerRequest(node, caller, request) => self.peer_request(node, caller, *request),
+            Event::TableRead(caller, after, started_at) => {
+                self.table_read_arrives(caller, after, started_at);
+            }
+            Event::CommitArrives(caller, entry) => self.commit_arrives(caller, &entry),
+            Event::CommitRetry(caller, entry, until) => self.commit_retry(caller, &entry, until),
+            Event::UpstreamArrives(upstream, caller, call, body) => {
+                self.upstream_arrives(upstream, caller, call, body);
+            }
+            Event::CallEnds(caller, call, upstream, body, answer) => {
+                self.call_ends(caller, call, upstream, body, answer);
+            }
+            Event::WorkArrives(upstream, unit, key, epoch) => {
+                self.work_arrives(upstream, unit, key, epoch);
+            }
+            Event::WorkEnds(upstream, life, work) => self.work_ends(upstream, life, work),
+            Event::Request => self.request(),
+            Event::Edit => self.edit(),
+            Event::Fault => self.fault(),
+            Event::Heal => self.heal(),
+            Event::Resume(place, life) => self.resume(place, life),
+        }
+        self.check();
+    }
+
+    pub fn is_alive(&self, caller: Caller) -> bool {
+        let process = &self.nodes[caller.node];
+        process.life == caller.life && process.node.is_some()
+    }
+
+    /// Gives one input to a node and carries out its outputs.
+    pub fn input(&mut self, caller: Caller, input: NodeInput) {
+        if !self.is_alive(caller) {
+            return;
+        }
+        let process = &mut self.nodes[caller.node];
+        let now = process.clock.at(self.t);
+        let Some(node) = &mut process.node else {
+            return;
+        };
+        let outputs = node.handle(now, input);
+        for output in outputs {
+            self.output(caller, output);
+        }
+    }
+
+    pub fn node_at(&self, address: std::net::SocketAddr) -> Option<usize> {
+        (0..self.nodes.len()).find(|index| node_address(*index) == address)
+    }
+
+    pub fn upstream_named(&self, name: &UpstreamName) -> Option<usize> {
+        (0..self.upstreams.len()).find(|index| upstream_name(*index) == *name)
+    }
+
+    fn output(&mut self, caller: Caller, output: NodeOutput) {
+        match output {
+            NodeOutput::Publish(view) => {
+                self.check_view(caller, &view);
+                self.nodes[caller.node].view = Some(view);
+            }
+            NodeOutput::Left => {
+                let process = &mut self.nodes[caller.node];
+                process.node = None;
+                process.view = None;
+            }
+            NodeOutput::AnswerCommand { result, .. } => self.command_answered(&result),
+            NodeOutput::WriteSnapshot(_) | NodeOutput::Log(_) => {}
+            other => self.call(caller, other),
+        }
+    }
+}
+
+impl Event {
+    /// Returns the process that must run for the event to happen.
+    pub fn place(&self) -> Option<Place> {
+        match self {
+            Self::Tick(caller)
+            | Self::Input(caller, _)
+            | Self::CommitRetry(caller, ..)
+            | Self::CallEnds(caller, ..) => Some(Place::Node(caller.node)),
+            Self::PeerRequest(node, ..) => Some(Place::Node(*node)),
+            Self::UpstreamArrives(upstream, ..)
+            | Self::WorkArrives(upstream, ..)
+            | Self::WorkEnds(upstream, ..) => Some(Place::Upstream(*upstream)),
+            Self::TableRead(..)
+            | Self::CommitArrives(..)
+            | Self::Request
+            | Self::Edit
+            | Self::Fault
+            | Self::Heal
+            | Self::Resume(..) => None,
+        }
+    }
+}
