Add the operator client

Cause: operators need a command line for services, zones, ranks, settings, owners, drains, quarantine, roster and epochs.

--- /dev/null
+++ b/crates/balsam-ctl/src/commands/mod.rs
@@ -0,0 +1,43 @@
+//! The commands, one file each.
+
+mod assignment;
+mod completions;
+mod daemons;
+mod drain;
+mod epochs;
+mod owner;
+mod quarantine_clear;
+mod quarantine_list;
+mod rank_create;
+mod rank_list;
+mod roster_forget;
+mod service_create;
+mod service_list;
+mod settings_explain;
+mod settings_get;
+mod settings_set;
+mod settings_unset;
+mod upstreams;
+mod zone_create;
+mod zone_list;
+
+pub use assignment::Assignment;
+pub use completions::Completions;
+pub use daemons::Daemons;
+pub use drain::Drain;
+pub use epochs::Epochs;
+pub use owner::Owner;
+pub use quarantine_clear::QuarantineClear;
+pub use quarantine_list::QuarantineList;
+pub use rank_create::RankCreate;
+pub use rank_list::RankList;
+pub use roster_forget::RosterForget;
+pub use service_create::ServiceCreate;
+pub use service_list::ServiceList;
+pub use settings_explain::SettingsExplain;
+pub use settings_get::SettingsGet;
+pub use settings_set::SettingsSet;
+pub use settings_unset::SettingsUnset;
+pub use upstreams::Upstreams;
+pub use zone_create::ZoneCreate;
+pub use zone_list::ZoneList;
