Add the chain of filters from the caller to the upstream

Requests need a path through the entry daemon, the dispatcher's daemon and the upstream's connection. Each filter has its folder; tasks own the entry bounds, the retry budgets, the crash counts and, for each upstream, the queue, the slots and the idle connections. Upstream connections use a small HTTP/1.1 client of their own: awc reports a chunked body that the connection cut short as complete, and does not tell whether bytes of a failed request were handed to the socket.

Compiles; not run yet. Orders are not claimed yet.

--- a/crates/balsam-daemon/src/peer/relay.rs
+++ b/crates/balsam-daemon/src/peer/relay.rs
@@ -88,7 +88,7 @@
     }
 
     /// Ends the stream without an end marker, so that the body does not look complete.
-    pub fn abort(mut self) {
+    pub fn abort(&mut self) {
         self.stream.send_reset(Reason::CANCEL);
     }
 }
--- /dev/null
+++ b/crates/balsam-daemon/src/request/accept/probe.rs
@@ -0,0 +1,36 @@
+//! Readiness and liveness.
+
+use super::Phase;
+use crate::request::answer::AnswerBody;
+use crate::request::chain::Entry;
+use crate::request::clock::now;
+use actix_http::{Method, Request, Response, StatusCode};
+use bytes::Bytes;
+
+/// The paths of the daemon itself start with this; no service can have the name `-`.
+const OWN_PATHS: &str = "/-/";
+
+/// Answers a probe, or returns `None` for a request of a caller.
+pub(super) fn answer(entry: &Entry, request: &Request) -> Option<Response<AnswerBody>> {
+    let path = request.path().strip_prefix(OWN_PATHS)?;
+    let is_read = matches!(*request.method(), Method::GET | Method::HEAD);
+    Some(match path {
+        "live" if is_read => text(StatusCode::OK, "live"),
+        "ready" if is_read => ready(entry),
+        _ => text(StatusCode::NOT_FOUND, "no such path"),
+    })
+}
+
+fn ready(entry: &Entry) -> Response<AnswerBody> {
+    let is_running = *entry.phase.borrow() == Phase::Running;
+    if is_running && entry.views.borrow().is_ready(now()) {
+        text(StatusCode::OK, "ready")
+    } else {
+        text(StatusCode::SERVICE_UNAVAILABLE, "not ready")
+    }
+}
+
+fn text(status: StatusCode, body: &'static str) -> Response<AnswerBody> {
+    let body = Bytes::from_static(body.as_bytes());
+    Response::with_body(status, AnswerBody::Own(Some(body)))
+}
--- /dev/null
+++ b/crates/balsam-daemon/src/request/admit/body.rs
@@ -0,0 +1,101 @@
+//! Reads the body of a caller's request.
+
+use super::{Admission, AdmissionPermit};
+use crate::peer::BodyPart;
+use crate::request::clock::instant_at;
+use crate::request::identify::Identified;
+use crate::request::message::BODY_PARTS;
+use actix_http::Payload;
+use balsam_types::NotRunReason;
+use bytes::{Bytes, BytesMut};
+use futures_util::StreamExt;
+use tokio::sync::mpsc;
+use tokio::time::timeout_at;
+
+/// Bodies up to this length are kept until the answer, so that they can be sent again.
+const REPLAY_MAX_BYTES: u64 = 64 << 10;
+
+/// The body of a caller's request.
+#[derive(Debug)]
+pub(crate) enum CallerBody {
+    /// The whole body.
+    Whole(Bytes),
+    /// A body that is too long to be kept.
+    Stream {
+        /// Its first bytes.
+        start: Bytes,
+        /// All of its parts, the first bytes included.
+        parts: mpsc::Receiver<BodyPart>,
+    },
+}
+
+impl CallerBody {
+    /// Returns the first bytes of the body.
+    pub(crate) const fn start(&self) -> &Bytes {
+        match self {
+            Self::Whole(start) | Self::Stream { start, .. } => start,
+        }
+    }
+}
+
+/// Reads a short body whole, or the start of a long one.
+pub(crate) async fn read_body(
+    admission: &Admission,
+    permit: &AdmissionPermit,
+    request: &Identified,
+    mut payload: Payload,
+) -> Result<CallerBody, NotRunReason> {
+    let length_bytes = request.head.body_length_bytes;
+    if length_bytes == Some(0) {
+        return Ok(CallerBody::Whole(Bytes::new()));
+    }
+    let reserved_bytes = length_bytes
+        .unwrap_or(REPLAY_MAX_BYTES)
+        .min(REPLAY_MAX_BYTES);
+    admission.buffer(permit, reserved_bytes).await?;
+    let max_bytes = request.policy.body_max_bytes;
+    let mut start = BytesMut::new();
+    while start.len() as u64 <= REPLAY_MAX_BYTES {
+        let next = timeout_at(instant_at(request.deadline), payload.next()).await;
+        match next.map_err(|_| NotRunReason::Deadline)? {
+            Some(Ok(bytes)) => start.extend_from_slice(&bytes),
+            Some(Err(_)) => return Err(NotRunReason::Cancelled),
+            None => return Ok(CallerBody::Whole(start.freeze())),
+        }
+        if start.len() as u64 > max_bytes {
+            return Err(NotRunReason::BodyTooLarge);
+        }
+    }
+    let start = start.freeze();
+    let (sender, parts) = mpsc::channel(BODY_PARTS);
+    let left_bytes = max_bytes - start.len() as u64;
+    // The payload belongs to the connection's thread.
+    actix_rt::spawn(pump(start.clone(), payload, left_bytes, sender));
+    Ok(CallerBody::Stream { start, parts })
+}
+
+/// Passes the payload on; a payload that breaks or is too long ends without its end mark.
+async fn pump(
+    start: Bytes,
+    mut payload: Payload,
+    mut left_bytes: u64,
+    parts: mpsc::Sender<BodyPart>,
+) {
+    if parts.send(BodyPart::Chunk(start)).await.is_err() {
+        return;
+    }
+    while let Some(next) = payload.next().await {
+        let Ok(bytes) = next else {
+            return;
+        };
+        let Some(left) = left_bytes.checked_sub(bytes.len() as u64) else {
+            return;
+        };
+        left_bytes = left;
+        if parts.send(BodyPart::Chunk(bytes)).await.is_err() {
+            return;
+        }
+    }
+    // The receiver may have gone away.
+    drop(parts.send(BodyPart::End).await);
+}
--- /dev/null
+++ b/crates/balsam-daemon/src/request/admit/mod.rs
@@ -0,0 +1,12 @@
+//! The filter that bounds what this entry daemon holds, by rank and member.
+//!
+//! One task owns the bounds. See
+//! [the design page, section 7](../../../../../docs/design.md#7-dispatch-and-limits).
+
+mod body;
+mod fingerprint;
+mod task;
+
+pub(crate) use body::{CallerBody, read_body};
+pub(crate) use fingerprint::fingerprint;
+pub(crate) use task::{Admission, AdmissionPermit, start_admission};
--- /dev/null
+++ b/crates/balsam-daemon/src/request/answer/head.rs
@@ -0,0 +1,106 @@
+//! Heads of answers to callers.
+
+use super::AnswerBody;
+use super::body::PartsBody;
+use actix_http::header::{CONTENT_TYPE, HeaderName, HeaderValue};
+use actix_http::{Response, StatusCode};
+use balsam_types::{NotRunReason, Outcome, ResponseHead, UnknownReason, UpstreamName};
+use balsam_wire::upstream::headers;
+use bytes::Bytes;
+use serde::Serialize;
+
+/// The body of an answer without an upstream's answer.
+#[derive(Serialize)]
+struct FailureBody {
+    outcome: &'static str,
+    reason: &'static str,
+}
+
+/// Makes the answer that passes an upstream's answer on.
+pub(crate) fn answered(
+    head: &ResponseHead,
+    upstream: &UpstreamName,
+    body: PartsBody,
+) -> Response<AnswerBody> {
+    let body = AnswerBody::Parts(Box::new(body));
+    let mut response = Response::with_body(status(head.status), body);
+    pass_fields(&mut response, head);
+    put(&mut response, headers::UPSTREAM, upstream.as_str());
+    response
+}
+
+fn pass_fields(response: &mut Response<AnswerBody>, head: &ResponseHead) {
+    for field in &head.headers {
+        let name = HeaderName::from_bytes(field.name.as_bytes());
+        let value = HeaderValue::from_bytes(&field.value);
+        if let (Ok(name), Ok(value)) = (name, value) {
+            response.headers_mut().append(name, value);
+        }
+    }
+    put(response, headers::OUTCOME, "answered");
+}
+
+/// Makes the answer to a request that ended without an upstream's answer.
+pub(crate) fn failed(outcome: Outcome) -> Response<AnswerBody> {
+    let (code, name, reason) = match outcome {
+        Outcome::NotRun(reason) => (not_run_status(reason), "not-run", reason.as_str()),
+        Outcome::Unknown(reason) => (StatusCode::GATEWAY_TIMEOUT, "unknown", reason.as_str()),
+        // An answer whose content is not at hand cannot be repeated.
+        Outcome::Answered => (
+            StatusCode::GATEWAY_TIMEOUT,
+            "unknown",
+            UnknownReason::ClaimedBefore.as_str(),
+        ),
+    };
+    let body = FailureBody {
+        outcome: name,
+        reason,
+    };
+    // The fields are plain texts, so that writing them cannot fail.
+    let body = Bytes::from(serde_json::to_vec(&body).unwrap_or_default());
+    let mut response = Response::with_body(code, AnswerBody::Own(Some(body)));
+    let json = HeaderValue::from_static("application/json");
+    response.headers_mut().insert(CONTENT_TYPE, json);
+    put(&mut response, headers::OUTCOME, name);
+    put(&mut response, headers::REASON, reason);
+    response
+}
+
+const fn not_run_status(reason: NotRunReason) -> StatusCode {
+    match reason {
+        NotRunReason::BadRequest | NotRunReason::MissingOrderId => StatusCode::BAD_REQUEST,
+        NotRunReason::UnknownService | NotRunReason::UnknownRank => StatusCode::NOT_FOUND,
+        NotRunReason::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+        NotRunReason::EntryLimit | NotRunReason::QueueFull => StatusCode::TOO_MANY_REQUESTS,
+        // The same request would be refused again, so that no 5xx invites a retry.
+        NotRunReason::Quarantined => StatusCode::UNPROCESSABLE_ENTITY,
+        NotRunReason::Deadline
+        | NotRunReason::NoOwner
+        | NotRunReason::RightLapsed
+        | NotRunReason::NotDispatcher
+        | NotRunReason::Fenced
+        | NotRunReason::Shed
+        | NotRunReason::Draining
+        | NotRunReason::Starting
+        | NotRunReason::ConnectFailed
+        | NotRunReason::PeerUnreachable
+        | NotRunReason::ClaimUnavailable
+        | NotRunReason::RetryBudget
+        | NotRunReason::InvalidSettings
+        | NotRunReason::Stopping
+        | NotRunReason::Cancelled => StatusCode::SERVICE_UNAVAILABLE,
+    }
+}
+
+fn status(code: u16) -> StatusCode {
+    StatusCode::from_u16(code).unwrap_or(StatusCode::BAD_GATEWAY)
+}
+
+fn put(response: &mut Response<AnswerBody>, name: &'static str, value: &str) {
+    // Names hold letters, digits and a few marks, all of which a field accepts.
+    if let Ok(value) = HeaderValue::from_bytes(value.as_bytes()) {
+        response
+            .headers_mut()
+            .insert(HeaderName::from_static(name), value);
+    }
+}
--- /dev/null
+++ b/crates/balsam-daemon/src/request/chain/serve.rs
@@ -0,0 +1,168 @@
+//! Serves one request of a caller.
+
+use super::attempts::Attempts;
+use super::body::BodySource;
+use crate::metrics::Metrics;
+use crate::peer::PeerClient;
+use crate::request::accept::Phase;
+use crate::request::admit::{Admission, AdmissionPermit, fingerprint, read_body};
+use crate::request::answer::{AnswerBody, PartsBody, Resumable, answered, failed, stream_resuming};
+use crate::request::clock::now;
+use crate::request::dispatch::Dispatchers;
+use crate::request::identify::{Identified, identify};
+use crate::request::message::{Answer, BODY_PARTS, Failure};
+use crate::request::record::{self, Recorder};
+use crate::request::retry::Retries;
+use actix_http::{ConnectionType, Payload, Request, Response};
+use balsam_decide::node::View;
+use balsam_types::{Fingerprint, NotRunReason, Outcome};
+use std::sync::Arc;
+use std::time::Instant;
+use tokio::sync::{mpsc, watch};
+
+/// The handles that the filters of one request use; cheap to clone.
+#[derive(Clone, Debug)]
+pub(crate) struct Entry {
+    /// The newest view.
+    pub(crate) views: watch::Receiver<Arc<View>>,
+    /// Whether the daemon is stopping.
+    pub(crate) phase: watch::Receiver<Phase>,
+    /// Other daemons.
+    pub(crate) peers: PeerClient,
+    /// This daemon's dispatch tasks.
+    pub(crate) dispatchers: Dispatchers,
+    /// The entry bounds.
+    pub(crate) admission: Admission,
+    /// The retry budgets.
+    pub(crate) retries: Retries,
+    /// The instruments.
+    pub(crate) metrics: Metrics,
+    /// Bytes of header fields that a caller may send.
+    pub(crate) header_max_bytes: usize,
+}
+
+/// Serves one request.
+pub(crate) async fn serve(entry: Entry, request: Request) -> Response<AnswerBody> {
+    let phase = entry.phase.clone();
+    let mut response = serve_identified(entry, request).await;
+    if *phase.borrow() != Phase::Running {
+        response
+            .head_mut()
+            .set_connection_type(ConnectionType::Close);
+    }
+    response
+}
+
+async fn serve_identified(entry: Entry, mut request: Request) -> Response<AnswerBody> {
+    let started = Instant::now();
+    let payload = request.take_payload();
+    let view = Arc::clone(&entry.views.borrow());
+    let identified = if view.is_ready(now()) {
+        identify(&view.state, request.head(), entry.header_max_bytes)
+    } else {
+        Err(NotRunReason::RightLapsed)
+    };
+    let identified = match identified {
+        Ok(identified) => identified,
+        Err(reason) => {
+            let outcome = Outcome::NotRun(reason);
+            record::refused(request.path(), outcome);
+            return failed(outcome);
+        }
+    };
+    let mut recorder = Recorder::new(entry.metrics.clone(), &identified.head, started);
+    match admit(&entry, &identified, payload).await {
+        Ok(admitted) => route(entry, identified, admitted, recorder).await,
+        Err(reason) => refuse(&mut recorder, Failure::NotRun(reason)),
+    }
+}
+
+/// A request with its place and its body.
+struct Admitted {
+    permit: AdmissionPermit,
+    body: BodySource,
+    fingerprint: Fingerprint,
+}
+
+async fn admit(
+    entry: &Entry,
+    identified: &Identified,
+    payload: Payload,
+) -> Result<Admitted, NotRunReason> {
+    let permit = entry.admission.enter(identified).await?;
+    let body = read_body(&entry.admission, &permit, identified, payload).await?;
+    let fingerprint = fingerprint(&identified.head, body.start());
+    let view = Arc::clone(&entry.views.borrow());
+    if view.state.quarantine.contains_key(&fingerprint) {
+        return Err(NotRunReason::Quarantined);
+    }
+    Ok(Admitted {
+        permit,
+        body: body.into(),
+        fingerprint,
+    })
+}
+
+async fn route(
+    entry: Entry,
+    identified: Identified,
+    admitted: Admitted,
+    mut recorder: Recorder,
+) -> Response<AnswerBody> {
+    let Admitted {
+        permit,
+        body,
+        fingerprint,
+    } = admitted;
+    let mut attempts = Attempts::new(entry, identified.clone(), fingerprint, body);
+    let result = attempts.run().await;
+    recorder.attempts = attempts.trace.number;
+    recorder.via = attempts.trace.via;
+    if let Some(route) = &attempts.trace.route {
+        recorder.unit = Some(route.unit);
+        recorder.upstream = Some(route.upstream.clone());
+    }
+    match result {
+        Ok(answer) => pass_on(attempts, identified, permit, recorder, answer),
+        Err(failure) => refuse(&mut recorder, failure),
+    }
+}
+
+fn pass_on(
+    mut attempts: Attempts,
+    identified: Identified,
+    permit: AdmissionPermit,
+    mut recorder: Recorder,
+    answer: Answer,
+) -> Response<AnswerBody> {
+    recorder.if_left = Outcome::Answered;
+    let Answer {
+        head,
+        upstream,
+        body,
+    } = answer;
+    let parts = match Resumable::of(&identified.head, &head) {
+        Some(resumable) => {
+            let (sender, parts) = mpsc::channel(BODY_PARTS);
+            actix_rt::spawn(async move {
+                let again = async |head| attempts.resume(head).await;
+                stream_resuming(resumable, identified.head, body, again, sender).await;
+            });
+            parts
+        }
+        None => body,
+    };
+    let body = PartsBody {
+        parts,
+        length_bytes: head.body_length_bytes,
+        recorder,
+        _permit: permit,
+    };
+    answered(&head, &upstream, body)
+}
+
+fn refuse(recorder: &mut Recorder, failure: Failure) -> Response<AnswerBody> {
+    let outcome = Outcome::from(failure);
+    recorder.finish(outcome);
+    failed(outcome)
+}
--- /dev/null
+++ b/crates/balsam-daemon/src/request/dispatch/mod.rs
@@ -0,0 +1,12 @@
+//! The filter that queues requests for an upstream's slots.
+//!
+//! One task per upstream owns the queue, the slots and the idle connections. See
+//! [the design page, section 7](../../../../../docs/design.md#7-dispatch-and-limits).
+
+mod handle;
+mod policy;
+mod registry;
+mod task;
+
+pub(crate) use handle::{DispatchWork, Dispatchers};
+pub(crate) use registry::start_dispatchers;
--- /dev/null
+++ b/crates/balsam-daemon/src/request/forward/exchange.rs
@@ -0,0 +1,268 @@
+//! A request and the head of its answer.
+
+use super::body::Reading;
+use super::connection::UpstreamConnection;
+use super::http1::{BodyEncoding, Http1Error, ParsedHead, encode_head, parse_head};
+use super::permit::{Blocked, Permitted, SendPermit};
+use super::write::{FirstWrite, write_first, write_rest};
+use crate::request::clock::instant_at;
+use crate::request::message::{Attempt, Failure, RequestBody};
+use balsam_types::{NotRunReason, RequestHead, ResponseHead, UnknownReason};
+use balsam_wire::upstream::{NotRunCause, headers};
+use bytes::{Bytes, BytesMut};
+use log::debug;
+use std::time::Duration;
+use tokio::io::AsyncReadExt;
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::time::{Instant, timeout_at};
+
+/// The time for opening a connection; an upstream that takes longer does not serve in time.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Bytes that one read takes at most.
+const READ_BUFFER_BYTES: usize = 16 << 10;
+
+/// An answer that began.
+#[derive(Debug)]
+pub(super) struct Started {
+    /// The answer's head.
+    pub(super) head: ResponseHead,
+    /// The rest of the exchange.
+    pub(super) reading: Reading,
+}
+
+/// An exchange that ended without an answer.
+#[derive(Debug)]
+pub(super) struct Ended {
+    /// How the request ended.
+    pub(super) failure: Failure,
+    /// The connection, if it can be used again.
+    pub(super) connection: Option<UpstreamConnection>,
+    /// Whether the connection broke after bytes were sent and before the answer's head.
+    pub(super) crashed: bool,
+}
+
+impl From<Failure> for Ended {
+    fn from(failure: Failure) -> Self {
+        Self {
+            failure,
+            connection: None,
+            crashed: false,
+        }
+    }
+}
+
+/// Sends a request and reads the head of its answer.
+pub(super) async fn start(
+    attempt: Attempt,
+    mut idle: Option<UpstreamConnection>,
+    permit: &SendPermit,
+) -> Result<Started, Ended> {
+    let Attempt { request, body, .. } = attempt;
+    let head = request.head;
+    let encoding = body_encoding(&head, &body);
+    loop {
+        let permitted = permit.wait(SendPermit::check).await?;
+        let connection = match idle.take() {
+            Some(connection) if connection.is_reusable(permitted.address) => connection,
+            Some(_) | None => open(&permitted).await?,
+        };
+        let bytes = encode(&head, &permitted, &body, encoding)?;
+        let address = connection.address();
+        let UpstreamConnection {
+            read,
+            write,
+            buffer,
+            ..
+        } = connection;
+        match write_first(&write, permit, bytes).await {
+            FirstWrite::Sent(rest) => {
+                let rest = write_rest(write, permit.clone(), rest, body, encoding);
+                let exchange = Exchange {
+                    read,
+                    buffer,
+                    writing: Writing::Running(Box::pin(rest)),
+                };
+                let connection = (exchange, address);
+                return read_answer(connection, &head, permitted).await;
+            }
+            FirstWrite::Blocked(Blocked::Refuse(reason)) => {
+                return Err(Failure::NotRun(reason).into());
+            }
+            FirstWrite::Blocked(Blocked::Wait(_)) => {
+                idle = Some(UpstreamConnection::of(read, write, buffer, address));
+            }
+            FirstWrite::Closed => {}
+        }
+    }
+}
+
+/// The state of the request's bytes.
+pub(super) enum Writing {
+    /// Bytes are left to write.
+    Running(std::pin::Pin<Box<dyn Future<Output = Option<OwnedWriteHalf>> + Send>>),
+    /// The request is complete, or cannot be completed.
+    Done(Option<OwnedWriteHalf>),
+}
+
+impl std::fmt::Debug for Writing {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(match self {
+            Self::Running(_) => "Running",
+            Self::Done(Some(_)) => "Complete",
+            Self::Done(None) => "Incomplete",
+        })
+    }
+}
+
+impl Writing {
+    /// Continues to write; never ends once there is nothing left to do.
+    pub(super) async fn run(&mut self) {
+        match self {
+            Self::Running(rest) => {
+                let write = rest.await;
+                *self = Self::Done(write);
+            }
+            Self::Done(_) => std::future::pending().await,
+        }
+    }
+}
+
+/// A request in flight on its connection.
+#[derive(Debug)]
+pub(super) struct Exchange {
+    pub(super) read: OwnedReadHalf,
+    pub(super) buffer: BytesMut,
+    pub(super) writing: Writing,
+}
+
+impl Exchange {
+    /// Reads more bytes while the request is written; returns `false` at the end of the connection.
+    pub(super) async fn read_more(&mut self) -> bool {
+        self.buffer.reserve(READ_BUFFER_BYTES);
+        loop {
+            tokio::select! {
+                read = self.read.read_buf(&mut self.buffer) => {
+                    return matches!(read, Ok(read_bytes) if read_bytes > 0);
+                }
+                () = self.writing.run() => {}
+            }
+        }
+    }
+}
+
+async fn open(permitted: &Permitted) -> Result<UpstreamConnection, Failure> {
+    let until = instant_at(permitted.deadline).min(Instant::now() + CONNECT_TIMEOUT);
+    match timeout_at(until, UpstreamConnection::open(permitted.address)).await {
+        Ok(Ok(connection)) => Ok(connection),
+        Ok(Err(_)) | Err(_) => Err(Failure::NotRun(NotRunReason::ConnectFailed)),
+    }
+}
+
+fn body_encoding(head: &RequestHead, body: &RequestBody) -> BodyEncoding {
+    match (body, head.body_length_bytes) {
+        (RequestBody::Whole(bytes), _) => BodyEncoding::Length(bytes.len() as u64),
+        (RequestBody::Stream(_), Some(length_bytes)) => BodyEncoding::Length(length_bytes),
+        (RequestBody::Stream(_), None) => BodyEncoding::Chunked,
+    }
+}
+
+fn encode(
+    head: &RequestHead,
+    permitted: &Permitted,
+    body: &RequestBody,
+    encoding: BodyEncoding,
+) -> Result<Bytes, Failure> {
+    let bytes = encode_head(head, permitted.terms, permitted.address, encoding);
+    let mut bytes = bytes.map_err(|error| {
+        debug!("{error}");
+        Failure::NotRun(NotRunReason::BadRequest)
+    })?;
+    if let RequestBody::Whole(body) = body {
+        bytes.extend_from_slice(body);
+    }
+    Ok(bytes.freeze())
+}
+
+async fn read_answer(
+    (mut exchange, address): (Exchange, std::net::SocketAddr),
+    head: &RequestHead,
+    permitted: Permitted,
+) -> Result<Started, Ended> {
+    let until = instant_at(permitted.deadline);
+    let parsed = match timeout_at(until, read_head(&mut exchange, &head.method)).await {
+        Ok(Ok(parsed)) => parsed,
+        Ok(Err(failure)) => {
+            let crashed = failure == HeadFailure::Closed;
+            return Err(Ended {
+                failure: failure.into(),
+                connection: None,
+                crashed,
+            });
+        }
+        Err(_) => return Err(Failure::Unknown(UnknownReason::DeadlineAfterSend).into()),
+    };
+    let answered_key = field(&parsed.head, headers::KEY);
+    if answered_key.is_some_and(|key| key != head.key.text.as_bytes()) {
+        debug!("the answer belongs to another key");
+        return Err(Failure::Unknown(UnknownReason::UpstreamLost).into());
+    }
+    let declared = not_run_cause(&parsed.head);
+    let head = parsed.head;
+    let reading = Reading::new(exchange, parsed.body, parsed.keep_alive, address);
+    match declared {
+        Some(cause) => Err(Ended {
+            failure: Failure::NotRun(cause.into()),
+            connection: reading.drain().await,
+            crashed: false,
+        }),
+        None => Ok(Started { head, reading }),
+    }
+}
+
+/// Why no head of an answer arrived.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum HeadFailure {
+    /// The connection ended.
+    Closed,
+    /// The head is not accepted.
+    Malformed,
+}
+
+impl From<HeadFailure> for Failure {
+    fn from(_: HeadFailure) -> Self {
+        Self::Unknown(UnknownReason::UpstreamLost)
+    }
+}
+
+async fn read_head(exchange: &mut Exchange, method: &str) -> Result<ParsedHead, HeadFailure> {
+    loop {
+        match parse_head(&mut exchange.buffer, method == "HEAD") {
+            Ok(Some(parsed)) => return Ok(parsed),
+            Ok(None) => {}
+            Err(error) => return Err(malformed(&error)),
+        }
+        if !exchange.read_more().await {
+            return Err(HeadFailure::Closed);
+        }
+    }
+}
+
+fn malformed(error: &Http1Error) -> HeadFailure {
+    debug!("{error}");
+    HeadFailure::Malformed
+}
+
+fn field<'a>(head: &'a ResponseHead, name: &str) -> Option<&'a [u8]> {
+    let found = head.headers.iter().find(|field| *field.name == *name);
+    found.map(|field| field.value.as_slice())
+}
+
+/// Returns why the upstream declares that it did not run the request.
+fn not_run_cause(head: &ResponseHead) -> Option<NotRunCause> {
+    if head.status != 503 {
+        return None;
+    }
+    let text = std::str::from_utf8(field(head, headers::NOT_RUN)?).ok()?;
+    NotRunCause::from_text(text)
+}
--- /dev/null
+++ b/crates/balsam-daemon/src/request/forward/http1/chunked.rs
@@ -0,0 +1,104 @@
+//! Reads bodies in chunks.
+
+use super::body::take_part;
+use super::error::BadBodySnafu;
+use super::response::find;
+use super::{BodyStep, Http1Error};
+use bytes::{Buf, BytesMut};
+use snafu::{OptionExt, ensure};
+
+/// The greatest length of a chunk's size line and of one trailer line in bytes.
+const LINE_MAX_BYTES: usize = 4 << 10;
+
+/// Trailer lines that are skipped at most.
+const TRAILERS_MAX: u32 = 64;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum State {
+    Size,
+    Data { left_bytes: u64 },
+    DataEnd,
+    Trailers { lines: u32 },
+    Ended,
+}
+
+/// Finds chunks and the end mark of a body.
+#[derive(Debug)]
+pub(in crate::request) struct ChunkedDecoder {
+    state: State,
+}
+
+impl ChunkedDecoder {
+    /// Makes a decoder before the first chunk.
+    pub(super) const fn new() -> Self {
+        Self { state: State::Size }
+    }
+
+    /// Takes the next part of the body from `buffer`.
+    pub(super) fn step(&mut self, buffer: &mut BytesMut) -> Result<BodyStep, Http1Error> {
+        loop {
+            match self.state {
+                State::Size => {
+                    let Some(line) = take_line(buffer)? else {
+                        return Ok(BodyStep::Need);
+                    };
+                    self.state = match parse_size(&line)? {
+                        0 => State::Trailers { lines: 0 },
+                        left_bytes => State::Data { left_bytes },
+                    };
+                }
+                State::Data { left_bytes: 0 } => self.state = State::DataEnd,
+                State::Data { left_bytes } => {
+                    let Some(part) = take_part(buffer, left_bytes) else {
+                        return Ok(BodyStep::Need);
+                    };
+                    let left_bytes = left_bytes - part.len() as u64;
+                    self.state = State::Data { left_bytes };
+                    return Ok(BodyStep::Chunk(part));
+                }
+                State::DataEnd => {
+                    let Some(line) = take_line(buffer)? else {
+                        return Ok(BodyStep::Need);
+                    };
+                    ensure!(line.is_empty(), BadBodySnafu { part: "chunk end" });
+                    self.state = State::Size;
+                }
+                State::Trailers { lines } => {
+                    let Some(line) = take_line(buffer)? else {
+                        return Ok(BodyStep::Need);
+                    };
+                    ensure!(lines < TRAILERS_MAX, BadBodySnafu { part: "trailers" });
+                    self.state = if line.is_empty() {
+                        State::Ended
+                    } else {
+                        State::Trailers { lines: lines + 1 }
+                    };
+                }
+                State::Ended => return Ok(BodyStep::End),
+            }
+        }
+    }
+}
+
+fn take_line(buffer: &mut BytesMut) -> Result<Option<BytesMut>, Http1Error> {
+    let searched = &buffer[..buffer.len().min(LINE_MAX_BYTES)];
+    let Some(end) = find(searched, b"\r\n") else {
+        let is_short = buffer.len() < LINE_MAX_BYTES;
+        ensure!(is_short, BadBodySnafu { part: "chunk line" });
+        return Ok(None);
+    };
+    let line = buffer.split_to(end);
+    buffer.advance(2);
+    Ok(Some(line))
+}
+
+fn parse_size(line: &[u8]) -> Result<u64, Http1Error> {
+    let end = line.iter().position(|byte| *byte == b';');
+    let digits = line[..end.unwrap_or(line.len())].trim_ascii();
+    let is_hex = !digits.is_empty() && digits.iter().all(u8::is_ascii_hexdigit);
+    let size = std::str::from_utf8(digits)
+        .ok()
+        .filter(|_| is_hex)
+        .and_then(|digits| u64::from_str_radix(digits, 16).ok());
+    size.context(BadBodySnafu { part: "chunk size" })
+}
--- /dev/null
+++ b/crates/balsam-daemon/src/request/forward/mod.rs
@@ -0,0 +1,98 @@
+//! The filter that sends a request to the upstream and reads the answer.
+//!
+//! A forward task owns one connection for the length of one request, and hands it back to the
+//! dispatch task only if the request and its answer are complete.
+
+mod body;
+mod connection;
+mod exchange;
+mod http1;
+mod permit;
+mod write;
+
+pub(crate) use connection::UpstreamConnection;
+pub(crate) use permit::SendPermit;
+
+use super::message::{Answer, Attempt, AttemptResult, BODY_PARTS};
+use balsam_decide::dispatch::SlotResult;
+use balsam_types::{Fingerprint, NotRunReason, ServiceName};
+use exchange::{Ended, Started};
+use tokio::sync::{mpsc, oneshot};
+
+/// A request that got its slot.
+#[derive(Debug)]
+pub(crate) struct ForwardJob {
+    /// The request.
+    pub(crate) attempt: Attempt,
+    /// Where the answer goes; closed when the caller goes away.
+    pub(crate) reply: oneshot::Sender<AttemptResult>,
+    /// An idle connection, if there is one.
+    pub(crate) connection: Option<UpstreamConnection>,
+    /// Whether the request may be sent.
+    pub(crate) permit: SendPermit,
+}
+
+/// A request that gives its slot back.
+#[derive(Debug)]
+pub(crate) struct ForwardDone {
+    /// How the request left its slot.
+    pub(crate) result: SlotResult,
+    /// The connection, if it can be used again.
+    pub(crate) connection: Option<UpstreamConnection>,
+    /// The request, if it broke its connection before the answer's head.
+    pub(crate) crashed: Option<(ServiceName, Fingerprint)>,
+}
+
+/// Serves one request.
+pub(crate) async fn run(job: ForwardJob) -> ForwardDone {
+    let ForwardJob {
+        attempt,
+        mut reply,
+        connection,
+        permit,
+    } = job;
+    let service = attempt.request.head.service.clone();
+    let fingerprint = attempt.request.fingerprint;
+    let upstream = attempt.request.upstream.clone();
+    let done = |result, connection| ForwardDone {
+        result,
+        connection,
+        crashed: None,
+    };
+    let started = tokio::select! {
+        started = exchange::start(attempt, connection, &permit) => started,
+        // Dropping the exchange closes its connection, which cancels the request upstream.
+        () = reply.closed() => return done(SlotResult::Failed, None),
+    };
+    match started {
+        Ok(started) => {
+            let (parts, body) = mpsc::channel(BODY_PARTS);
+            let Started { head, reading } = started;
+            let answer = Answer {
+                head,
+                upstream,
+                body,
+            };
+            if reply.send(Ok(answer)).is_err() {
+                return done(SlotResult::Failed, None);
+            }
+            done(SlotResult::Served, reading.stream_to(parts).await)
+        }
+        Err(Ended {
+            failure,
+            connection,
+            crashed,
+        }) => {
+            let result = match failure {
+                super::message::Failure::NotRun(NotRunReason::Shed) => SlotResult::Shed,
+                _ => SlotResult::Failed,
+            };
+            // The caller may have gone away.
+            drop(reply.send(Err(failure)));
+            ForwardDone {
+                crashed: crashed.then_some((service, fingerprint)),
+                ..done(result, connection)
+            }
+        }
+    }
+}
--- a/crates/balsam-daemon/src/request/mod.rs
+++ b/crates/balsam-daemon/src/request/mod.rs
@@ -1,1 +1,77 @@
-//! The request path.
+//! The request path: one chain of filters from the caller to the upstream and back.
+//!
+//! `accept` → `identify` → `admit` → `locate` → `relay` → `dispatch` → `forward` → `answer` →
+//! `record`; `chain` passes a request from one to the next. See
+//! [the design page, section 2.2](../../../../docs/design.md#22-request-path).
+
+mod accept;
+mod admit;
+mod answer;
+mod chain;
+mod clock;
+mod dispatch;
+mod forward;
+mod identify;
+mod locate;
+mod message;
+mod quarantine;
+mod record;
+mod relay;
+mod retry;
+mod settings;
+
+pub use settings::{RequestChannels, RequestHandles, RequestSettings};
+
+use accept::{AcceptSettings, Phase, run_listener};
+use balsam_decide::node::View;
+use chain::Entry;
+use std::io;
+use std::sync::Arc;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+
+/// Starts the request path; must be called on an `actix-rt` system's thread.
+///
+/// # Errors
+///
+/// Returns the system's error if the callers' address cannot be bound.
+pub async fn start(
+    settings: RequestSettings,
+    views: watch::Receiver<Arc<View>>,
+    channels: RequestChannels,
+) -> io::Result<RequestHandles> {
+    let listener = TcpListener::bind(settings.caller_address).await?;
+    let caller_address = listener.local_addr()?;
+    let RequestChannels {
+        control,
+        table,
+        peers,
+        relays,
+        metrics,
+    } = channels;
+    let (phase, phases) = watch::channel(Phase::Running);
+    let crashes = quarantine::start_crashes(&views, &control, &table);
+    let dispatchers = dispatch::start_dispatchers(&views, &control, &crashes, &metrics);
+    relay::start_incoming(relays, dispatchers.clone());
+    let entry = Entry {
+        phase: phases,
+        peers,
+        dispatchers,
+        admission: admit::start_admission(&views),
+        retries: retry::start_retries(&views, rand::random()),
+        metrics,
+        header_max_bytes: settings.header_max_bytes,
+        views,
+    };
+    let accept = AcceptSettings {
+        connections_max: settings.connections_max,
+        keep_alive_ms: settings.keep_alive_ms,
+        drain_ms: settings.drain_ms,
+    };
+    actix_rt::spawn(run_listener(listener, entry, accept));
+    Ok(RequestHandles {
+        caller_address,
+        phase,
+        grace_ms: settings.grace_ms,
+    })
+}
--- /dev/null
+++ b/crates/balsam-daemon/src/request/relay/outgoing.rs
@@ -0,0 +1,160 @@
+//! The entry daemon's side of a relay.
+
+use crate::peer::{BodyPart, PeerClient, PeerError, RelayReader, RelayWriter};
+use crate::request::clock::instant_at;
+use crate::request::message::{Answer, Attempt, AttemptResult, BODY_PARTS, Failure, RequestBody};
+use balsam_types::{NotRunReason, Outcome, UnknownReason};
+use balsam_wire::peer::{PeerRefusal, RelayAnswer};
+use log::debug;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::time::Duration;
+use tokio::sync::mpsc;
+use tokio::time::{Instant, timeout, timeout_at};
+
+/// The time for opening a stream; another dispatcher is known long before a peer takes longer.
+const OPEN_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// The time that the dispatcher has beyond the deadline to report how the request ended.
+const REPORT_MARGIN: Duration = Duration::from_millis(100);
+
+/// The longest pause within a body; longer than the dispatcher's, which can say what happened.
+const STALL_TIMEOUT: Duration = Duration::from_secs(35);
+
+type Writing = Pin<Box<dyn Future<Output = ()> + Send>>;
+
+/// Sends an attempt to the dispatcher at `to`; dropping the future cancels the attempt.
+pub(crate) async fn send(peers: &PeerClient, to: SocketAddr, attempt: Attempt) -> AttemptResult {
+    let Attempt {
+        request,
+        body,
+        deadline,
+    } = attempt;
+    let until = instant_at(deadline);
+    let opened = peers.relay(to, until.min(Instant::now() + OPEN_TIMEOUT));
+    let (mut writer, response) = match opened.await {
+        Ok(call) => call.split(),
+        Err(error) => {
+            debug!("relay: {error}");
+            return Err(Failure::NotRun(NotRunReason::PeerUnreachable));
+        }
+    };
+    let upstream = request.upstream.clone();
+    let mut writing: Writing = Box::pin(async move {
+        // A broken stream is seen by the reader of the answer as well.
+        if writer.send_request(&request).await.is_ok() {
+            write_body(writer, body).await;
+        }
+    });
+    let mut is_written = false;
+    let answer = timeout_at(until + REPORT_MARGIN, response.answer());
+    tokio::pin!(answer);
+    let answered = loop {
+        tokio::select! {
+            answered = &mut answer => break answered,
+            () = &mut writing, if !is_written => is_written = true,
+        }
+    };
+    match answered {
+        Ok(Ok((RelayAnswer::Answered(head), reader))) => {
+            let (parts, body) = mpsc::channel(BODY_PARTS);
+            let writing = (!is_written).then_some(writing);
+            tokio::spawn(read_body(reader, writing, parts));
+            Ok(Answer {
+                head,
+                upstream,
+                body,
+            })
+        }
+        Ok(Ok((RelayAnswer::Failed(outcome), _))) => Err(failure_of(outcome)),
+        Ok(Err(error)) => {
+            debug!("relay: {error}");
+            Err(failure_of_error(&error))
+        }
+        Err(_) => Err(Failure::Unknown(UnknownReason::DeadlineAfterSend)),
+    }
+}
+
+const fn failure_of(outcome: Outcome) -> Failure {
+    match outcome {
+        Outcome::NotRun(reason) => Failure::NotRun(reason),
+        Outcome::Unknown(reason) => Failure::Unknown(reason),
+        Outcome::Answered => Failure::Unknown(UnknownReason::AnswerTruncated),
+    }
+}
+
+/// Returns how a request ended whose stream broke; only a refusal proves that it was not run.
+fn failure_of_error(error: &PeerError) -> Failure {
+    match error {
+        PeerError::Refused {
+            refusal: PeerRefusal::Malformed,
+        } => Failure::NotRun(NotRunReason::BadRequest),
+        PeerError::Refused {
+            refusal: PeerRefusal::Busy,
+        } => Failure::NotRun(NotRunReason::QueueFull),
+        PeerError::Refused { .. } => Failure::NotRun(NotRunReason::PeerUnreachable),
+        PeerError::Broken { source } if source.reason() == Some(h2::Reason::REFUSED_STREAM) => {
+            Failure::NotRun(NotRunReason::PeerUnreachable)
+        }
+        _ => Failure::Unknown(UnknownReason::DispatcherLost),
+    }
+}
+
+async fn write_body(mut writer: RelayWriter, body: RequestBody) {
+    let written = match body {
+        RequestBody::Whole(bytes) => {
+            let chunk = writer.send_part(BodyPart::Chunk(bytes)).await;
+            match chunk {
+                Ok(()) => writer.send_part(BodyPart::End).await,
+                Err(error) => Err(error),
+            }
+        }
+        RequestBody::Stream(mut parts) => loop {
+            let Some(part) = parts.recv().await else {
+                return writer.abort();
+            };
+            let is_end = part == BodyPart::End;
+            let sent = writer.send_part(part).await;
+            if is_end || sent.is_err() {
+                break sent;
+            }
+        },
+    };
+    if let Err(error) = written {
+        debug!("relay: {error}");
+    }
+}
+
+/// Passes the answer's body on; a body without its end marker ends without its end mark here.
+async fn read_body(
+    mut reader: RelayReader,
+    mut writing: Option<Writing>,
+    parts: mpsc::Sender<BodyPart>,
+) {
+    loop {
+        let part = tokio::select! {
+            part = timeout(STALL_TIMEOUT, reader.next_part()) => part,
+            () = parts.closed() => return,
+            () = drive(&mut writing) => {
+                writing = None;
+                continue;
+            }
+        };
+        let part = match part {
+            Ok(Ok(part)) => part,
+            Ok(Err(error)) => return debug!("relay: {error}"),
+            Err(_) => return debug!("relay: the answer's body stalled"),
+        };
+        let is_end = part == BodyPart::End;
+        if parts.send(part).await.is_err() || is_end {
+            return;
+        }
+    }
+}
+
+async fn drive(writing: &mut Option<Writing>) {
+    match writing {
+        Some(writing) => writing.await,
+        None => std::future::pending().await,
+    }
+}
