--- a/crates/balsam-daemon/src/lib.rs
+++ b/crates/balsam-daemon/src/lib.rs
@@ -6,5 +6,10 @@
 pub mod control;
 pub mod logging;
 pub mod metrics;
+pub mod operator;
 pub mod peer;
 pub mod request;
+
+mod assembly;
+
+pub use assembly::{Addresses, Daemon, RunError, run};
--- a/crates/balsam-standins/src/harness/client.rs
+++ b/crates/balsam-standins/src/harness/client.rs
@@ -3,7 +3,7 @@
 use super::HarnessError;
 use super::error::{JsonSnafu, StatusSnafu};
 use awc::http::Method;
-use awc::http::header::HeaderMap;
+use awc::http::header::{CONTENT_LENGTH, HeaderMap};
 use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt;
 use serde::Serialize;
@@ -12,6 +12,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+/// Open connections of a client without another limit.
+const CONNECTIONS: usize = 100;
+
 /// A request as the client sends it.
 #[derive(Clone, Debug)]
 pub struct Sent {
@@ -101,7 +104,15 @@
 impl Client {
     /// Makes a client that gives up on a request after `timeout`.
     pub fn new(address: SocketAddr, timeout: Duration) -> Self {
+        Self::with_connections(address, timeout, CONNECTIONS)
+    }
+
+    /// Makes a client that opens at most `connections` connections; further requests wait.
+    pub fn with_connections(address: SocketAddr, timeout: Duration, connections: usize) -> Self {
+        // A request that waits for a connection must be ended by its own timeout only.
+        let connector = awc::Connector::new().limit(connections).timeout(timeout);
         let inner = awc::Client::builder()
+            .connector(connector)
             .timeout(timeout)
             .disable_redirects()
             .finish();
@@ -149,9 +160,12 @@
             Ok(whole) => complete &= whole,
             Err(_) => complete = false,
         }
+        let headers = response.headers().clone();
+        // The client library reports a connection that closes early as the end of the body.
+        complete &= announced_length(&headers).is_none_or(|length| length == body.len());
         Ok(Answer {
             status: response.status().as_u16(),
-            headers: response.headers().clone(),
+            headers,
             body: body.freeze(),
             complete,
         })
@@ -197,3 +211,7 @@
         serde_json::from_slice(&answer.body).context(JsonSnafu { url })
     }
 }
+
+fn announced_length(headers: &HeaderMap) -> Option<usize> {
+    headers.get(CONTENT_LENGTH)?.to_str().ok()?.parse().ok()
+}
--- a/crates/balsam-standins/src/lib.rs
+++ b/crates/balsam-standins/src/lib.rs
@@ -5,7 +5,9 @@
 mod clock;
 
 pub mod harness;
+pub mod load;
 pub mod platform;
 pub mod serve;
+pub mod upstream;
 
 pub use clock::boot_time;
