Encode released orders

The orders machine keeps released rows in the table instead of deleting them, and the row's wire type and the grouped transaction did not know that state, so the workspace did not compile. The row has a Released state now, and each write of the transaction has a row.

--- a/crates/balsam-daemon/src/control/commit/orders.rs
+++ b/crates/balsam-daemon/src/control/commit/orders.rs
@@ -55,10 +55,7 @@
     let mut request = TxRequest::new();
     for write in writes {
         let key = order_row_key(&write.key);
-        let value = match write.row {
-            Some(row) => Some(encode_row(&key, &OrderRow::from(row))?),
-            None => None,
-        };
+        let value = Some(encode_row(&key, &OrderRow::from(write.row))?);
         request = request
             .with_condition(key.clone(), write.version)
             .with_write(key, value);
--- a/crates/balsam-wire/src/platform/order_row.rs
+++ b/crates/balsam-wire/src/platform/order_row.rs
@@ -32,6 +32,8 @@
 pub enum OrderStateBody {
     /// The order is claimed, and its outcome is not recorded.
     Claimed,
+    /// The claim was given up without a run.
+    Released,
     /// The outcome is recorded.
     Done(RecordedOutcomeBody),
 }
@@ -108,6 +110,7 @@
             by: row.by,
             state: match row.state {
                 OrderState::Claimed => OrderStateBody::Claimed,
+                OrderState::Released => OrderStateBody::Released,
                 OrderState::Done(outcome) => OrderStateBody::Done(outcome.into()),
             },
         }
@@ -123,6 +126,7 @@
             by: row.by,
             state: match row.state {
                 OrderStateBody::Claimed => OrderState::Claimed,
+                OrderStateBody::Released => OrderState::Released,
                 OrderStateBody::Done(outcome) => OrderState::Done(outcome.try_into()?),
             },
         })
