Add a harness for clusters of processes

Cause: tests of the whole system need daemons, upstreams and a platform as processes, with links that can fail one by one. Change: a cluster starts all processes on ports chosen by the system, with a proxy before the platform, each upstream and each daemon. A proxy finds the process behind a connection by the owner of its socket, so that the links of two processes can differ.

--- a/crates/balsam-standins/src/harness/client.rs
+++ b/crates/balsam-standins/src/harness/client.rs
@@ -10,6 +10,7 @@
 use serde::de::DeserializeOwned;
 use snafu::{ResultExt, ensure};
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 /// Open connections of a client without another limit.
@@ -91,6 +92,7 @@
     address: SocketAddr,
     timeout: Duration,
     inner: awc::Client,
+    bearer: Option<Arc<str>>,
 }
 
 impl std::fmt::Debug for Client {
@@ -120,9 +122,17 @@
             address,
             timeout,
             inner,
+            bearer: None,
         }
     }
 
+    /// Presents a bearer credential with each request.
+    #[must_use]
+    pub fn with_bearer(mut self, credential: &str) -> Self {
+        self.bearer = Some(Arc::from(credential));
+        self
+    }
+
     /// Returns the server's address.
     pub const fn address(&self) -> SocketAddr {
         self.address
@@ -136,6 +146,9 @@
     pub async fn send(&self, sent: Sent) -> Result<Answer, HarnessError> {
         let url = format!("http://{}{}", self.address, sent.path);
         let mut request = self.inner.request(sent.method.clone(), &url);
+        if let Some(bearer) = &self.bearer {
+            request = request.bearer_auth(bearer);
+        }
         for (name, value) in sent.headers {
             request = request.append_header((name, value));
         }
--- a/crates/balsam-standins/src/harness/error.rs
+++ b/crates/balsam-standins/src/harness/error.rs
@@ -56,6 +56,14 @@
         /// The deadline in milliseconds.
         deadline_ms: u64,
     },
+    /// A child process did not announce an address.
+    #[snafu(display("{program}: address {field} was not announced"))]
+    Unannounced {
+        /// The program.
+        program: String,
+        /// The field of its first line.
+        field: &'static str,
+    },
     /// A listener could not be opened.
     #[snafu(display("listen on {address}: {source}"))]
     Listen {
--- a/crates/balsam-standins/src/harness/fault_proxy.rs
+++ b/crates/balsam-standins/src/harness/fault_proxy.rs
@@ -1,10 +1,12 @@
-//! A TCP proxy whose link can be delayed, cut or made silent.
+//! A TCP proxy whose links can be delayed, cut or made silent.
 
 use super::error::ListenSnafu;
+use super::link_source::owns_port;
 use super::proxy_pump::pump;
 use super::{Direction, HarnessError, LinkFaults, LinkMode};
 use actix_rt::net::{TcpListener, TcpStream};
 use snafu::ResultExt;
+use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -13,29 +15,50 @@
 
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(5);
 
-/// One link between two processes; dropping it closes all of its connections.
+#[derive(Clone, Debug, Default)]
+struct Switches {
+    target: Option<SocketAddr>,
+    all: LinkFaults,
+    /// Faults of the connections that certain processes opened, in place of `all`.
+    by_process: BTreeMap<u32, LinkFaults>,
+}
+
+impl Switches {
+    fn of_source(&self, port: u16) -> LinkFaults {
+        let mut processes = self.by_process.iter();
+        let found = processes.find(|(process, _)| owns_port(**process, port));
+        found.map_or(self.all, |(_, faults)| *faults)
+    }
+}
+
+/// The links to one process; dropping it closes all of its connections.
 #[derive(Debug)]
 pub struct FaultProxy {
     address: SocketAddr,
-    faults: watch::Sender<LinkFaults>,
+    switches: watch::Sender<Switches>,
 }
 
 impl FaultProxy {
-    /// Opens a link without faults to `target` on a port that the system chooses.
+    /// Opens links without faults on a port that the system chooses.
+    ///
+    /// Without a target, connections are closed until [`Self::set_target`] gives one.
     ///
     /// # Errors
     ///
     /// Returns an error if the listener cannot be opened.
-    pub async fn start(target: SocketAddr) -> Result<Self, HarnessError> {
+    pub async fn start(target: impl Into<Option<SocketAddr>>) -> Result<Self, HarnessError> {
         let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
         let context = || ListenSnafu { address: any_port };
         let listener = TcpListener::bind(any_port)
             .await
             .with_context(|_| context())?;
         let address = listener.local_addr().with_context(|_| context())?;
-        let (faults, changes) = watch::channel(LinkFaults::default());
-        actix_rt::spawn(accept_loop(listener, target, changes));
-        Ok(Self { address, faults })
+        let (switches, changes) = watch::channel(Switches {
+            target: target.into(),
+            ..Switches::default()
+        });
+        actix_rt::spawn(accept_loop(listener, changes));
+        Ok(Self { address, switches })
     }
 
     /// Returns the address to connect to instead of the target's.
@@ -43,32 +66,46 @@
         self.address
     }
 
-    /// Sets what the link does with its bytes.
+    /// Sets the address that new connections are carried to.
+    pub fn set_target(&self, target: SocketAddr) {
+        self.switches
+            .send_modify(|switches| switches.target = Some(target));
+    }
+
+    /// Sets what the links do with their bytes.
     pub fn set_mode(&self, mode: LinkMode) {
-        self.faults.send_modify(|faults| faults.mode = mode);
+        self.switches
+            .send_modify(|switches| switches.all.mode = mode);
     }
 
     /// Sets the delay of each direction, in milliseconds.
     pub fn set_delay_ms(&self, delay_ms: u64) {
-        self.faults.send_modify(|faults| faults.delay_ms = delay_ms);
+        self.switches
+            .send_modify(|switches| switches.all.delay_ms = delay_ms);
+    }
+
+    /// Sets the faults of the link from one process, or `None` to treat it like all others.
+    pub fn set_process_faults(&self, process: u32, faults: Option<LinkFaults>) {
+        self.switches.send_modify(|switches| {
+            match faults {
+                Some(faults) => switches.by_process.insert(process, faults),
+                None => switches.by_process.remove(&process),
+            };
+        });
     }
 }
 
-async fn accept_loop(
-    listener: TcpListener,
-    target: SocketAddr,
-    mut faults: watch::Receiver<LinkFaults>,
-) {
+async fn accept_loop(listener: TcpListener, mut switches: watch::Receiver<Switches>) {
     let mut connections = JoinSet::new();
     loop {
         tokio::select! {
-            changed = faults.changed() => if changed.is_err() {
+            changed = switches.changed() => if changed.is_err() {
                 break;
             },
             Some(_) = connections.join_next() => {}
             accepted = listener.accept() => match accepted {
-                Ok((stream, _)) => {
-                    connections.spawn_local(carry(stream, target, faults.clone()));
+                Ok((stream, source)) => {
+                    connections.spawn_local(carry(stream, source.port(), switches.clone()));
                 }
                 Err(error) => {
                     log::warn!("proxy accept failed: {error}");
@@ -79,16 +116,34 @@
     }
 }
 
-/// Carries one connection until it ends or the link is cut.
+/// Carries one connection until it ends or its link is cut.
 async fn carry(
     client: TcpStream,
-    target: SocketAddr,
-    faults: watch::Receiver<LinkFaults>,
+    source_port: u16,
+    mut switches: watch::Receiver<Switches>,
 ) -> io::Result<()> {
+    let Some(target) = switches.borrow_and_update().target else {
+        return Ok(());
+    };
+    let faults = switches.borrow().of_source(source_port);
+    let (publish, faults) = watch::channel(faults);
     let mut cut = faults.clone();
     tokio::select! {
         carried = carry_both(client, target, faults) => carried,
         _ = cut.wait_for(|faults| faults.mode == LinkMode::Cut) => Ok(()),
+        () = follow(switches, source_port, publish) => Ok(()),
+    }
+}
+
+/// Publishes the faults of one connection as the switches change.
+async fn follow(
+    mut switches: watch::Receiver<Switches>,
+    source_port: u16,
+    publish: watch::Sender<LinkFaults>,
+) {
+    while switches.changed().await.is_ok() {
+        let faults = switches.borrow_and_update().of_source(source_port);
+        publish.send_if_modified(|current| std::mem::replace(current, faults) != faults);
     }
 }
 
