Try the request path end to end and keep unknown outcomes

Answers that the upstream cuts short were tried over a relay and without one. Two faults showed: a request whose first attempt may have run was reported as not run when its second attempt did not leave the daemon, and a relay reset discarded the bytes before a cut. The first unknown outcome now stands, and a truncated relay ends without its end marker instead of with a reset.

--- a/crates/balsam-daemon/src/peer/relay.rs
+++ b/crates/balsam-daemon/src/peer/relay.rs
@@ -9,8 +9,9 @@
 use bytes::Bytes;
 use h2::client::ResponseFuture;
 use h2::server::SendResponse;
-use h2::{Reason, RecvStream, SendStream};
+use h2::{RecvStream, SendStream};
 use http::{Response, StatusCode};
+use log::debug;
 use snafu::ensure;
 use std::future::poll_fn;
 
@@ -88,8 +89,12 @@
     }
 
     /// Ends the stream without an end marker, so that the body does not look complete.
+    ///
+    /// A reset would also discard the bytes before it, with which a read can be resumed.
     pub fn abort(&mut self) {
-        self.stream.send_reset(Reason::CANCEL);
+        if let Err(error) = self.stream.send_data(Bytes::new(), true) {
+            debug!("relay: {error}");
+        }
     }
 }
 
--- a/crates/balsam-daemon/src/request/chain/attempts.rs
+++ b/crates/balsam-daemon/src/request/chain/attempts.rs
@@ -47,6 +47,8 @@
     fingerprint: Fingerprint,
     body: BodySource,
     sent: u32,
+    /// Why it is unknown whether an earlier attempt was run.
+    may_have_run: Option<UnknownReason>,
     pub(super) trace: Trace,
 }
 
@@ -63,6 +65,7 @@
             fingerprint,
             body,
             sent: 0,
+            may_have_run: None,
             trace: Trace::default(),
         }
     }
@@ -75,7 +78,14 @@
     }
 
     /// Makes attempts until one is answered or no more may be made.
+    ///
+    /// A request that an earlier attempt may have run is not reported as not run.
     pub(super) async fn run(&mut self) -> AttemptResult {
+        let result = self.run_attempts().await;
+        result.map_err(|failure| self.may_have_run.map_or(failure, Failure::Unknown))
+    }
+
+    async fn run_attempts(&mut self) -> AttemptResult {
         self.entry.retries.first_attempt(self.rank());
         let head = self.request.head.clone();
         loop {
@@ -83,6 +93,9 @@
                 Ok(answer) => return Ok(answer),
                 Err(failure) => failure,
             };
+            if let Failure::Unknown(reason) = failure {
+                self.may_have_run.get_or_insert(reason);
+            }
             if !self.body.is_left() {
                 return Err(failure);
             }
--- /dev/null
+++ b/crates/balsam-daemon/tests/common/mod.rs
@@ -0,0 +1,15 @@
+//! Daemons' request paths in one process, with scripted upstreams and callers.
+
+#![allow(
+    dead_code,
+    unused_imports,
+    reason = "each test file uses a part of the helpers"
+)]
+
+mod caller;
+mod cluster;
+mod upstream;
+
+pub use caller::{call, open_call, read_answer, read_to_end, read_until};
+pub use cluster::{Cluster, TestDaemon, now};
+pub use upstream::{Seen, Upstream};
--- /dev/null
+++ b/crates/balsam-daemon/tests/relay_truncation.rs
@@ -0,0 +1,132 @@
+//! Guards answers that are cut short: a caller must never take a part for the whole.
+
+mod common;
+
+use common::{Cluster, Upstream, call, open_call, read_answer, read_to_end, read_until};
+use rstest::rstest;
+use std::time::Duration;
+use tokio::time::sleep;
+
+/// Guards the whole way there and back, over a relay and without one.
+#[rstest]
+#[case::local(1)]
+#[case::relayed(2)]
+#[actix_rt::test]
+async fn whole_answer(#[case] daemons: u64) {
+    let mut upstream = Upstream::start().await;
+    let cluster = Cluster::start(daemons, upstream.address).await;
+    let mut caller = open_call(
+        cluster.entry().caller,
+        "GET /files/k1/a?b=c",
+        "x-own: 7\r\n",
+    )
+    .await;
+    let seen = upstream.next().await;
+    assert!(
+        seen.head.starts_with("get /files/k1/a?b=c http/1.1\r\n"),
+        "{}",
+        seen.head
+    );
+    assert_eq!(seen.field("balsam-key"), Some("k1"));
+    assert_eq!(seen.field("balsam-epoch"), Some("1"));
+    assert_eq!(seen.field("balsam-rank"), Some("lookup"));
+    assert_eq!(seen.field("balsam-member"), Some("anonymous"));
+    assert_eq!(seen.field("x-own"), Some("7"));
+    let body = "x".repeat(300_000);
+    actix_rt::spawn(async move { seen.ok(&body).await });
+    let answer = read_answer(&mut caller).await;
+    assert_eq!(
+        (answer.status, answer.body.len(), answer.whole),
+        (200, 300_000, true)
+    );
+    assert_eq!(answer.field("balsam-outcome"), Some("answered"));
+    assert_eq!(answer.field("balsam-upstream"), Some("u1"));
+}
+
+/// Guards bodies that the upstream's connection cuts short, also between two chunks, where the
+/// bytes so far look complete.
+#[rstest]
+#[case::length("content-length: 10\r\n\r\n12345", "12345")]
+#[case::within_chunk("transfer-encoding: chunked\r\n\r\n5\r\n123", "123")]
+#[case::between_chunks("transfer-encoding: chunked\r\n\r\n5\r\n12345\r\n", "12345")]
+#[case::before_last_line("transfer-encoding: chunked\r\n\r\n5\r\n12345\r\n0\r\n", "12345")]
+#[actix_rt::test]
+async fn cut_body(#[values(1, 2)] daemons: u64, #[case] rest: &str, #[case] body: &str) {
+    let mut upstream = Upstream::start().await;
+    let cluster = Cluster::start(daemons, upstream.address).await;
+    let mut caller = open_call(cluster.entry().caller, "GET /files/k1", "").await;
+    let seen = upstream.next().await;
+    seen.cut_after(format!("HTTP/1.1 200 OK\r\n{rest}")).await;
+    let answer = read_answer(&mut caller).await;
+    if answer.status == 504 {
+        // The cut was seen before the head was passed on.
+        assert_eq!(answer.field("balsam-outcome"), Some("unknown"));
+        return;
+    }
+    assert!(!answer.whole, "{answer:?}");
+    assert!(body.as_bytes().starts_with(&answer.body));
+}
+
+/// Guards answers whose end only the close of the connection would mark: they prove nothing.
+#[actix_rt::test]
+async fn unproven_end() {
+    let mut upstream = Upstream::start().await;
+    let cluster = Cluster::start(1, upstream.address).await;
+    let fields = "balsam-deadline-ms: 500\r\n";
+    let mut caller = open_call(cluster.entry().caller, "POST /files/k1", fields).await;
+    let seen = upstream.next().await;
+    seen.cut_after("HTTP/1.1 200 OK\r\n\r\n12345").await;
+    let answer = read_answer(&mut caller).await;
+    assert_eq!(answer.outcome(), ("unknown", "upstream-lost"));
+}
+
+/// Guards a dispatcher that is lost within an answer: the end marker is missing.
+#[actix_rt::test]
+async fn lost_dispatcher() {
+    let mut upstream = Upstream::start().await;
+    let mut cluster = Cluster::start(2, upstream.address).await;
+    let mut caller = open_call(cluster.entry().caller, "GET /files/k1", "").await;
+    let mut seen = upstream.next().await;
+    seen.send("HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\n12345")
+        .await;
+    let start = read_until(&mut caller, "12345").await;
+    assert!(start.starts_with("HTTP/1.1 200 OK\r\n"), "{start}");
+    let lost = cluster.daemons.pop();
+    drop(seen);
+    drop(lost);
+    assert_eq!(read_to_end(&mut caller).await, "");
+}
+
+/// Guards that a request that may have run is not reported as not run after a second attempt.
+#[actix_rt::test]
+async fn unknown_stays() {
+    let mut upstream = Upstream::start().await;
+    let mut cluster = Cluster::start(2, upstream.address).await;
+    let mut caller = open_call(cluster.entry().caller, "GET /files/k1", "").await;
+    let seen = upstream.next().await;
+    let mut dispatcher = cluster.daemons.pop().expect("a dispatcher");
+    let listener = dispatcher.listener.take().expect("a listener");
+    actix_rt::spawn(listener.stop());
+    sleep(Duration::from_millis(100)).await;
+    seen.cut_after("").await;
+    let answer = read_answer(&mut caller).await;
+    assert_eq!(answer.outcome(), ("unknown", "upstream-lost"));
+}
+
+/// Guards that a chunked answer ends for the caller exactly as it ended for the daemon.
+#[actix_rt::test]
+async fn whole_chunks() {
+    let mut upstream = Upstream::start().await;
+    let cluster = Cluster::start(2, upstream.address).await;
+    actix_rt::spawn(async move {
+        let chunks =
+            "transfer-encoding: chunked\r\n\r\n3\r\nabc\r\n2;x=y\r\nde\r\n0\r\nt: 1\r\n\r\n";
+        let seen = upstream.next().await;
+        seen.answer(format!("HTTP/1.1 200 OK\r\n{chunks}")).await;
+        upstream.next().await.ok("second").await;
+    });
+    let answer = call(cluster.entry().caller, "GET /files/k1", "").await;
+    assert_eq!((answer.body, answer.whole), (b"abcde".to_vec(), true));
+    let answer = call(cluster.entry().caller, "GET /files/k1", "").await;
+    assert_eq!((answer.body, answer.whole), (b"second".to_vec(), true));
+}
