Claim orders and refuse quarantined requests

Orders were run without a claim, and crash counts were kept by hand. One task owns the orders machine and reaches the table through TableClient; a claimed order runs to its end even when its caller goes away, so that a later arrival gets the recorded answer. One task owns the quarantine machine and publishes the refused fingerprints.

--- a/crates/balsam-daemon/src/request/admit/body.rs
+++ b/crates/balsam-daemon/src/request/admit/body.rs
@@ -30,11 +30,10 @@
 }
 
 impl CallerBody {
-    /// Returns the first bytes of the body.
-    pub(crate) const fn start(&self) -> &Bytes {
-        match self {
-            Self::Whole(start) | Self::Stream { start, .. } => start,
-        }
+    /// Returns the first bytes of the body; how the body was cut up makes no difference.
+    pub(crate) fn start(&self) -> &[u8] {
+        let (Self::Whole(start) | Self::Stream { start, .. }) = self;
+        &start[..start.len().min(REPLAY_MAX_BYTES as usize)]
     }
 }
 
--- a/crates/balsam-daemon/src/request/answer/head.rs
+++ b/crates/balsam-daemon/src/request/answer/head.rs
@@ -29,6 +29,14 @@
     response
 }
 
+/// Makes the answer that repeats the recorded answer of an order.
+pub(crate) fn recorded(head: &ResponseHead, body: Vec<u8>) -> Response<AnswerBody> {
+    let body = AnswerBody::Own(Some(Bytes::from(body)));
+    let mut response = Response::with_body(status(head.status), body);
+    pass_fields(&mut response, head);
+    response
+}
+
 fn pass_fields(response: &mut Response<AnswerBody>, head: &ResponseHead) {
     for field in &head.headers {
         let name = HeaderName::from_bytes(field.name.as_bytes());
--- a/crates/balsam-daemon/src/request/chain/attempts.rs
+++ b/crates/balsam-daemon/src/request/chain/attempts.rs
@@ -7,7 +7,7 @@
 use crate::request::identify::Identified;
 use crate::request::locate::{Route, locate};
 use crate::request::message::{Answer, Attempt, AttemptResult, Failure};
-use crate::request::record::Via;
+use crate::request::record::{Recorder, Via};
 use crate::request::relay;
 use balsam_decide::entry::EntryRank;
 use balsam_decide::retry::{self, GiveUpReason, RetryVerdict};
@@ -27,6 +27,18 @@
     pub(super) number: u32,
 }
 
+impl Trace {
+    /// Copies what is known to the request's record.
+    pub(super) fn note(&self, recorder: &mut Recorder) {
+        recorder.attempts = self.number;
+        recorder.via = self.via;
+        if let Some(route) = &self.route {
+            recorder.unit = Some(route.unit);
+            recorder.upstream = Some(route.upstream.clone());
+        }
+    }
+}
+
 /// The log line of a retry.
 #[derive(Debug, Serialize)]
 #[serde(tag = "kind", rename = "retry")]
--- a/crates/balsam-daemon/src/request/chain/mod.rs
+++ b/crates/balsam-daemon/src/request/chain/mod.rs
@@ -4,6 +4,7 @@
 
 mod attempts;
 mod body;
+mod order;
 mod serve;
 
 pub(crate) use serve::{Entry, serve};
--- a/crates/balsam-daemon/src/request/chain/serve.rs
+++ b/crates/balsam-daemon/src/request/chain/serve.rs
@@ -2,6 +2,7 @@
 
 use super::attempts::Attempts;
 use super::body::BodySource;
+use super::order::route_order;
 use crate::metrics::Metrics;
 use crate::peer::PeerClient;
 use crate::request::accept::Phase;
@@ -11,11 +12,12 @@
 use crate::request::dispatch::Dispatchers;
 use crate::request::identify::{Identified, identify};
 use crate::request::message::{Answer, BODY_PARTS, Failure};
+use crate::request::orders::OrderDesk;
 use crate::request::record::{self, Recorder};
 use crate::request::retry::Retries;
 use actix_http::{ConnectionType, Payload, Request, Response};
 use balsam_decide::node::View;
-use balsam_types::{Fingerprint, NotRunReason, Outcome};
+use balsam_types::{Fingerprint, NotRunReason, Outcome, Set};
 use std::sync::Arc;
 use std::time::Instant;
 use tokio::sync::{mpsc, watch};
@@ -33,6 +35,10 @@
     pub(crate) dispatchers: Dispatchers,
     /// The entry bounds.
     pub(crate) admission: Admission,
+    /// The orders task.
+    pub(crate) orders: OrderDesk,
+    /// The quarantined requests.
+    pub(crate) refused: watch::Receiver<Arc<Set<Fingerprint>>>,
     /// The retry budgets.
     pub(crate) retries: Retries,
     /// The instruments.
@@ -92,8 +98,7 @@
     let permit = entry.admission.enter(identified).await?;
     let body = read_body(&entry.admission, &permit, identified, payload).await?;
     let fingerprint = fingerprint(&identified.head, body.start());
-    let view = Arc::clone(&entry.views.borrow());
-    if view.state.quarantine.contains_key(&fingerprint) {
+    if entry.refused.borrow().contains(&fingerprint) {
         return Err(NotRunReason::Quarantined);
     }
     Ok(Admitted {
@@ -114,14 +119,13 @@
         body,
         fingerprint,
     } = admitted;
+    let orders = entry.orders.clone();
     let mut attempts = Attempts::new(entry, identified.clone(), fingerprint, body);
-    let result = attempts.run().await;
-    recorder.attempts = attempts.trace.number;
-    recorder.via = attempts.trace.via;
-    if let Some(route) = &attempts.trace.route {
-        recorder.unit = Some(route.unit);
-        recorder.upstream = Some(route.upstream.clone());
+    if identified.policy.orders {
+        return route_order(&orders, attempts, &identified, permit, recorder).await;
     }
+    let result = attempts.run().await;
+    attempts.trace.note(&mut recorder);
     match result {
         Ok(answer) => pass_on(attempts, identified, permit, recorder, answer),
         Err(failure) => refuse(&mut recorder, failure),
@@ -161,7 +165,8 @@
     answered(&head, &upstream, body)
 }
 
-fn refuse(recorder: &mut Recorder, failure: Failure) -> Response<AnswerBody> {
+/// Answers a request that ended without an upstream's answer.
+pub(super) fn refuse(recorder: &mut Recorder, failure: Failure) -> Response<AnswerBody> {
     let outcome = Outcome::from(failure);
     recorder.finish(outcome);
     failed(outcome)
--- a/crates/balsam-daemon/src/request/mod.rs
+++ b/crates/balsam-daemon/src/request/mod.rs
@@ -14,6 +14,7 @@
 mod identify;
 mod locate;
 mod message;
+mod orders;
 mod quarantine;
 mod record;
 mod relay;
@@ -50,7 +51,7 @@
         metrics,
     } = channels;
     let (phase, phases) = watch::channel(Phase::Running);
-    let crashes = quarantine::start_crashes(&views, &control, &table);
+    let (crashes, refused) = quarantine::start_crashes(&views, &control, &table);
     let dispatchers = dispatch::start_dispatchers(&views, &control, &crashes, &metrics);
     relay::start_incoming(relays, dispatchers.clone());
     let entry = Entry {
@@ -58,9 +59,11 @@
         peers,
         dispatchers,
         admission: admit::start_admission(&views),
+        orders: orders::start_orders(&views, &table, rand::random()),
         retries: retry::start_retries(&views, rand::random()),
         metrics,
         header_max_bytes: settings.header_max_bytes,
+        refused,
         views,
     };
     let accept = AcceptSettings {
--- /dev/null
+++ b/crates/balsam-daemon/src/request/orders/task.rs
@@ -0,0 +1,217 @@
+//! The task that owns the orders machine.
+
+use super::handle::Message;
+use super::{Claim, OrderClaim, OrderDesk};
+use crate::control::edge::TableClient;
+use crate::request::clock::{instant_at, now};
+use balsam_decide::node::View;
+use balsam_decide::orders::{OrderInput, OrderOutput, Orders};
+use balsam_decide::settings::SettingsTree;
+use balsam_types::settings::{NodePath, SettingKey};
+use balsam_types::{Map, new_map};
+use futures_util::StreamExt;
+use futures_util::future::BoxFuture;
+use futures_util::stream::FuturesUnordered;
+use std::sync::Arc;
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::time::sleep_until;
+
+/// Messages that may be on their way to the task.
+const QUEUE: usize = 4_096;
+
+/// Starts the task; it ends when every handle and claim is dropped.
+pub(crate) fn start_orders(
+    views: &watch::Receiver<Arc<View>>,
+    table: &TableClient,
+    seed: u64,
+) -> OrderDesk {
+    let (messages, receiver) = mpsc::channel(QUEUE);
+    let task = OrdersTask {
+        machine: None,
+        seed,
+        views: views.clone(),
+        table: table.clone(),
+        exchanges: FuturesUnordered::new(),
+        waiting: new_map(),
+        claims: messages.downgrade(),
+        next_ticket: 0,
+    };
+    tokio::spawn(task.run(receiver));
+    OrderDesk::new(messages)
+}
+
+struct OrdersTask {
+    /// Made at the first claim, when the daemon's incarnation is known to be in the view.
+    machine: Option<Orders>,
+    seed: u64,
+    views: watch::Receiver<Arc<View>>,
+    table: TableClient,
+    exchanges: FuturesUnordered<BoxFuture<'static, OrderInput>>,
+    waiting: Map<u64, oneshot::Sender<Claim>>,
+    claims: mpsc::WeakSender<Message>,
+    next_ticket: u64,
+}
+
+impl OrdersTask {
+    async fn run(mut self, mut messages: mpsc::Receiver<Message>) {
+        let mut views = self.views.clone();
+        let mut settings = Arc::clone(&views.borrow_and_update().state.settings);
+        loop {
+            let wake = self
+                .machine
+                .as_ref()
+                .and_then(|orders| orders.next_wake(now()));
+            tokio::select! {
+                message = messages.recv() => match message {
+                    Some(message) => self.take(message),
+                    None => break,
+                },
+                Some(input) = self.exchanges.next(), if !self.exchanges.is_empty() => {
+                    self.step(input);
+                }
+                () = sleep_until(instant_at(wake.unwrap_or_default())), if wake.is_some() => {
+                    self.step(OrderInput::Tick);
+                }
+                Ok(()) = views.changed() => {
+                    let newest = Arc::clone(&views.borrow_and_update().state.settings);
+                    if !Arc::ptr_eq(&settings, &newest) {
+                        settings = newest;
+                        if let Some(orders) = &mut self.machine {
+                            orders.set_group_ms(group_ms(&settings));
+                        }
+                    }
+                }
+            }
+        }
+        self.write_rest().await;
+    }
+
+    /// Writes the outcomes that are still to be recorded when the daemon stops.
+    async fn write_rest(&mut self) {
+        while self
+            .machine
+            .as_ref()
+            .is_some_and(|orders| !orders.is_empty())
+        {
+            let wake = self
+                .machine
+                .as_ref()
+                .and_then(|orders| orders.next_wake(now()));
+            tokio::select! {
+                Some(input) = self.exchanges.next(), if !self.exchanges.is_empty() => {
+                    self.step(input);
+                }
+                () = sleep_until(instant_at(wake.unwrap_or_default())), if wake.is_some() => {
+                    self.step(OrderInput::Tick);
+                }
+                else => return,
+            }
+        }
+    }
+
+    fn take(&mut self, message: Message) {
+        match message {
+            Message::Claim {
+                key,
+                deadline,
+                reply,
+            } => {
+                let ticket = self.next_ticket;
+                self.next_ticket += 1;
+                self.waiting.insert(ticket, reply);
+                self.step(OrderInput::Claim {
+                    ticket,
+                    key,
+                    deadline,
+                });
+            }
+            Message::Ended(input) => self.step(input),
+        }
+    }
+
+    fn step(&mut self, input: OrderInput) {
+        let mut inputs = vec![input];
+        while let Some(input) = inputs.pop() {
+            for output in self.machine().handle(now(), input) {
+                inputs.extend(self.act(output));
+            }
+        }
+    }
+
+    fn machine(&mut self) -> &mut Orders {
+        let (views, seed) = (&self.views, self.seed);
+        self.machine.get_or_insert_with(|| {
+            let view = Arc::clone(&views.borrow());
+            Orders::new(view.me, seed, group_ms(&view.state.settings))
+        })
+    }
+
+    /// Carries out an output; returns an input that follows from it at once.
+    fn act(&mut self, output: OrderOutput) -> Option<OrderInput> {
+        let table = self.table.clone();
+        match output {
+            OrderOutput::Transact { attempt, writes } => {
+                self.exchanges.push(Box::pin(async move {
+                    let result = table.write_orders(writes).await;
+                    OrderInput::TxDone { attempt, result }
+                }));
+                None
+            }
+            OrderOutput::Read { attempt, keys } => {
+                self.exchanges.push(Box::pin(async move {
+                    let rows = table.read_orders(keys).await;
+                    OrderInput::ReadDone { attempt, rows }
+                }));
+                None
+            }
+            OrderOutput::Claimed { ticket } => self.give_claim(ticket),
+            OrderOutput::AlreadyClaimed { ticket, outcome } => {
+                self.reply(ticket, Claim::Taken(outcome));
+                None
+            }
+            OrderOutput::Unavailable { ticket } => {
+                self.reply(ticket, Claim::Unavailable);
+                None
+            }
+        }
+    }
+
+    /// Gives a claim to its request, or releases it if the request has gone away.
+    fn give_claim(&mut self, ticket: u64) -> Option<OrderInput> {
+        let not_run = Some(OrderInput::NotRun { ticket });
+        let Some((reply, messages)) = self.waiting.remove(&ticket).zip(self.claims.upgrade())
+        else {
+            return not_run;
+        };
+        if reply.is_closed() {
+            return not_run;
+        }
+        match reply.send(Claim::Held(OrderClaim::new(ticket, messages))) {
+            Ok(()) => None,
+            // The claim was not used, and its drop must not record it as unknown.
+            Err(Claim::Held(claim)) => {
+                claim.forget();
+                not_run
+            }
+            Err(_) => not_run,
+        }
+    }
+
+    fn reply(&mut self, ticket: u64, claim: Claim) {
+        if let Some(reply) = self.waiting.remove(&ticket) {
+            // The request may have gone away.
+            drop(reply.send(claim));
+        }
+    }
+}
+
+/// Returns the shortest group time of all ranks that take orders.
+fn group_ms(settings: &SettingsTree) -> u64 {
+    let ranks = settings.services().flat_map(|service| {
+        let ranks = settings.ranks(service);
+        ranks.filter_map(|rank| settings.rank_policy(service, rank))
+    });
+    let times = ranks.filter(|policy| policy.orders);
+    let shortest = times.map(|policy| policy.order_group_ms).min();
+    shortest.unwrap_or_else(|| settings.number(&NodePath::Root, SettingKey::OrderGroupMs))
+}
