--- a/crates/balsam-daemon/src/request/forward/exchange.rs
+++ b/crates/balsam-daemon/src/request/forward/exchange.rs
@@ -38,7 +38,9 @@
     pub(super) failure: Failure,
     /// The connection, if it can be used again.
     pub(super) connection: Option<UpstreamConnection>,
-    /// Whether the connection broke after bytes were sent and before the answer's head.
+    /// Whether the connection broke after the whole request and before the answer's head.
+    ///
+    /// A request that this daemon left incomplete says nothing of what it does to the upstream.
     pub(super) crashed: bool,
 }
 
@@ -116,6 +118,11 @@
 }
 
 impl Writing {
+    /// Returns whether the whole request was written.
+    const fn is_complete(&self) -> bool {
+        matches!(self, Self::Done(Some(_)))
+    }
+
     /// Continues to write; never ends once there is nothing left to do.
     pub(super) async fn run(&mut self) {
         match self {
@@ -193,7 +200,7 @@
     let parsed = match timeout_at(until, read_head(&mut exchange, &head.method)).await {
         Ok(Ok(parsed)) => parsed,
         Ok(Err(failure)) => {
-            let crashed = failure == HeadFailure::Closed;
+            let crashed = failure == HeadFailure::Closed && exchange.writing.is_complete();
             return Err(Ended {
                 failure: failure.into(),
                 connection: None,
--- /dev/null
+++ b/crates/balsam-daemon/tests/graceful_stop.rs
@@ -0,0 +1,54 @@
+//! Guards a planned stop: it must interrupt no request in flight.
+
+mod common;
+
+use common::{Cluster, Upstream, call, open_call, read_answer};
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::time::{sleep, timeout};
+
+/// Guards readiness, the grace period and requests in flight during a stop.
+#[actix_rt::test]
+async fn in_flight_requests() {
+    let mut upstream = Upstream::start().await;
+    let mut cluster = Cluster::start(1, upstream.address).await;
+    let entry = cluster.entry().caller;
+    assert_eq!(call(entry, "GET /-/ready", "").await.status, 200);
+    let mut early = open_call(entry, "GET /files/early", "").await;
+    let early_seen = upstream.next().await;
+    let handles = cluster.daemons[0].handles.take().expect("handles");
+    let stopped = actix_rt::spawn(handles.stop());
+    sleep(Duration::from_millis(50)).await;
+    // The load balancer still sends new requests until it sees that the daemon is not ready.
+    assert_eq!(call(entry, "GET /-/ready", "").await.status, 503);
+    assert_eq!(call(entry, "GET /-/live", "").await.status, 200);
+    let mut late = open_call(entry, "GET /files/late", "").await;
+    let late_seen = upstream.next().await;
+    sleep(Duration::from_millis(400)).await;
+    assert!(TcpStream::connect(entry).await.is_err(), "still accepting");
+    assert!(!stopped.is_finished(), "stopped with requests in flight");
+    for (seen, caller) in [(early_seen, &mut early), (late_seen, &mut late)] {
+        seen.ok("done").await;
+        let answer = read_answer(caller).await;
+        assert_eq!((answer.status, answer.whole), (200, true));
+        assert_eq!(answer.field("connection"), Some("close"));
+    }
+    let stopped = timeout(Duration::from_secs(10), stopped).await;
+    assert!(stopped.is_ok(), "the stop does not end");
+}
+
+/// Guards the bound of a stop: a request that never ends must not hold the daemon.
+#[actix_rt::test]
+async fn bounded_drain() {
+    let mut upstream = Upstream::start().await;
+    let configure = |settings: &mut balsam_daemon::request::RequestSettings| {
+        settings.grace_ms = 0;
+        settings.drain_ms = 200;
+    };
+    let mut cluster = Cluster::start_with(1, upstream.address, configure).await;
+    let _caller = open_call(cluster.entry().caller, "GET /files/k1", "").await;
+    let _seen = upstream.next().await;
+    let handles = cluster.daemons[0].handles.take().expect("handles");
+    let stopped = timeout(Duration::from_secs(10), handles.stop()).await;
+    assert!(stopped.is_ok(), "the stop does not end");
+}
--- /dev/null
+++ b/crates/balsam-daemon/tests/range_resume.rs
@@ -0,0 +1,88 @@
+//! Guards reads that are resumed: the caller gets the bytes of one representation or an abort.
+
+mod common;
+
+use common::{Cluster, Seen, Upstream, open_call, read_answer};
+use rstest::rstest;
+
+const HEAD: &str = "HTTP/1.1 200 OK\r\netag: \"v1\"\r\ncontent-length: 10\r\n\r\n";
+
+async fn next_range(upstream: &mut Upstream) -> Seen {
+    let seen = upstream.next().await;
+    assert_eq!(seen.field("range"), Some("bytes=5-"));
+    assert_eq!(seen.field("if-range"), Some("\"v1\""));
+    seen
+}
+
+/// Guards that a read that was cut short goes on where it stopped.
+#[rstest]
+#[case::local(1)]
+#[case::relayed(2)]
+#[actix_rt::test]
+async fn same_representation(#[case] daemons: u64) {
+    let mut upstream = Upstream::start().await;
+    let cluster = Cluster::start(daemons, upstream.address).await;
+    let mut caller = open_call(cluster.entry().caller, "GET /files/k1", "").await;
+    upstream
+        .next()
+        .await
+        .cut_after(format!("{HEAD}12345"))
+        .await;
+    let rest = "HTTP/1.1 206 Partial Content\r\netag: \"v1\"\r\n\
+                content-range: bytes 5-9/10\r\ncontent-length: 5\r\n\r\n67890";
+    next_range(&mut upstream).await.answer(rest).await;
+    let answer = read_answer(&mut caller).await;
+    assert_eq!((answer.status, answer.whole), (200, true));
+    assert_eq!(answer.body, b"1234567890");
+}
+
+/// Guards against joining parts of different representations or of other ranges.
+#[rstest]
+#[case::other_etag(
+    "206 Partial Content",
+    "etag: \"v2\"\r\ncontent-range: bytes 5-9/10\r\n"
+)]
+#[case::other_range(
+    "206 Partial Content",
+    "etag: \"v1\"\r\ncontent-range: bytes 4-8/10\r\n"
+)]
+#[case::other_length(
+    "206 Partial Content",
+    "etag: \"v1\"\r\ncontent-range: bytes 5-9/11\r\n"
+)]
+#[case::no_range("206 Partial Content", "etag: \"v1\"\r\n")]
+#[case::whole_again("200 OK", "etag: \"v2\"\r\n")]
+#[actix_rt::test]
+async fn other_representation(#[case] status: &str, #[case] fields: &str) {
+    let mut upstream = Upstream::start().await;
+    let cluster = Cluster::start(1, upstream.address).await;
+    let mut caller = open_call(cluster.entry().caller, "GET /files/k1", "").await;
+    upstream
+        .next()
+        .await
+        .cut_after(format!("{HEAD}12345"))
+        .await;
+    let rest = format!("HTTP/1.1 {status}\r\n{fields}content-length: 5\r\n\r\nABCDE");
+    next_range(&mut upstream).await.answer(rest).await;
+    let answer = read_answer(&mut caller).await;
+    assert!(!answer.whole, "{answer:?}");
+    assert!(b"12345".starts_with(&answer.body));
+}
+
+/// Guards that answers without a strong tag, and other methods, are never resumed.
+#[rstest]
+#[case::weak_tag("GET", "etag: W/\"v1\"\r\n")]
+#[case::no_tag("GET", "")]
+#[case::write("PUT", "etag: \"v1\"\r\n")]
+#[actix_rt::test]
+async fn not_resumable(#[case] method: &str, #[case] fields: &str) {
+    let mut upstream = Upstream::start().await;
+    let cluster = Cluster::start(1, upstream.address).await;
+    let request = format!("{method} /files/k1");
+    let mut caller = open_call(cluster.entry().caller, &request, "").await;
+    let cut = format!("HTTP/1.1 200 OK\r\n{fields}content-length: 10\r\n\r\n12345");
+    upstream.next().await.cut_after(cut).await;
+    let answer = read_answer(&mut caller).await;
+    assert!(!answer.whole, "{answer:?}");
+    assert!(upstream.try_next().is_none());
+}
