Refuse quarantined requests at the dispatcher as well

A poisoned request with retries reached a fourth upstream, because only its entry daemon looked at the quarantine.

--- a/crates/balsam-daemon/src/request/dispatch/mod.rs
+++ b/crates/balsam-daemon/src/request/dispatch/mod.rs
@@ -9,4 +9,4 @@
 mod task;
 
 pub(crate) use handle::{DispatchWork, Dispatchers};
-pub(crate) use registry::start_dispatchers;
+pub(crate) use registry::{DispatchContext, start_dispatchers};
--- a/crates/balsam-daemon/src/request/dispatch/registry.rs
+++ b/crates/balsam-daemon/src/request/dispatch/registry.rs
@@ -7,25 +7,32 @@
 use crate::request::message::Failure;
 use crate::request::quarantine::Crashes;
 use balsam_decide::node::View;
-use balsam_types::{Map, NotRunReason, UpstreamName, new_map};
+use balsam_types::{Fingerprint, Map, NotRunReason, Set, UpstreamName, new_map};
 use std::sync::Arc;
 use tokio::sync::mpsc::error::TrySendError;
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinSet;
 
+/// What every dispatch task uses; cheap to clone.
+#[derive(Clone, Debug)]
+pub(crate) struct DispatchContext {
+    /// The newest view.
+    pub(crate) views: watch::Receiver<Arc<View>>,
+    /// Takes load reports.
+    pub(crate) control: ControlHandle,
+    /// Takes broken connections.
+    pub(crate) crashes: Crashes,
+    /// The quarantined requests.
+    pub(crate) refused: watch::Receiver<Arc<Set<Fingerprint>>>,
+    /// The instruments.
+    pub(crate) metrics: Metrics,
+}
+
 /// Starts the registry; it ends, after its requests, when every handle is dropped.
-pub(crate) fn start_dispatchers(
-    views: &watch::Receiver<Arc<View>>,
-    control: &ControlHandle,
-    crashes: &Crashes,
-    metrics: &Metrics,
-) -> Dispatchers {
+pub(crate) fn start_dispatchers(context: DispatchContext) -> Dispatchers {
     let (sender, work) = mpsc::channel(WORK_QUEUE);
     let registry = Registry {
-        views: views.clone(),
-        control: control.clone(),
-        crashes: crashes.clone(),
-        metrics: metrics.clone(),
+        context,
         upstreams: new_map(),
         tasks: JoinSet::new(),
     };
@@ -34,17 +41,14 @@
 }
 
 struct Registry {
-    views: watch::Receiver<Arc<View>>,
-    control: ControlHandle,
-    crashes: Crashes,
-    metrics: Metrics,
+    context: DispatchContext,
     upstreams: Map<UpstreamName, mpsc::Sender<DispatchWork>>,
     tasks: JoinSet<()>,
 }
 
 impl Registry {
     async fn run(mut self, mut work: mpsc::Receiver<DispatchWork>) {
-        let mut views = self.views.clone();
+        let mut views = self.context.views.clone();
         loop {
             tokio::select! {
                 work = work.recv() => match work {
@@ -61,7 +65,13 @@
 
     fn hand_on(&mut self, work: DispatchWork) {
         let name = work.attempt.request.upstream.clone();
-        let is_known = self.views.borrow().state.upstreams.contains_key(&name);
+        let is_known = self
+            .context
+            .views
+            .borrow()
+            .state
+            .upstreams
+            .contains_key(&name);
         if !is_known {
             return refuse(work, NotRunReason::NotDispatcher);
         }
@@ -71,13 +81,7 @@
             .is_none_or(mpsc::Sender::is_closed)
         {
             let (sender, receiver) = mpsc::channel(WORK_QUEUE);
-            let task = DispatchTask::new(
-                name.clone(),
-                self.views.clone(),
-                self.control.clone(),
-                self.crashes.clone(),
-                self.metrics.clone(),
-            );
+            let task = DispatchTask::new(name.clone(), self.context.clone());
             self.tasks.spawn(task.run(receiver));
             self.upstreams.insert(name.clone(), sender);
         }
@@ -94,7 +98,7 @@
 
     /// Ends the tasks of upstreams that the control state no longer lists.
     fn drop_removed(&mut self) {
-        let view = Arc::clone(&self.views.borrow());
+        let view = Arc::clone(&self.context.views.borrow());
         self.upstreams
             .retain(|name, _| view.state.upstreams.contains_key(name));
     }
--- a/crates/balsam-daemon/src/request/dispatch/task.rs
+++ b/crates/balsam-daemon/src/request/dispatch/task.rs
@@ -1,12 +1,9 @@
 //! The task that owns the queue, the slots and the idle connections of one upstream.
 
-use super::{DispatchWork, policy};
-use crate::control::decide::ControlHandle;
-use crate::metrics::Metrics;
+use super::{DispatchContext, DispatchWork, policy};
 use crate::request::clock::{instant_at, now};
 use crate::request::forward::{self, ForwardDone, ForwardJob, SendPermit, UpstreamConnection};
 use crate::request::message::{Attempt, AttemptResult, Failure};
-use crate::request::quarantine::Crashes;
 use balsam_decide::dispatch::{
     Dispatch, DispatchInput, DispatchOutput, DispatchPolicy, LoadSample, QueuedRequest, SlotResult,
     Ticket,
@@ -38,9 +35,7 @@
 pub(super) struct DispatchTask {
     upstream: UpstreamName,
     views: watch::Receiver<Arc<View>>,
-    control: ControlHandle,
-    crashes: Crashes,
-    metrics: Metrics,
+    context: DispatchContext,
     machine: Dispatch,
     policy: Arc<DispatchPolicy>,
     waiting: Map<Ticket, Waiting>,
@@ -52,20 +47,12 @@
 }
 
 impl DispatchTask {
-    pub(super) fn new(
-        upstream: UpstreamName,
-        views: watch::Receiver<Arc<View>>,
-        control: ControlHandle,
-        crashes: Crashes,
-        metrics: Metrics,
-    ) -> Self {
+    pub(super) fn new(upstream: UpstreamName, context: DispatchContext) -> Self {
         let policy = Arc::default();
         Self {
             upstream,
-            views,
-            control,
-            crashes,
-            metrics,
+            views: context.views.clone(),
+            context,
             machine: Dispatch::new(Arc::clone(&policy)),
             policy,
             waiting: new_map(),
@@ -115,6 +102,13 @@
         let ticket = Ticket(self.next_ticket);
         self.next_ticket += 1;
         let head = &attempt.request.head;
+        // The entry daemon learns of a quarantine later than the dispatcher that counted.
+        let fingerprint = attempt.request.fingerprint;
+        if self.context.refused.borrow().contains(&fingerprint) {
+            // The requester may have gone away.
+            drop(reply.send(Err(Failure::NotRun(NotRunReason::Quarantined))));
+            return;
+        }
         let unit = self
             .views
             .borrow()
@@ -162,7 +156,9 @@
             }
         }
         let (queued, in_use) = (self.machine.waiting(), self.machine.running());
-        self.metrics.dispatcher(&self.upstream, queued, in_use);
+        self.context
+            .metrics
+            .dispatcher(&self.upstream, queued, in_use);
     }
 
     fn start(&mut self, ticket: Ticket) {
@@ -183,6 +179,7 @@
             attempt,
             reply,
             permit,
+            crashes: self.context.crashes.clone(),
         };
         let id = self.forwards.spawn(forward::run(job)).id();
         self.running.insert(id, ticket);
@@ -211,9 +208,6 @@
         if let Some(done) = done {
             result = done.result;
             self.idle.extend(done.connection);
-            if let Some((service, fingerprint)) = done.crashed {
-                self.crashes.report(service, fingerprint);
-            }
         }
         self.step(DispatchInput::Finished { ticket, result });
     }
@@ -247,7 +241,7 @@
             heavy_keys,
         } = self.machine.take_sample(now());
         // The node adds what it knows from its grant exchanges.
-        self.control.report_load(UpstreamReport {
+        self.context.control.report_load(UpstreamReport {
             upstream: self.upstream.clone(),
             silent: false,
             answering: false,
--- a/crates/balsam-daemon/src/request/forward/mod.rs
+++ b/crates/balsam-daemon/src/request/forward/mod.rs
@@ -13,9 +13,10 @@
 pub(crate) use connection::UpstreamConnection;
 pub(crate) use permit::SendPermit;
 
-use super::message::{Answer, Attempt, AttemptResult, BODY_PARTS};
+use super::message::{Answer, Attempt, AttemptResult, BODY_PARTS, Failure};
+use super::quarantine::Crashes;
 use balsam_decide::dispatch::SlotResult;
-use balsam_types::{Fingerprint, NotRunReason, ServiceName};
+use balsam_types::NotRunReason;
 use exchange::{Ended, Started};
 use tokio::sync::{mpsc, oneshot};
 
@@ -30,6 +31,8 @@
     pub(crate) connection: Option<UpstreamConnection>,
     /// Whether the request may be sent.
     pub(crate) permit: SendPermit,
+    /// Where broken connections are reported.
+    pub(crate) crashes: Crashes,
 }
 
 /// A request that gives its slot back.
@@ -39,8 +42,6 @@
     pub(crate) result: SlotResult,
     /// The connection, if it can be used again.
     pub(crate) connection: Option<UpstreamConnection>,
-    /// The request, if it broke its connection before the answer's head.
-    pub(crate) crashed: Option<(ServiceName, Fingerprint)>,
 }
 
 /// Serves one request.
@@ -50,15 +51,12 @@
         mut reply,
         connection,
         permit,
+        crashes,
     } = job;
     let service = attempt.request.head.service.clone();
     let fingerprint = attempt.request.fingerprint;
     let upstream = attempt.request.upstream.clone();
-    let done = |result, connection| ForwardDone {
-        result,
-        connection,
-        crashed: None,
-    };
+    let done = |result, connection| ForwardDone { result, connection };
     let started = tokio::select! {
         started = exchange::start(attempt, connection, &permit) => started,
         // Dropping the exchange closes its connection, which cancels the request upstream.
@@ -84,15 +82,16 @@
             crashed,
         }) => {
             let result = match failure {
-                super::message::Failure::NotRun(NotRunReason::Shed) => SlotResult::Shed,
+                Failure::NotRun(NotRunReason::Shed) => SlotResult::Shed,
                 _ => SlotResult::Failed,
             };
+            // The crash is reported first, so that it counts before the request comes again.
+            if crashed {
+                crashes.report(service, fingerprint);
+            }
             // The caller may have gone away.
             drop(reply.send(Err(failure)));
-            ForwardDone {
-                crashed: crashed.then_some((service, fingerprint)),
-                ..done(result, connection)
-            }
+            done(result, connection)
         }
     }
 }
--- a/crates/balsam-daemon/src/request/mod.rs
+++ b/crates/balsam-daemon/src/request/mod.rs
@@ -26,6 +26,7 @@
 use accept::{AcceptSettings, Phase, run_listener};
 use balsam_decide::node::View;
 use chain::Entry;
+use dispatch::DispatchContext;
 use std::io;
 use std::sync::Arc;
 use tokio::net::TcpListener;
@@ -52,7 +53,13 @@
     } = channels;
     let (phase, phases) = watch::channel(Phase::Running);
     let (crashes, refused) = quarantine::start_crashes(&views, &control, &table);
-    let dispatchers = dispatch::start_dispatchers(&views, &control, &crashes, &metrics);
+    let dispatchers = dispatch::start_dispatchers(DispatchContext {
+        views: views.clone(),
+        control,
+        crashes,
+        refused: refused.clone(),
+        metrics: metrics.clone(),
+    });
     relay::start_incoming(relays, dispatchers.clone());
     let entry = Entry {
         phase: phases,
