Serve callers through the assembled daemon

Cause: the request path existed apart from the control path. Change: Daemon::start starts the request path with the control handle, the table client, the peer client and the incoming relays; a stop first finishes callers' requests, then leaves the roster, then finishes relayed requests. The settings file has keep_alive_ms and grace_ms. Result: all 78 cases of balsam-daemon pass; a lookup of 6 keys is answered through each of two daemons with two stand-in upstreams.

--- a/crates/balsam-daemon/src/assembly/control.rs
+++ b/crates/balsam-daemon/src/assembly/control.rs
@@ -28,7 +28,6 @@
     /// Reaches the control task.
     pub(super) handle: ControlHandle,
     /// Reaches the platform's table from the request path.
-    #[expect(dead_code, reason = "the request path is assembled later")]
     pub(super) table: TableClient,
     /// Is told when the daemon has left the roster.
     pub(super) left: oneshot::Receiver<()>,
--- a/crates/balsam-daemon/src/assembly/daemon.rs
+++ b/crates/balsam-daemon/src/assembly/daemon.rs
@@ -5,9 +5,13 @@
 use super::error::{ListenSnafu, MetricsSnafu, TaskEndedSnafu};
 use crate::config::{Config, Limits};
 use crate::control::edge::BootClock;
-use crate::metrics;
+use crate::metrics::{self, MetricsText};
 use crate::operator::{OperatorContext, OperatorListener};
-use crate::peer::{ListenerHandle, PeerChannels, PeerSettings, start_client, start_listener};
+use crate::peer::{
+    IncomingControl, IncomingRelay, ListenerHandle, PeerChannels, PeerClient, PeerSettings,
+    start_client, start_listener,
+};
+use crate::request::{self, RequestChannels, RequestHandles, RequestSettings};
 use balsam_types::Incarnation;
 use balsam_types::control::DaemonInfo;
 use serde::{Deserialize, Serialize};
@@ -27,6 +31,8 @@
 /// The addresses that a daemon listens on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Addresses {
+    /// Where callers connect.
+    pub caller: SocketAddr,
     /// Where operators connect.
     pub operator: SocketAddr,
     /// Where other daemons connect.
@@ -39,6 +45,7 @@
     addresses: Addresses,
     incarnation: Incarnation,
     limits: Limits,
+    requests: RequestHandles,
     control: ControlTasks,
     peer_listener: ListenerHandle,
     operator_stop: watch::Sender<bool>,
@@ -63,59 +70,41 @@
     ///
     /// Returns a [`RunError`] if a listener cannot be bound.
     pub async fn start(config: Config) -> Result<Self, RunError> {
-        let limits = config.limits;
-        let (_metrics, metrics_text) = metrics::start().context(MetricsSnafu)?;
-        let peer_settings = PeerSettings {
-            connections_max: limits.peer_connections,
-            ..PeerSettings::new(config.peer_credential.expose())
-        };
-        let (incoming_sender, incoming) = mpsc::channel(INCOMING_QUEUE);
-        let (relay_sender, _relays) = mpsc::channel(RELAY_QUEUE);
-        let channels = PeerChannels {
-            control: incoming_sender,
-            relays: relay_sender,
-        };
-        let address = config.operator_listen;
-        let operator = OperatorListener::bind(address, limits.operator_connections)
-            .await
-            .context(ListenSnafu {
-                listener: "operator_listen",
-                address,
-            })?;
-        let peer_client = start_client(&peer_settings);
-        let address = config.peer_listen;
-        let peer_listener = start_listener(address, peer_settings, channels)
-            .await
-            .context(ListenSnafu {
-                listener: "peer_listen",
-                address,
-            })?;
+        let mut tasks = JoinSet::new();
+        let (instruments, metrics_text) = metrics::start().context(MetricsSnafu)?;
+        let operator = bind_operator(&config).await?;
+        let peers = start_peers(&config).await?;
         let incarnation = Incarnation(rand::random());
         let me = DaemonInfo {
             incarnation,
-            peer_address: config.peer_advertise.unwrap_or(peer_listener.address),
-            zone: config.zone,
+            peer_address: config.peer_advertise.unwrap_or(peers.listener.address),
+            zone: config.zone.clone(),
         };
-        let mut tasks = JoinSet::new();
-        let control = start_control(me, config.platform, peer_client, incoming, &mut tasks);
-        let context = OperatorContext {
+        let client = peers.client.clone();
+        let control = start_control(me, config.platform, client, peers.incoming, &mut tasks);
+        let channels = RequestChannels {
             control: control.handle.clone(),
-            clock: BootClock,
-            credential: config.operator_credential,
-            metrics: metrics_text,
+            table: control.table.clone(),
+            peers: peers.client,
+            relays: peers.relays,
+            metrics: instruments,
         };
+        let requests = start_requests(&config, &control, channels).await?;
         let addresses = Addresses {
+            caller: requests.caller_address,
             operator: operator.address(),
-            peer: peer_listener.address,
+            peer: peers.listener.address,
         };
+        let context = operator_context(&config, &control, metrics_text);
         let (operator_stop, operator_stopped) = watch::channel(false);
         tasks.spawn_local(operator.run(context, operator_stopped));
         Ok(Self {
             addresses,
             incarnation,
-            limits,
+            limits: config.limits,
+            requests,
             control,
-            peer_listener,
+            peer_listener: peers.listener,
             operator_stop,
             tasks,
         })
@@ -145,17 +134,19 @@
         Ok(())
     }
 
-    /// Leaves the roster while the operator and peer listeners still answer.
+    /// Finishes callers' requests first, because they need the freshness right, then leaves the
+    /// roster, and at last finishes the requests that other daemons relayed.
     async fn leave(self) {
         log::info!("stopping");
+        self.requests.stop().await;
         self.control.handle.stop().await;
         let leave_wait = Duration::from_millis(self.limits.leave_ms);
         if timeout(leave_wait, self.control.left).await.is_err() {
             log::warn!("could not leave the roster in time");
         }
-        let drain_wait = Duration::from_millis(self.limits.drain_ms);
         // No receiver is left if the listener has ended already.
         let _ = self.operator_stop.send(true);
+        let drain_wait = Duration::from_millis(self.limits.drain_ms);
         if timeout(drain_wait, self.peer_listener.stop())
             .await
             .is_err()
@@ -165,3 +156,80 @@
         log::info!("stopped");
     }
 }
+
+/// The peer transport with the channels of its incoming requests.
+struct Peers {
+    client: PeerClient,
+    listener: ListenerHandle,
+    incoming: mpsc::Receiver<IncomingControl>,
+    relays: mpsc::Receiver<IncomingRelay>,
+}
+
+async fn start_peers(config: &Config) -> Result<Peers, RunError> {
+    let settings = PeerSettings {
+        connections_max: config.limits.peer_connections,
+        ..PeerSettings::new(config.peer_credential.expose())
+    };
+    let (control, incoming) = mpsc::channel(INCOMING_QUEUE);
+    let (relay_sender, relays) = mpsc::channel(RELAY_QUEUE);
+    let channels = PeerChannels {
+        control,
+        relays: relay_sender,
+    };
+    let client = start_client(&settings);
+    let address = config.peer_listen;
+    let listener = start_listener(address, settings, channels).await;
+    let listener = listener.context(ListenSnafu {
+        listener: "peer_listen",
+        address,
+    })?;
+    Ok(Peers {
+        client,
+        listener,
+        incoming,
+        relays,
+    })
+}
+
+async fn start_requests(
+    config: &Config,
+    control: &ControlTasks,
+    channels: RequestChannels,
+) -> Result<RequestHandles, RunError> {
+    let address = config.caller_listen;
+    let settings = RequestSettings {
+        connections_max: config.limits.caller_connections,
+        header_max_bytes: config.limits.header_bytes,
+        keep_alive_ms: config.limits.keep_alive_ms,
+        grace_ms: config.limits.grace_ms,
+        drain_ms: config.limits.drain_ms,
+        ..RequestSettings::new(address)
+    };
+    let started = request::start(settings, control.handle.views(), channels).await;
+    started.context(ListenSnafu {
+        listener: "caller_listen",
+        address,
+    })
+}
+
+async fn bind_operator(config: &Config) -> Result<OperatorListener, RunError> {
+    let address = config.operator_listen;
+    let bound = OperatorListener::bind(address, config.limits.operator_connections).await;
+    bound.context(ListenSnafu {
+        listener: "operator_listen",
+        address,
+    })
+}
+
+fn operator_context(
+    config: &Config,
+    control: &ControlTasks,
+    metrics: MetricsText,
+) -> OperatorContext<BootClock> {
+    OperatorContext {
+        control: control.handle.clone(),
+        clock: BootClock,
+        credential: config.operator_credential.clone(),
+        metrics,
+    }
+}
--- a/crates/balsam-daemon/src/config/limits.rs
+++ b/crates/balsam-daemon/src/config/limits.rs
@@ -15,6 +15,12 @@
     pub peer_connections: usize,
     /// Bytes of the head of one request.
     pub header_bytes: usize,
+    /// How long an idle connection of a caller is kept, in milliseconds.
+    pub keep_alive_ms: u64,
+    /// How long a stopping daemon still accepts callers, in milliseconds.
+    ///
+    /// The load balancer sends callers elsewhere once it has seen that the daemon is not ready.
+    pub grace_ms: u64,
     /// How long a stopping daemon waits for requests in flight, in milliseconds.
     pub drain_ms: u64,
     /// How long a stopping daemon waits for its upstreams to be handed over and for its removal
@@ -29,6 +35,8 @@
             operator_connections: 64,
             peer_connections: 2_048,
             header_bytes: 32 << 10,
+            keep_alive_ms: 5_000,
+            grace_ms: 2_000,
             drain_ms: 30_000,
             leave_ms: 10_000,
         }
@@ -57,6 +65,8 @@
             operator_connections,
             peer_connections,
             header_bytes,
+            keep_alive_ms: fields.number("keep_alive_ms", 1..=3_600_000, base.keep_alive_ms),
+            grace_ms: fields.number("grace_ms", 0..=600_000, base.grace_ms),
             drain_ms: fields.number("drain_ms", 0..=86_400_000, base.drain_ms),
             leave_ms: fields.number("leave_ms", 0..=60_000, base.leave_ms),
         };
--- a/crates/balsam-daemon/tests/process_stop.rs
+++ b/crates/balsam-daemon/tests/process_stop.rs
@@ -20,6 +20,7 @@
         "platform": platform.server.address(),
         "peer_credential": "peer-credential-0001",
         "operator_credential": CREDENTIAL,
+            "limits": { "grace_ms": 0 },
         "log_level": "warn",
     });
     write_file(&settings.to_string())
--- a/crates/balsam-daemon/tests/settings_file.rs
+++ b/crates/balsam-daemon/tests/settings_file.rs
@@ -66,6 +66,8 @@
 #[case("operator_connections", json!(-1), "1 to 10000")]
 #[case("peer_connections", json!("many"), "1 to 100000")]
 #[case("header_bytes", json!(100), "1024 to 1048576")]
+#[case("keep_alive_ms", json!(0), "1 to 3600000")]
+#[case("grace_ms", json!(600_001), "0 to 600000")]
 #[case("drain_ms", json!(86_400_001), "0 to 86400000")]
 #[case("leave_ms", json!(1.5), "0 to 60000")]
 fn a_bad_limit_is_refused(#[case] field: &str, #[case] value: Value, #[case] accepted: &str) {
--- a/crates/balsam-daemon/tests/support/mod.rs
+++ b/crates/balsam-daemon/tests/support/mod.rs
@@ -38,6 +38,7 @@
 
 /// A daemon with its operator client.
 pub struct TestDaemon {
+    pub caller: Client,
     pub operator: Client,
     pub peer: SocketAddr,
     stop: oneshot::Sender<()>,
@@ -60,6 +61,7 @@
             "platform": platform.server.address(),
             "peer_credential": "peer-credential-0001",
             "operator_credential": CREDENTIAL,
+            "limits": { "grace_ms": 0 },
         });
         let config = Config::from_json(settings.to_string()).expect("valid settings");
         let daemon = Daemon::start(config).await.expect("free ports");
@@ -70,6 +72,7 @@
             let _ = stopped.await;
         }));
         Self {
+            caller: Client::new(addresses.caller, PATIENCE),
             operator: Client::new(addresses.operator, PATIENCE),
             peer: addresses.peer,
             stop,
--- a/crates/balsam-daemon/tests/unit_placement.rs
+++ b/crates/balsam-daemon/tests/unit_placement.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use balsam_standins::harness::{Client, UpstreamClient, Work};
+use balsam_standins::harness::{Client, Sent, UpstreamClient, Work};
 use balsam_standins::serve::ServerHandle;
 use balsam_standins::upstream::{UpstreamOptions, start_upstream};
 use balsam_types::control::UpstreamStatus;
@@ -105,6 +105,51 @@
     platform.server.stop().await;
 }
 
+/// Guards against requests that fail at a daemon other than the one that dispatches for the owner.
+#[actix_rt::test]
+async fn a_lookup_is_answered_through_every_daemon() {
+    let platform = Platform::start().await;
+    let upstreams = [
+        start_listed(&platform, "u1").await,
+        start_listed(&platform, "u2").await,
+    ];
+    let daemons = [
+        TestDaemon::start(&platform).await,
+        TestDaemon::start(&platform).await,
+    ];
+    create_service(&daemons[0]).await;
+    let rank = json!({"path": "/services/lookup/ranks/lookup", "base_version": 0});
+    let body = json!({"edits": [rank], "wait": true});
+    let answer = daemons[0].post(EDIT_PATH, &body).await;
+    assert_eq!(answer.status, 200, "{}", answer.text());
+    for daemon in &daemons {
+        wait_until_owned(daemon, 2).await;
+    }
+    for daemon in &daemons {
+        for key in ["apple", "pear", "plum", "cherry", "fig", "quince"] {
+            let sent =
+                Sent::get(format!("/lookup/{key}")).with_header("balsam-deadline-ms", 20_000);
+            let answer = daemon.caller.send(sent).await.unwrap();
+            assert_eq!(
+                answer.status,
+                200,
+                "{key}: {:?} {}",
+                answer.headers,
+                answer.text()
+            );
+            assert_eq!(answer.header("balsam-outcome"), Some("answered"));
+            assert!(answer.complete);
+        }
+    }
+    for daemon in daemons {
+        daemon.stop().await;
+    }
+    for upstream in upstreams {
+        upstream.stop().await;
+    }
+    platform.server.stop().await;
+}
+
 /// Guards against an upstream that keeps its units although an operator drains it, and against a
 /// drain that cannot be taken back.
 #[actix_rt::test]
