--- a/crates/balsam-standins/src/harness/fault_proxy.rs
+++ b/crates/balsam-standins/src/harness/fault_proxy.rs
@@ -14,6 +14,8 @@
 use tokio::task::JoinSet;
 
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(5);
+/// Pause after a failed accept, which is usually a lack of file descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
 #[derive(Clone, Debug, Default)]
 struct Switches {
@@ -109,7 +111,7 @@
                 }
                 Err(error) => {
                     log::warn!("proxy accept failed: {error}");
-                    break;
+                    actix_rt::time::sleep(ACCEPT_PAUSE).await;
                 }
             },
         }
