--- a/crates/balsam-standins/src/load/mod.rs
+++ b/crates/balsam-standins/src/load/mod.rs
@@ -12,7 +12,7 @@
 mod schedule;
 mod send;
 
-pub use plan::{KeyChoice, LoadPlan, LoadStream, WorkKind};
+pub use plan::{KeyChoice, LoadPlan, LoadStream, PlanError, WorkKind};
 pub use record::{HistogramError, Measured, Recorder, Verdict};
 pub use report::{LoadReport, MemberReport, RankReport, jain_index};
 pub use run::{LoadError, LoadResult, run_load};
