Report how late the load generator sends

Cause: timers fire up to a millisecond late, and this error is a part of every latency. Change: each report states the 99th percentile of the generator's own lateness.

--- a/crates/balsam-standins/src/load/record.rs
+++ b/crates/balsam-standins/src/load/record.rs
@@ -33,6 +33,8 @@
     pub latency_us: u64,
     /// Its deadline in microseconds.
     pub deadline_us: u64,
+    /// The part of the latency by which the generator itself was late, in microseconds.
+    pub send_delay_us: u64,
 }
 
 /// A histogram that cannot be made.
@@ -45,6 +47,7 @@
 #[derive(Debug)]
 struct Tally {
     latency_us: Histogram<u64>,
+    send_delay_us: Histogram<u64>,
     scheduled: u64,
     in_deadline: u64,
     not_run: u64,
@@ -55,9 +58,10 @@
 
 impl Tally {
     fn new() -> Result<Self, HistogramError> {
-        let latency_us = Histogram::new_with_max(LATENCY_MAX_US, 3).context(HistogramSnafu)?;
+        let histogram = || Histogram::new_with_max(LATENCY_MAX_US, 3).context(HistogramSnafu);
         Ok(Self {
-            latency_us,
+            latency_us: histogram()?,
+            send_delay_us: histogram()?,
             scheduled: 0,
             in_deadline: 0,
             not_run: 0,
@@ -69,6 +73,7 @@
 
     fn add(&mut self, measured: &Measured) {
         self.scheduled += 1;
+        self.send_delay_us.saturating_record(measured.send_delay_us);
         match measured.verdict {
             Verdict::Answered => {
                 self.latency_us.saturating_record(measured.latency_us);
@@ -84,7 +89,7 @@
     }
 
     fn report(&self) -> MemberReport {
-        let quantile_ms = |q| self.latency_us.value_at_quantile(q) as f64 / 1_000.0;
+        let quantile_ms = |q| milliseconds(self.latency_us.value_at_quantile(q));
         MemberReport {
             scheduled: self.scheduled,
             answered: self.latency_us.len(),
@@ -96,11 +101,16 @@
             share_kept: self.in_deadline as f64 / self.scheduled.max(1) as f64,
             p50_ms: quantile_ms(0.5),
             p99_ms: quantile_ms(0.99),
-            max_ms: self.latency_us.max() as f64 / 1_000.0,
+            max_ms: milliseconds(self.latency_us.max()),
+            send_delay_p99_ms: milliseconds(self.send_delay_us.value_at_quantile(0.99)),
         }
     }
 }
 
+const fn milliseconds(microseconds: u64) -> f64 {
+    microseconds as f64 / 1_000.0
+}
+
 /// Collects results.
 #[derive(Debug, Default)]
 pub struct Recorder {
--- a/crates/balsam-standins/src/load/report.rs
+++ b/crates/balsam-standins/src/load/report.rs
@@ -29,6 +29,10 @@
     pub p99_ms: f64,
     /// Longest latency of the answered requests, in milliseconds.
     pub max_ms: f64,
+    /// 99th percentile of the time by which the generator sent late, in milliseconds.
+    ///
+    /// It is a part of the latencies; near a latency target it must be small against the target.
+    pub send_delay_p99_ms: f64,
 }
 
 /// The results of one rank.
--- a/crates/balsam-standins/src/load/run.rs
+++ b/crates/balsam-standins/src/load/run.rs
@@ -86,6 +86,7 @@
         while running.try_join_next().is_some() {}
         let order_id = order_id(&plan, &arrival, index).context(OrderNameSnafu)?;
         let one = OneRequest {
+            send_delay_us: scheduled.elapsed().as_micros() as u64,
             plan: Arc::clone(&plan),
             arrival,
             order_id,
@@ -137,6 +138,7 @@
     arrival: Arrival,
     order_id: Option<OrderId>,
     scheduled: Instant,
+    send_delay_us: u64,
 }
 
 impl OneRequest {
@@ -156,6 +158,7 @@
                 verdict,
                 latency_us: self.scheduled.elapsed().as_micros() as u64,
                 deadline_us: stream.deadline_ms * 1_000,
+                send_delay_us: self.send_delay_us,
             },
         }
     }
