--- /dev/null
+++ b/crates/balsam-daemon/src/request/quarantine/mod.rs
@@ -0,0 +1,9 @@
+//! The task that counts requests that break their upstream connections.
+//!
+//! See [the design page, section 8](../../../../../docs/design.md#8-outcomes-and-orders).
+
+mod handle;
+mod task;
+
+pub(crate) use handle::Crashes;
+pub(crate) use task::start_crashes;
--- a/crates/balsam-decide/src/control/apply.rs
+++ b/crates/balsam-decide/src/control/apply.rs
@@ -1,11 +1,13 @@
 //! Applying log entries to the control state.
 
 use super::error::{
-    NotInRosterSnafu, NotPlacerSnafu, NothingToCloseSnafu, OutOfOrderSnafu, SettingsSnafu,
-    StillOwnerSnafu, UnknownUpstreamSnafu, WrongOwnerSnafu,
+    DepartedSnafu, NotInRosterSnafu, NotPlacerSnafu, NothingToCloseSnafu, OutOfOrderSnafu,
+    SettingsSnafu, StillOwnerSnafu, UnknownUpstreamSnafu, WrongOwnerSnafu,
 };
 use super::{ApplyError, ControlState, Roster, ServicePlacement};
-use balsam_types::control::{Change, DaemonInfo, LogEntry, UnitMove, UnitOwner, UpstreamInfo};
+use balsam_types::control::{
+    Change, DaemonInfo, LogEntry, RemovalReason, UnitMove, UnitOwner, UpstreamInfo,
+};
 use balsam_types::{Epoch, Incarnation, KeyHash, ServiceName, UnitId, UpstreamName};
 use snafu::{ResultExt, ensure};
 use std::sync::Arc;
@@ -39,11 +41,11 @@
             Change::Settings { edits } => Arc::make_mut(&mut self.settings)
                 .apply(self.epoch, edits)
                 .context(SettingsSnafu),
-            Change::DaemonJoined { daemon } => {
-                self.join(daemon);
-                Ok(())
-            }
-            Change::DaemonsRemoved { incarnations, .. } => self.remove_daemons(incarnations),
+            Change::DaemonJoined { daemon } => self.join(daemon),
+            Change::DaemonsRemoved {
+                incarnations,
+                reason,
+            } => self.remove_daemons(incarnations, *reason),
             Change::RostersClosed { through } => self.close_rosters(*through),
             Change::PlacerTaken { incarnation } => {
                 self.known_daemon(*incarnation)?;
@@ -85,24 +87,60 @@
         }
     }
 
-    fn join(&mut self, daemon: &DaemonInfo) {
-        self.daemons.insert(daemon.incarnation, daemon.clone());
+    /// Adds a daemon, which proves that silent daemons at its address have ended.
+    fn join(&mut self, daemon: &DaemonInfo) -> Result<(), ApplyError> {
+        let incarnation = daemon.incarnation;
+        ensure!(
+            !self.departed.contains(&incarnation),
+            DepartedSnafu { incarnation }
+        );
+        self.silent.remove(&incarnation);
+        let ended = |silent: &DaemonInfo| silent.peer_address == daemon.peer_address;
+        let at_address = self.silent.extract_if(.., |_, silent| ended(silent));
+        self.departed.extend(at_address.map(|(ended, _)| ended));
+        self.daemons.insert(incarnation, daemon.clone());
         self.push_roster();
+        Ok(())
     }
 
-    fn remove_daemons(&mut self, incarnations: &[Incarnation]) -> Result<(), ApplyError> {
+    /// Removes daemons; all but silent ones are known to make no more statements.
+    fn remove_daemons(
+        &mut self,
+        incarnations: &[Incarnation],
+        reason: RemovalReason,
+    ) -> Result<(), ApplyError> {
         for incarnation in incarnations {
-            self.known_daemon(*incarnation)?;
-            self.daemons.remove(incarnation);
-            if self.placer == Some(*incarnation) {
-                self.placer = None;
-            }
-            self.clear_dispatcher(*incarnation);
+            self.remove_daemon(*incarnation, reason)?;
         }
         self.push_roster();
         Ok(())
     }
 
+    fn remove_daemon(
+        &mut self,
+        incarnation: Incarnation,
+        reason: RemovalReason,
+    ) -> Result<(), ApplyError> {
+        let forgotten = reason == RemovalReason::Forgotten;
+        if forgotten && self.silent.remove(&incarnation).is_some() {
+            self.departed.insert(incarnation);
+            return Ok(());
+        }
+        let Some(daemon) = self.daemons.remove(&incarnation) else {
+            return NotInRosterSnafu { incarnation }.fail();
+        };
+        if reason == RemovalReason::Silent {
+            self.silent.insert(incarnation, daemon);
+        } else {
+            self.departed.insert(incarnation);
+        }
+        if self.placer == Some(incarnation) {
+            self.placer = None;
+        }
+        self.clear_dispatcher(incarnation);
+        Ok(())
+    }
+
     fn clear_dispatcher(&mut self, incarnation: Incarnation) {
         for upstream in self.upstreams.values_mut() {
             if upstream.dispatcher == Some(incarnation) {
@@ -136,6 +174,10 @@
             self.open_rosters.len() < before,
             NothingToCloseSnafu { through }
         );
+        let rosters = &self.open_rosters;
+        let is_open = |daemon: &Incarnation| rosters.iter().any(|r| r.members.contains(daemon));
+        self.departed.retain(is_open);
+        self.silent.retain(|silent, _| is_open(silent));
         Ok(())
     }
 
