--- a/crates/balsam-decide/src/membership/peers.rs
+++ b/crates/balsam-decide/src/membership/peers.rs
@@ -56,20 +56,26 @@
         }
     }
 
-    /// Takes note of a message from a peer.
-    pub fn heard(&mut self, now: TimeMs, from: Incarnation, epoch: Epoch) {
-        self.learn_epoch(from, epoch);
+    /// Takes note of a message from a peer; returns whether its epoch is newer than known.
+    pub fn heard(&mut self, now: TimeMs, from: Incarnation, epoch: Epoch) -> bool {
+        let newer = self.learn_epoch(from, epoch);
         if let Some(peer) = self.peers.get_mut(&from) {
             peer.heard_at = Some(now);
             peer.replaced = false;
         }
+        newer
     }
 
     /// Takes note of a peer's epoch from a message that may have been delayed.
-    pub fn learn_epoch(&mut self, from: Incarnation, epoch: Epoch) {
-        if let Some(peer) = self.peers.get_mut(&from) {
-            peer.epoch = peer.epoch.max(epoch);
-        }
+    ///
+    /// Returns whether the epoch is newer than known.
+    pub fn learn_epoch(&mut self, from: Incarnation, epoch: Epoch) -> bool {
+        let Some(peer) = self.peers.get_mut(&from) else {
+            return false;
+        };
+        let newer = epoch > peer.epoch;
+        peer.epoch = peer.epoch.max(epoch);
+        newer
     }
 
     /// Takes note of whether a peer is stopping in order.
--- a/crates/balsam-decide/src/node/commands.rs
+++ b/crates/balsam-decide/src/node/commands.rs
@@ -203,7 +203,7 @@
             out.push(NodeOutput::AnswerCommand { request, result });
             return;
         }
-        self.decide = true;
+        self.due.decide = true;
         self.commands.waiting.insert(
             request,
             Waiting {
--- a/crates/balsam-decide/src/node/commits.rs
+++ b/crates/balsam-decide/src/node/commits.rs
@@ -200,7 +200,7 @@
         result: CommitResult,
         out: &mut Vec<NodeOutput>,
     ) {
-        self.decide = true;
+        self.due.decide = true;
         let matches = |commit: &mut InFlight| commit.entry.attempt == attempt;
         let Some(commit) = self.commits.in_flight.take_if(matches) else {
             if result == CommitResult::Lost {
--- a/crates/balsam-decide/src/node/dispatching.rs
+++ b/crates/balsam-decide/src/node/dispatching.rs
@@ -131,10 +131,10 @@
             self.upstreams.clear();
             return;
         }
-        let suspected = self.membership.suspected(now, &state);
+        let suspected = &self.suspected;
         let late = self.membership.late(now, &state);
         let role_of = |upstream: &UpstreamInfo| {
-            let acting = acting_dispatcher(&state, &suspected, upstream);
+            let acting = acting_dispatcher(&state, suspected, upstream);
             if acting.is_some_and(|daemon| daemon.incarnation == me) {
                 return Some(Role::Dispatcher);
             }
--- a/crates/balsam-decide/src/node/leaving.rs
+++ b/crates/balsam-decide/src/node/leaving.rs
@@ -31,7 +31,8 @@
         if self.phase == Phase::Running {
             self.phase = Phase::HandingOver { since: now };
             self.next_pulse_at = now;
-            self.decide = true;
+            self.due.follow = true;
+            self.due.decide = true;
         }
     }
 
@@ -81,6 +82,7 @@
         {
             self.phase = Phase::Withdrawn { since };
             self.rights.stop_rounds();
+            self.due.follow = true;
         }
     }
 
--- a/crates/balsam-decide/src/node/machine.rs
+++ b/crates/balsam-decide/src/node/machine.rs
@@ -13,7 +13,7 @@
 use crate::rights::{Adoption, Rights, Safeguard};
 use balsam_types::control::DaemonInfo;
 use balsam_types::timing::SUSPECT_MS;
-use balsam_types::{TimeMs, UpstreamName};
+use balsam_types::{Incarnation, Set, TimeMs, UpstreamName};
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
@@ -22,6 +22,15 @@
 /// Ticks arrive every 50 ms; silence that was counted during a longer pause says nothing of others.
 const PAUSE_MS: u64 = SUSPECT_MS / 2;
 
+/// What is due after an input.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Due {
+    /// The daemons or upstreams to watch may differ.
+    pub(super) follow: bool,
+    /// A commit may be due.
+    pub(super) decide: bool,
+}
+
 /// The control decisions of one daemon.
 ///
 /// It owns the control state, the freshness right, what is known of peers and upstreams, and, while
@@ -45,8 +54,9 @@
     pub(super) fetching_until: TimeMs,
     pub(super) resumed_at: TimeMs,
     pub(super) published: Option<Arc<View>>,
-    /// Set by inputs after which a commit may be due.
-    pub(super) decide: bool,
+    /// The roster daemons that are suspected, as of the last tick or change.
+    pub(super) suspected: Set<Incarnation>,
+    pub(super) due: Due,
     /// Whether a newer right was asked for, for an upstream that has restarted.
     pub(super) newer_right_asked: bool,
     last_input_at: TimeMs,
@@ -77,7 +87,11 @@
             fetching_until: now,
             resumed_at: now,
             published: None,
-            decide: true,
+            suspected: Set::default(),
+            due: Due {
+                follow: true,
+                decide: true,
+            },
             newer_right_asked: false,
             last_input_at: now,
             right_logged: false,
@@ -111,7 +125,10 @@
 
     fn take(&mut self, now: TimeMs, input: NodeInput, out: &mut Vec<NodeOutput>) {
         match input {
-            NodeInput::Tick => self.decide = true,
+            NodeInput::Tick => {
+                self.due.decide = true;
+                self.due.follow = true;
+            }
             NodeInput::TableRead { started_at, result } => {
                 self.table_read(now, started_at, result, out);
             }
@@ -139,7 +156,7 @@
                 units,
                 reply,
             } => {
-                self.decide = true;
+                self.due.decide = true;
                 self.placer
                     .revoke_replied(now, upstream, epoch, units, reply);
             }
@@ -155,14 +172,16 @@
 
     /// Does whatever is due after an input.
     fn proceed(&mut self, now: TimeMs, out: &mut Vec<NodeOutput>) {
-        self.observe_adoption(now);
-        self.follow_upstreams(now);
+        if std::mem::take(&mut self.due.follow) {
+            self.suspected = self.membership.suspected(now, &self.state);
+            self.follow_upstreams(now);
+        }
         self.read_table(now, out);
         self.read_instances(now, out);
         self.pulse(now, out);
         self.renew_grants(now, out);
         self.settle_commands(now, out);
-        if std::mem::take(&mut self.decide) {
+        if std::mem::take(&mut self.due.decide) {
             self.revoke(now, out);
             self.begin_commit(now, out);
         }
@@ -183,7 +202,7 @@
             }
         };
         if self.adoption.observe(now, &self.state, epoch_of) {
-            self.decide = true;
+            self.due.decide = true;
         }
     }
 
--- a/crates/balsam-decide/src/node/publish.rs
+++ b/crates/balsam-decide/src/node/publish.rs
@@ -26,7 +26,7 @@
             me: self.me.incarnation,
             right_until: self.rights.until(),
             joined: self.is_member() && !self.has_withdrawn(),
-            suspected: self.membership.suspected(now, &self.state),
+            suspected: self.suspected.clone(),
             draining: self.draining(),
             granted: self.granted(now),
             peers: self.peer_epochs(now),
--- a/crates/balsam-decide/src/node/pulses.rs
+++ b/crates/balsam-decide/src/node/pulses.rs
@@ -55,7 +55,7 @@
         if self.is_placer() {
             let reports = self.reports(now);
             self.placer.reported(now, self.me.incarnation, reports);
-            self.decide = true;
+            self.due.decide = true;
             return;
         }
         self.announce_epoch(now, None, out);
@@ -95,10 +95,12 @@
         out: &mut Vec<NodeOutput>,
     ) {
         let from = pulse.from.incarnation;
-        self.membership.heard(now, from, pulse.epoch);
+        if self.membership.heard(now, from, pulse.epoch) {
+            self.observe_adoption(now);
+        }
         self.membership.set_leaving(from, pulse.leaving);
         if self.placer.reported(now, from, pulse.reports) {
-            self.decide = true;
+            self.due.decide = true;
         }
         if self.has_withdrawn() {
             return;
@@ -121,10 +123,13 @@
         out: &mut Vec<NodeOutput>,
     ) {
         let from = reply.incarnation;
-        if reply.round == self.rights.round() {
-            self.membership.heard(now, from, reply.epoch);
+        let newer = if reply.round == self.rights.round() {
+            self.membership.heard(now, from, reply.epoch)
         } else {
-            self.membership.learn_epoch(from, reply.epoch);
+            self.membership.learn_epoch(from, reply.epoch)
+        };
+        if newer {
+            self.observe_adoption(now);
         }
         if self.has_withdrawn() {
             return;
@@ -160,7 +165,8 @@
         for peer in replaced {
             self.membership.set_replaced(peer);
         }
-        self.decide = true;
+        self.due.follow = true;
+        self.due.decide = true;
     }
 }
 
--- a/crates/balsam-decide/src/node/table.rs
+++ b/crates/balsam-decide/src/node/table.rs
@@ -103,7 +103,7 @@
         self.table.ok = true;
         self.table.seen_epoch = self.table.seen_epoch.max(epoch);
         self.adopt_entries(now, entries, out);
-        self.decide = true;
+        self.due.decide = true;
         if self.state.epoch >= epoch {
             self.rights.table_confirmed(now, started_at);
         } else {
@@ -173,7 +173,8 @@
         out: &mut Vec<NodeOutput>,
     ) {
         self.table.seen_epoch = self.table.seen_epoch.max(self.state.epoch);
-        self.decide = true;
+        self.due.decide = true;
+        self.due.follow = true;
         self.membership.follow(now, &self.state);
         self.placer.follow(now, &self.state);
         self.observe_adoption(now);
