Fill new upstreams within their warm-up

At 64 moves per minute a returned upstream among 20 got its 205 of 4,096 units back only after three minutes, against a warm-up of 10 s. Moves to an upstream in its warm-up no longer count against the limit while it has fewer units than its share of the slots; the warm-up itself paces them. In the simulated service a lost and returned upstream is full 15 s after its return, nothing moves after that, and a cold start with skewed load stays within the limit.

--- a/crates/balsam-decide/src/placement/balance.rs
+++ b/crates/balsam-decide/src/placement/balance.rs
@@ -8,7 +8,9 @@
 /// Plans moves from the fullest to the least filled upstream while they pay for themselves.
 ///
 /// Balancing starts when the gap between the two exceeds the margin and ends at half of it, so
-/// that noise in the load does not start the next round at once.
+/// that noise in the load does not start the next round at once. Moves to an upstream that is being
+/// filled are limited by its warm-up and not by the moves per minute, which would stretch the
+/// warm-up of one upstream among 20 to minutes.
 pub(super) fn plan_balance(
     input: &PlanInput<'_>,
     ledger: &mut Ledger<'_>,
@@ -19,9 +21,9 @@
     let mut steps = Vec::new();
     let mut exhausted = vec![false; ledger.hosts.len()];
     let mut sorted = vec![false; ledger.hosts.len()];
-    while *budget > 0 {
-        let (Some(full), Some(low)) = (fullest(ledger, &exhausted), ledger.least_filled(None))
-        else {
+    loop {
+        let low = ledger.least_filled(|at| *budget > 0 || ledger.is_filling(at));
+        let (Some(full), Some(low)) = (fullest(ledger, &exhausted), low) else {
             break;
         };
         let gap = ledger.hosts[full].ratio() - ledger.hosts[low].ratio();
@@ -41,8 +43,10 @@
             exhausted[full] = true;
             continue;
         };
+        if !ledger.is_filling(low) {
+            *budget -= 1;
+        }
         ledger.shift(unit, cost, full, low);
-        *budget -= 1;
         steps.push(PlanStep::Move(UnitMove {
             unit,
             from: input.upstreams[full].name.clone(),
--- a/crates/balsam-decide/src/placement/homes.rs
+++ b/crates/balsam-decide/src/placement/homes.rs
@@ -48,7 +48,7 @@
             return steps;
         };
         let host = &mut ledger.hosts[at];
-        host.held += unit.cost;
+        host.gain(unit.cost);
         let ratio = host.ratio();
         heap.push(Reverse(Fill { ratio, at }));
         steps.push(step(input, unit, at));
--- a/crates/balsam-decide/src/placement/hot.rs
+++ b/crates/balsam-decide/src/placement/hot.rs
@@ -45,7 +45,7 @@
             };
             let cost = ledger.cost_of_load(load);
             ledger.hosts[at].held -= cost;
-            ledger.hosts[to].held += cost;
+            ledger.hosts[to].gain(cost);
             // The slice's own cost is known only after the split.
             ledger.pin(UnitId::slice_of(key, input.policy.slices), at);
             *budget -= 1;
@@ -122,7 +122,7 @@
     from: usize,
     load: f64,
 ) -> Option<usize> {
-    let to = ledger.least_filled(Some(from))?;
+    let to = ledger.least_filled(|at| at != from)?;
     let margin = ledger.mean_ratio() * input.policy.move_margin_percent as f64 / 100.0;
     let host = &ledger.hosts[to];
     let after = (host.held + ledger.cost_of_load(load)) / host.weight;
--- a/crates/balsam-decide/src/placement/ledger.rs
+++ b/crates/balsam-decide/src/placement/ledger.rs
@@ -26,13 +26,23 @@
     pub info: &'a PlanUpstream,
     /// Its share of the slots; zero if it must not get units.
     pub weight: f64,
+    /// Whether it is new or has returned and is being filled.
+    pub filling: bool,
     /// The cost of the units that it owns or is about to own.
     pub held: f64,
+    /// The number of units that it owns or is about to own.
+    pub units: u64,
     /// The units that it owns and that may move, with their cost.
     pub movable: Vec<(f64, UnitId)>,
 }
 
 impl Host<'_> {
+    /// Adds a unit that the upstream owns or is about to own.
+    pub fn gain(&mut self, cost: f64) {
+        self.held += cost;
+        self.units += 1;
+    }
+
     /// Returns the held cost for each slot.
     pub fn ratio(&self) -> f64 {
         self.held / self.weight
@@ -86,7 +96,9 @@
             .map(|(info, weight)| Host {
                 info,
                 weight,
+                filling: is_filling(input, info),
                 held: 0.0,
+                units: 0,
                 movable: Vec::new(),
             });
         let index = input.upstreams.iter().enumerate();
@@ -139,6 +151,14 @@
         (self.load_factor * load).round()
     }
 
+    /// Returns whether an upstream that is being filled has fewer units than its share of the slots.
+    pub fn is_filling(&self, at: usize) -> bool {
+        let units: u64 = self.hosts.iter().map(|host| host.units).sum();
+        let weight: f64 = self.hosts.iter().map(|host| host.weight).sum();
+        let host = &self.hosts[at];
+        host.filling && (host.units + 1) as f64 <= units as f64 * host.weight / weight
+    }
+
     /// Returns the cost for each slot at perfect balance.
     pub fn mean_ratio(&self) -> f64 {
         let held: f64 = self.hosts.iter().map(|host| host.held).sum();
@@ -146,17 +166,18 @@
         held / weight
     }
 
-    /// Returns the least filled upstream that can get units, other than `except`.
-    pub fn least_filled(&self, except: Option<usize>) -> Option<usize> {
+    /// Returns the least filled of the wanted upstreams that can get units.
+    pub fn least_filled(&self, wanted: impl Fn(usize) -> bool) -> Option<usize> {
         let targets =
-            (0..self.hosts.len()).filter(|at| Some(*at) != except && self.hosts[*at].weight > 0.0);
+            (0..self.hosts.len()).filter(|at| self.hosts[*at].weight > 0.0 && wanted(*at));
         targets.min_by(|a, b| self.hosts[*a].ratio().total_cmp(&self.hosts[*b].ratio()))
     }
 
     /// Books a planned move and keeps its unit from being planned again.
     pub fn shift(&mut self, unit: UnitId, cost: f64, from: usize, to: usize) {
         self.hosts[from].held -= cost;
-        self.hosts[to].held += cost;
+        self.hosts[from].units -= 1;
+        self.hosts[to].gain(cost);
         self.pin(unit, from);
     }
 
@@ -210,12 +231,12 @@
 
     fn enter(&mut self, unit: &Owned, cost: f64) {
         if let Some(to) = unit.moving_to {
-            self.hosts[to].held += cost;
+            self.hosts[to].gain(cost);
             return;
         }
         let host = &mut self.hosts[unit.at];
         if host.info.status == UpstreamStatus::Active {
-            host.held += cost;
+            host.gain(cost);
             host.movable.push((cost, unit.unit));
         } else {
             self.homeless.push(Homeless {
@@ -252,6 +273,12 @@
     input.upstreams.iter().map(weight).collect()
 }
 
+/// Returns whether the upstream warms up or has just done so and gets the rest of its units.
+fn is_filling(input: &PlanInput<'_>, upstream: &PlanUpstream) -> bool {
+    let warmup_ms = input.policy.warmup_ms;
+    input.now.since(upstream.active_since) < warmup_ms + warmup_ms / 2
+}
+
 fn unassigned_slices(input: &PlanInput<'_>) -> Vec<UnitId> {
     let mut assigned = input.placement.units.keys().peekable();
     let mut missing = Vec::new();
--- a/crates/balsam-decide/tests/placement_balance.rs
+++ b/crates/balsam-decide/tests/placement_balance.rs
@@ -197,8 +197,7 @@
 /// Guards against a returned upstream that gets its full share at once, or never gets it.
 #[test]
 fn returned_upstream_fills_gradually() {
-    let mut policy = policy(1_000);
-    policy.moves_per_minute = 100_000;
+    let policy = policy(1_000);
     let mut upstreams = upstreams(10);
     let mut placement = assigned(&policy, &upstreams[..9]);
     let mut owned = Vec::new();
--- a/crates/balsam-decide/tests/placement_churn.rs
+++ b/crates/balsam-decide/tests/placement_churn.rs
@@ -239,9 +239,15 @@
     service.statuses[3] = UpstreamStatus::Active;
     service.active_since[3] = TimeMs(service.now);
     let before = service.moves.len();
-    for _ in 0..600 {
+    // The upstream is full soon after its warm-up of 10 s, and nothing moves after that.
+    for _ in 0..15 {
+        service.tick(1.0, None);
+    }
+    let full_at = service.moves.len();
+    for _ in 0..120 {
         service.tick(1.0, None);
     }
+    assert_eq!(service.moves.len(), full_at, "moves after the warm-up");
     let refill = service.moves.len() - before;
     assert!(
         refill <= lost_units * 11 / 10,
@@ -277,6 +283,22 @@
     assert_eq!(service.moves.len(), before, "moves under a steady load");
 }
 
+/// Guards against unlimited moves at a cold start, when the load of new upstreams is still noise.
+#[test]
+fn cold_start_respects_limit() {
+    let mut service = Service::new(1_024, 20);
+    service.active_since = vec![TimeMs(service.now); 20];
+    service.set_load(30.0, |slice| if slice % 20 < 5 { 3.0 } else { 1.0 });
+    for _ in 0..10 {
+        service.tick(1.0, None);
+    }
+    let moves = service.moves.len() as u64;
+    assert!(
+        moves <= service.policy.moves_per_minute,
+        "{moves} moves in 10 s"
+    );
+}
+
 proptest! {
     #![proptest_config(ProptestConfig {
         cases: 300,
@@ -359,11 +381,11 @@
                     prop_assert!(is_active(&unit_move.to) && unit_move.from != unit_move.to);
                     let owner = placement.units.get(&unit_move.unit);
                     prop_assert_eq!(owner, Some(&UnitOwner::Owned(unit_move.from.clone())));
-                    let free = matches!(
+                    let exempt = matches!(
                         unit_move.reason,
                         MoveReason::OwnerLost | MoveReason::OwnerDraining
                     );
-                    limited += u64::from(!free);
+                    limited += u64::from(!exempt);
                     unit_move.unit
                 }
                 PlanStep::Split { key, to } => {
