Pass answers without a body on and test bodies in both directions

A 204 was passed on with the end mark of a chunked body, which the next answer on the connection then began with, and the connection of an empty answer could be closed instead of used again. The end of an answer that has no body is awaited before the caller gets its head. New tests cover uploads, broken uploads, slow readers, empty answers and a frozen dispatcher.

--- a/crates/balsam-daemon/src/request/answer/body.rs
+++ b/crates/balsam-daemon/src/request/answer/body.rs
@@ -23,6 +23,8 @@
     Own(Option<Bytes>),
     /// A body that comes in parts.
     Parts(Box<PartsBody>),
+    /// No body, whatever length the head gives.
+    Empty(BodySize),
 }
 
 /// A body that comes in parts.
@@ -45,6 +47,7 @@
         match self {
             Self::Own(bytes) => BodySize::Sized(bytes.as_ref().map_or(0, |b| b.len() as u64)),
             Self::Parts(body) => body.length_bytes.map_or(BodySize::Stream, BodySize::Sized),
+            Self::Empty(size) => *size,
         }
     }
 
@@ -55,6 +58,7 @@
         match self.get_mut() {
             Self::Own(bytes) => Poll::Ready(bytes.take().map(Ok)),
             Self::Parts(body) => body.poll_part(cx),
+            Self::Empty(_) => Poll::Ready(None),
         }
     }
 }
--- a/crates/balsam-daemon/src/request/answer/head.rs
+++ b/crates/balsam-daemon/src/request/answer/head.rs
@@ -1,7 +1,7 @@
 //! Heads of answers to callers.
 
 use super::AnswerBody;
-use super::body::PartsBody;
+use actix_http::body::BodySize;
 use actix_http::header::{CONTENT_TYPE, HeaderName, HeaderValue};
 use actix_http::{Response, StatusCode};
 use balsam_types::{NotRunReason, Outcome, ResponseHead, UnknownReason, UpstreamName};
@@ -20,15 +20,25 @@
 pub(crate) fn answered(
     head: &ResponseHead,
     upstream: &UpstreamName,
-    body: PartsBody,
+    body: AnswerBody,
 ) -> Response<AnswerBody> {
-    let body = AnswerBody::Parts(Box::new(body));
     let mut response = Response::with_body(status(head.status), body);
     pass_fields(&mut response, head);
     put(&mut response, headers::UPSTREAM, upstream.as_str());
     response
 }
 
+/// Returns the size that the head of an answer without a body gives, or `None` if it has a body.
+pub(crate) fn empty_size(method: &str, head: &ResponseHead) -> Option<BodySize> {
+    match (head.status, head.body_length_bytes) {
+        (204 | 304, _) => Some(BodySize::None),
+        (_, Some(0)) => Some(BodySize::Sized(0)),
+        (_, Some(length_bytes)) if method == "HEAD" => Some(BodySize::Sized(length_bytes)),
+        (_, None) if method == "HEAD" => Some(BodySize::Stream),
+        _ => None,
+    }
+}
+
 /// Makes the answer that repeats the recorded answer of an order.
 pub(crate) fn recorded(head: &ResponseHead, body: Vec<u8>) -> Response<AnswerBody> {
     let body = AnswerBody::Own(Some(Bytes::from(body)));
--- a/crates/balsam-daemon/src/request/answer/mod.rs
+++ b/crates/balsam-daemon/src/request/answer/mod.rs
@@ -7,5 +7,5 @@
 mod resume;
 
 pub(crate) use body::{AnswerBody, PartsBody};
-pub(crate) use head::{answered, failed, recorded};
+pub(crate) use head::{answered, empty_size, failed, recorded};
 pub(crate) use resume::{Resumable, stream_resuming};
--- a/crates/balsam-daemon/src/request/chain/order.rs
+++ b/crates/balsam-daemon/src/request/chain/order.rs
@@ -1,11 +1,11 @@
 //! Serves one order: claim, run, record.
 
 use super::attempts::Attempts;
-use super::serve::refuse;
+use super::serve::{give, refuse};
 use crate::request::admit::AdmissionPermit;
-use crate::request::answer::{AnswerBody, PartsBody, answered, recorded};
+use crate::request::answer::{AnswerBody, recorded};
 use crate::request::identify::Identified;
-use crate::request::message::{Answer, AttemptResult, Failure};
+use crate::request::message::{AttemptResult, Failure};
 use crate::request::orders::{Claim, OrderClaim, OrderDesk, run_order};
 use crate::request::record::Recorder;
 use actix_http::Response;
@@ -31,7 +31,7 @@
         id,
     };
     match orders.claim(key, identified.deadline).await {
-        Claim::Held(claim) => run_claimed(attempts, claim, permit, recorder).await,
+        Claim::Held(claim) => run_claimed(attempts, claim, identified, permit, recorder).await,
         Claim::Taken(outcome) => repeat(&mut recorder, outcome),
         Claim::Unavailable => {
             let reason = NotRunReason::ClaimUnavailable;
@@ -60,6 +60,7 @@
 async fn run_claimed(
     mut attempts: Attempts,
     claim: OrderClaim,
+    identified: &Identified,
     permit: AdmissionPermit,
     mut recorder: Recorder,
 ) -> Response<AnswerBody> {
@@ -79,19 +80,7 @@
         trace.note(&mut recorder);
     }
     match result {
-        Ok(Answer {
-            head,
-            upstream,
-            body,
-        }) => {
-            let body = PartsBody {
-                parts: body,
-                length_bytes: head.body_length_bytes,
-                recorder,
-                _permit: permit,
-            };
-            answered(&head, &upstream, body)
-        }
+        Ok(answer) => give(identified, permit, recorder, answer).await,
         Err(failure) => refuse(&mut recorder, failure),
     }
 }
--- a/crates/balsam-daemon/src/request/chain/serve.rs
+++ b/crates/balsam-daemon/src/request/chain/serve.rs
@@ -4,10 +4,12 @@
 use super::body::BodySource;
 use super::order::route_order;
 use crate::metrics::Metrics;
-use crate::peer::PeerClient;
+use crate::peer::{BodyPart, PeerClient};
 use crate::request::accept::Phase;
 use crate::request::admit::{Admission, AdmissionPermit, fingerprint, read_body};
-use crate::request::answer::{AnswerBody, PartsBody, Resumable, answered, failed, stream_resuming};
+use crate::request::answer::{
+    AnswerBody, PartsBody, Resumable, answered, empty_size, failed, stream_resuming,
+};
 use crate::request::clock::now;
 use crate::request::dispatch::Dispatchers;
 use crate::request::identify::{Identified, identify};
@@ -17,7 +19,7 @@
 use crate::request::retry::Retries;
 use actix_http::{ConnectionType, Payload, Request, Response};
 use balsam_decide::node::View;
-use balsam_types::{Fingerprint, NotRunReason, Outcome, Set};
+use balsam_types::{Fingerprint, NotRunReason, Outcome, Set, UnknownReason};
 use std::sync::Arc;
 use std::time::Instant;
 use tokio::sync::{mpsc, watch};
@@ -127,42 +129,61 @@
     let result = attempts.run().await;
     attempts.trace.note(&mut recorder);
     match result {
-        Ok(answer) => pass_on(attempts, identified, permit, recorder, answer),
+        Ok(answer) => pass_on(attempts, identified, permit, recorder, answer).await,
         Err(failure) => refuse(&mut recorder, failure),
     }
 }
 
-fn pass_on(
+async fn pass_on(
     mut attempts: Attempts,
     identified: Identified,
     permit: AdmissionPermit,
+    recorder: Recorder,
+    mut answer: Answer,
+) -> Response<AnswerBody> {
+    if let Some(resumable) = Resumable::of(&identified.head, &answer.head) {
+        let (sender, parts) = mpsc::channel(BODY_PARTS);
+        let body = std::mem::replace(&mut answer.body, parts);
+        let head = identified.head.clone();
+        actix_rt::spawn(async move {
+            let again = async |head| attempts.resume(head).await;
+            stream_resuming(resumable, head, body, again, sender).await;
+        });
+    }
+    give(&identified, permit, recorder, answer).await
+}
+
+/// Gives an upstream's answer to the caller.
+pub(super) async fn give(
+    identified: &Identified,
+    permit: AdmissionPermit,
     mut recorder: Recorder,
     answer: Answer,
 ) -> Response<AnswerBody> {
-    recorder.if_left = Outcome::Answered;
     let Answer {
         head,
         upstream,
-        body,
+        mut body,
     } = answer;
-    let parts = match Resumable::of(&identified.head, &head) {
-        Some(resumable) => {
-            let (sender, parts) = mpsc::channel(BODY_PARTS);
-            actix_rt::spawn(async move {
-                let again = async |head| attempts.resume(head).await;
-                stream_resuming(resumable, identified.head, body, again, sender).await;
-            });
-            parts
-        }
-        None => body,
+    let Some(size) = empty_size(&identified.head.method, &head) else {
+        recorder.if_left = Outcome::Answered;
+        let parts = AnswerBody::Parts(Box::new(PartsBody {
+            parts: body,
+            length_bytes: head.body_length_bytes,
+            recorder,
+            _permit: permit,
+        }));
+        return answered(&head, &upstream, parts);
     };
-    let body = PartsBody {
-        parts,
-        length_bytes: head.body_length_bytes,
-        recorder,
-        _permit: permit,
-    };
-    answered(&head, &upstream, body)
+    // The connection's task asks an empty body for nothing, so that its end is awaited here.
+    if body.recv().await != Some(BodyPart::End) {
+        return refuse(
+            &mut recorder,
+            Failure::Unknown(UnknownReason::AnswerTruncated),
+        );
+    }
+    recorder.finish(Outcome::Answered);
+    answered(&head, &upstream, AnswerBody::Empty(size))
 }
 
 /// Answers a request that ended without an upstream's answer.
--- a/crates/balsam-daemon/tests/common/caller.rs
+++ b/crates/balsam-daemon/tests/common/caller.rs
@@ -116,7 +116,8 @@
     }
 }
 
-fn unchunk(mut rest: &[u8]) -> (Vec<u8>, bool) {
+/// Returns the bytes of the chunks, and whether the last chunk has come.
+pub fn unchunk(mut rest: &[u8]) -> (Vec<u8>, bool) {
     let mut body = Vec::new();
     loop {
         let Some(end) = rest.windows(2).position(|window| window == b"\r\n") else {
--- a/crates/balsam-daemon/tests/common/cluster.rs
+++ b/crates/balsam-daemon/tests/common/cluster.rs
@@ -109,6 +109,15 @@
     }
 }
 
+/// Sets the greatest length of request bodies.
+pub fn set_body_max(view: &mut View, max_bytes: u64) {
+    let edit = NodeEdit::new(NodePath::Root, Epoch(0))
+        .with_value(SettingKey::BodyMaxBytes, SettingValue::Number(max_bytes));
+    let state = Arc::make_mut(&mut view.state);
+    let settings = Arc::make_mut(&mut state.settings);
+    settings.apply(Epoch(1), &[edit]).expect("settings");
+}
+
 async fn start_daemon(configure: &impl Fn(&mut RequestSettings)) -> TestDaemon {
     let any = SocketAddr::from(([127, 0, 0, 1], 0));
     let (control, incoming) = mpsc::channel(16);
--- a/crates/balsam-daemon/tests/common/mod.rs
+++ b/crates/balsam-daemon/tests/common/mod.rs
@@ -11,5 +11,5 @@
 mod upstream;
 
 pub use caller::{call, open_call, read_answer, read_to_end, read_until};
-pub use cluster::{Cluster, TestDaemon, now};
+pub use cluster::{Cluster, TestDaemon, now, set_body_max};
 pub use upstream::{Seen, Upstream};
--- a/crates/balsam-daemon/tests/common/upstream.rs
+++ b/crates/balsam-daemon/tests/common/upstream.rs
@@ -1,5 +1,6 @@
 //! An upstream whose answers a test writes byte by byte.
 
+use super::caller::unchunk;
 use std::net::SocketAddr;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -10,7 +11,7 @@
 pub struct Seen {
     /// The head, in lower case.
     pub head: String,
-    /// The body that came with a length.
+    /// The body, without the marks of chunks.
     pub body: Vec<u8>,
     /// The number of the connection, from 0.
     pub connection: usize,
@@ -133,6 +134,18 @@
             return;
         }
     }
+    if head.contains("\r\ntransfer-encoding: chunked\r\n") {
+        loop {
+            let (unchunked, whole) = unchunk(&body);
+            if whole {
+                body = unchunked;
+                break;
+            }
+            if !matches!(socket.read_buf(&mut body).await, Ok(read) if read > 0) {
+                return;
+            }
+        }
+    }
     let _ = sender.send(Seen {
         head,
         body,
