Give the cancellation tests deadlines that they cannot reach

A trial without the cancellation of running requests passed, because the rank's deadline closed the upstream's connection within the test's wait. With a deadline of 600 s the same trial fails.

--- a/crates/balsam-daemon/tests/cancelled_requests.rs
+++ b/crates/balsam-daemon/tests/cancelled_requests.rs
@@ -7,6 +7,9 @@
 use std::time::Duration;
 use tokio::time::{sleep, timeout};
 
+/// A deadline that no test reaches, so that only a cancellation ends a request.
+const PATIENT: &str = "balsam-deadline-ms: 600000\r\n";
+
 /// Guards that a running request is cancelled upstream by closing its connection.
 #[rstest]
 #[case::local(1)]
@@ -15,7 +18,7 @@
 async fn running_request(#[case] daemons: u64) {
     let mut upstream = Upstream::start().await;
     let cluster = Cluster::start(daemons, upstream.address).await;
-    let caller = open_call(cluster.entry().caller, "GET /files/k1", "").await;
+    let caller = open_call(cluster.entry().caller, "GET /files/k1", PATIENT).await;
     let seen = upstream.next().await;
     drop(caller);
     let closed = timeout(Duration::from_secs(5), seen.closed()).await;
@@ -30,7 +33,7 @@
 async fn running_answer(#[case] daemons: u64) {
     let mut upstream = Upstream::start().await;
     let cluster = Cluster::start(daemons, upstream.address).await;
-    let caller = open_call(cluster.entry().caller, "GET /files/k1", "").await;
+    let caller = open_call(cluster.entry().caller, "GET /files/k1", PATIENT).await;
     let mut seen = upstream.next().await;
     seen.send("HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\n12345")
         .await;
