Tell the links of two processes apart reliably

Cause: cluster_control failed in 2 of 14 runs with a link that stayed open, because one local port can belong to several connections; after that was mended it failed in 2 of 40 runs with a suspicion of a third daemon, because the search through thousands of closed connections held up all links. Change: a connection is found by both of its ports, once, and beside the thread of the links.

--- a/crates/balsam-standins/src/harness/fault_proxy.rs
+++ b/crates/balsam-standins/src/harness/fault_proxy.rs
@@ -1,7 +1,7 @@
 //! A TCP proxy whose links can be delayed, cut or made silent.
 
 use super::error::ListenSnafu;
-use super::link_source::owns_port;
+use super::link_source::{LinkPorts, LinkSource};
 use super::proxy_pump::pump;
 use super::{Direction, HarnessError, LinkFaults, LinkMode};
 use actix_rt::net::{TcpListener, TcpStream};
@@ -26,10 +26,11 @@
 }
 
 impl Switches {
-    fn of_source(&self, port: u16) -> LinkFaults {
-        let mut processes = self.by_process.iter();
-        let found = processes.find(|(process, _)| owns_port(**process, port));
-        found.map_or(self.all, |(_, faults)| *faults)
+    async fn of_link(&self, source: &mut LinkSource) -> LinkFaults {
+        let candidates = self.by_process.keys().copied().collect();
+        let process = source.find(candidates).await;
+        let found = process.and_then(|process| self.by_process.get(&process));
+        found.copied().unwrap_or(self.all)
     }
 }
 
@@ -59,7 +60,7 @@
             target: target.into(),
             ..Switches::default()
         });
-        actix_rt::spawn(accept_loop(listener, changes));
+        actix_rt::spawn(accept_loop(listener, address.port(), changes));
         Ok(Self { address, switches })
     }
 
@@ -97,7 +98,11 @@
     }
 }
 
-async fn accept_loop(listener: TcpListener, mut switches: watch::Receiver<Switches>) {
+async fn accept_loop(
+    listener: TcpListener,
+    own_port: u16,
+    mut switches: watch::Receiver<Switches>,
+) {
     let mut connections = JoinSet::new();
     loop {
         tokio::select! {
@@ -107,7 +112,12 @@
             Some(_) = connections.join_next() => {}
             accepted = listener.accept() => match accepted {
                 Ok((stream, source)) => {
-                    connections.spawn_local(carry(stream, source.port(), switches.clone()));
+                    let ports = LinkPorts {
+                        local: source.port(),
+                        remote: own_port,
+                    };
+                    let source = LinkSource::new(ports);
+                    connections.spawn_local(carry(stream, source, switches.clone()));
                 }
                 Err(error) => {
                     log::warn!("proxy accept failed: {error}");
@@ -121,30 +131,32 @@
 /// Carries one connection until it ends or its link is cut.
 async fn carry(
     client: TcpStream,
-    source_port: u16,
+    mut source: LinkSource,
     mut switches: watch::Receiver<Switches>,
 ) -> io::Result<()> {
-    let Some(target) = switches.borrow_and_update().target else {
+    let current = switches.borrow_and_update().clone();
+    let Some(target) = current.target else {
         return Ok(());
     };
-    let faults = switches.borrow().of_source(source_port);
+    let faults = current.of_link(&mut source).await;
     let (publish, faults) = watch::channel(faults);
     let mut cut = faults.clone();
     tokio::select! {
         carried = carry_both(client, target, faults) => carried,
         _ = cut.wait_for(|faults| faults.mode == LinkMode::Cut) => Ok(()),
-        () = follow(switches, source_port, publish) => Ok(()),
+        () = follow(switches, source, publish) => Ok(()),
     }
 }
 
 /// Publishes the faults of one connection as the switches change.
 async fn follow(
     mut switches: watch::Receiver<Switches>,
-    source_port: u16,
+    mut source: LinkSource,
     publish: watch::Sender<LinkFaults>,
 ) {
     while switches.changed().await.is_ok() {
-        let faults = switches.borrow_and_update().of_source(source_port);
+        let current = switches.borrow_and_update().clone();
+        let faults = current.of_link(&mut source).await;
         publish.send_if_modified(|current| std::mem::replace(current, faults) != faults);
     }
 }
--- a/crates/balsam-standins/src/harness/link_source.rs
+++ b/crates/balsam-standins/src/harness/link_source.rs
@@ -3,27 +3,72 @@
 //! All processes of a test share the loopback address, so a proxy can tell the links of two
 //! processes apart only by the owner of the connecting socket.
 
+use actix_rt::task::spawn_blocking;
 use std::fs;
 use std::path::Path;
+use std::sync::Arc;
 
 /// Column of the local address in the kernel's list of sockets.
-const ADDRESS_COLUMN: usize = 1;
+const LOCAL_COLUMN: usize = 1;
+/// Column of the remote address.
+const REMOTE_COLUMN: usize = 2;
 /// Column of the socket's inode.
 const INODE_COLUMN: usize = 9;
 
-/// Returns whether `process` holds the IPv4 socket with local port `port`.
-pub(super) fn owns_port(process: u32, port: u16) -> bool {
-    socket_inode(port).is_some_and(|inode| holds_socket(process, &inode))
+/// The two ports of a loopback connection, as the connecting process sees them.
+///
+/// The local port alone names no connection, since the system uses one port for connections to
+/// several remote addresses at once.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct LinkPorts {
+    pub(super) local: u16,
+    pub(super) remote: u16,
 }
 
-fn socket_inode(port: u16) -> Option<String> {
+/// Finds the process that opened one connection.
+#[derive(Clone, Debug)]
+pub(super) struct LinkSource {
+    ports: LinkPorts,
+    inode: Option<Arc<str>>,
+}
+
+impl LinkSource {
+    pub(super) const fn new(ports: LinkPorts) -> Self {
+        Self { ports, inode: None }
+    }
+
+    /// Returns the process among `candidates` that holds the connecting socket.
+    ///
+    /// The kernel's list takes tens of milliseconds to read while it holds thousands of closed
+    /// connections, so the search runs beside the thread that carries the links.
+    pub(super) async fn find(&mut self, candidates: Vec<u32>) -> Option<u32> {
+        if candidates.is_empty() {
+            return None;
+        }
+        let ports = self.ports;
+        let known = self.inode.clone();
+        let search = move || {
+            let inode = known.or_else(|| socket_inode(ports))?;
+            let holds = |process: &u32| holds_socket(*process, &inode);
+            let process = candidates.into_iter().find(holds);
+            Some((inode, process))
+        };
+        let (inode, process) = spawn_blocking(search).await.ok()??;
+        self.inode = Some(inode);
+        process
+    }
+}
+
+fn socket_inode(ports: LinkPorts) -> Option<Arc<str>> {
     let sockets = fs::read_to_string("/proc/net/tcp").ok()?;
-    let suffix = format!(":{port:04X}");
+    let local = format!(":{:04X}", ports.local);
+    let remote = format!(":{:04X}", ports.remote);
     sockets.lines().skip(1).find_map(|line| {
         let columns: Vec<&str> = line.split_whitespace().collect();
-        let local = columns.get(ADDRESS_COLUMN)?;
+        let matches = columns.get(LOCAL_COLUMN)?.ends_with(&local)
+            && columns.get(REMOTE_COLUMN)?.ends_with(&remote);
         let inode = columns.get(INODE_COLUMN)?;
-        local.ends_with(&suffix).then(|| (*inode).to_owned())
+        matches.then(|| Arc::from(*inode))
     })
 }
 
