Settle commits on a slow table and test outages

Cause: with answers that take 700 ms, a write that was cut off after 500 ms never took effect, and the commit ended unsettled each time. Change: the write waits for its answer as long as the node gives the commit, while the log row is read back every 500 ms. Damaged rows are logged as errors.

--- a/crates/balsam-daemon/src/control/commit/change.rs
+++ b/crates/balsam-daemon/src/control/commit/change.rs
@@ -7,21 +7,14 @@
 use balsam_types::{AttemptId, TimeMs};
 use balsam_wire::platform::{CONTROL_ROW, ControlRow, ReadRequest, TxRequest, log_row_key};
 use std::time::Duration;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
-/// The wait for one answer of the table; a lost answer is noticed after it.
-const EXCHANGE_WAIT_MS: u64 = 500;
+/// The period of read-backs while a write is not answered.
+const READ_BACK_PERIOD: Duration = Duration::from_millis(500);
 
 /// The pause after an exchange that failed at once, so that a refusing table is not flooded.
 const RETRY_PAUSE: Duration = Duration::from_millis(50);
 
-/// What the log row of the wanted epoch says of an attempt.
-enum Settled {
-    Own,
-    Other,
-    Absent,
-}
-
 /// Commits `entry` if the table is at the epoch before it.
 ///
 /// A write without an answer may have taken effect, so the log row is read back: the own attempt
@@ -33,28 +26,49 @@
     entry: &LogEntry,
     give_up_at: TimeMs,
 ) -> CommitResult {
-    let request = match commit_request(entry) {
-        Ok(request) => request,
-        Err(error) => {
+    let wait = Duration::from_millis(give_up_at.since(clock.now()));
+    match timeout(wait, settle(platform, entry, wait)).await {
+        Ok(Ok(result)) => result,
+        Ok(Err(error)) => {
             log::error!("change of epoch {}: {error}", entry.epoch);
-            return CommitResult::Unsettled;
+            CommitResult::Unsettled
         }
-    };
-    while let Some(wait) = next_wait(clock, give_up_at) {
-        let written = platform.transact(&request, wait).await;
+        Err(_) => CommitResult::Unsettled,
+    }
+}
+
+/// Writes until the log row shows how the commit ended.
+async fn settle(
+    platform: &impl Platform,
+    entry: &LogEntry,
+    wait: Duration,
+) -> Result<CommitResult, PlatformError> {
+    let request = commit_request(entry)?;
+    loop {
+        // The write is not cut off early: a slow table answers late, and a read-back settles the
+        // commit if the answer was lost.
+        let written = tokio::select! {
+            written = platform.transact(&request, wait) => written,
+            result = watch_log(platform, entry, wait) => return Ok(result),
+        };
         if matches!(&written, Ok(response) if response.committed) {
-            return CommitResult::Committed;
+            return Ok(CommitResult::Committed);
         }
-        let Some(wait) = next_wait(clock, give_up_at) else {
-            break;
-        };
-        match read_back(platform, entry, wait).await {
-            Ok(Settled::Own) => return CommitResult::Committed,
-            Ok(Settled::Other) => return CommitResult::Lost,
-            Ok(Settled::Absent) | Err(_) => sleep(RETRY_PAUSE).await,
+        if let Some(result) = read_back(platform, entry, wait).await {
+            return Ok(result);
+        }
+        sleep(RETRY_PAUSE).await;
+    }
+}
+
+/// Reads the log row back again and again until it shows how the commit ended.
+async fn watch_log(platform: &impl Platform, entry: &LogEntry, wait: Duration) -> CommitResult {
+    loop {
+        sleep(READ_BACK_PERIOD).await;
+        if let Some(result) = read_back(platform, entry, wait).await {
+            return result;
         }
     }
-    CommitResult::Unsettled
 }
 
 /// Every commit writes row `control` exactly once and nothing else writes it, so its version is its
@@ -74,21 +88,19 @@
         .with_write(log_key, Some(log_value)))
 }
 
+/// Returns what the log row shows of the commit; `None` if it is absent or cannot be read.
 async fn read_back(
     platform: &impl Platform,
     entry: &LogEntry,
     wait: Duration,
-) -> Result<Settled, PlatformError> {
+) -> Option<CommitResult> {
     let request = ReadRequest::of_keys([log_row_key(entry.epoch)]);
-    let response = platform.read(&request, wait).await?;
-    let Some(row) = response.rows.into_iter().next() else {
-        return Ok(Settled::Absent);
-    };
-    let attempt = decode_row::<AttemptOnly>(row)?.attempt;
-    if attempt == entry.attempt {
-        return Ok(Settled::Own);
+    let row = platform.read(&request, wait).await.ok()?.rows.pop()?;
+    let found = decode_row::<AttemptOnly>(row).ok()?.attempt;
+    if found == entry.attempt {
+        return Some(CommitResult::Committed);
     }
-    Ok(Settled::Other)
+    Some(CommitResult::Lost)
 }
 
 /// The part of a log row that settles a commit; the rest may be of a newer version.
@@ -96,8 +108,3 @@
 struct AttemptOnly {
     attempt: AttemptId,
 }
-
-fn next_wait(clock: &impl Clock, give_up_at: TimeMs) -> Option<Duration> {
-    let left_ms = give_up_at.since(clock.now());
-    (left_ms > 0).then(|| Duration::from_millis(left_ms.min(EXCHANGE_WAIT_MS)))
-}
--- a/crates/balsam-daemon/src/control/observe/table.rs
+++ b/crates/balsam-daemon/src/control/observe/table.rs
@@ -33,7 +33,14 @@
     match read_changes(platform, after, until).await {
         Ok(result) => result,
         Err(error) => {
-            log::debug!("table read after epoch {after}: {error}");
+            // An outage is expected and shows in the view; a damaged row needs an operator.
+            let level = match &error {
+                PlatformError::Malformed { .. } | PlatformError::Order { .. } => log::Level::Error,
+                PlatformError::Silent { .. }
+                | PlatformError::Broken { .. }
+                | PlatformError::Status { .. } => log::Level::Debug,
+            };
+            log::log!(level, "table read after epoch {after}: {error}");
             TableResult::Failed
         }
     }
--- a/crates/balsam-daemon/tests/lost_commit.rs
+++ b/crates/balsam-daemon/tests/lost_commit.rs
@@ -13,6 +13,9 @@
 use balsam_wire::platform::{OutageKind, PlatformFaults};
 use std::time::Duration;
 
+/// The time that the node gives a commit, in milliseconds.
+const NODE_PATIENCE_MS: u64 = 1_500;
+
 const WAIT: Duration = Duration::from_secs(5);
 
 struct Table {
@@ -122,6 +125,22 @@
     table.server.stop().await;
 }
 
+/// Guards against a table that answers late and never settles a commit.
+#[actix_rt::test]
+async fn a_slow_table_settles_the_commit() {
+    let table = Table::start().await;
+    let slow = PlatformFaults {
+        delay_ms: 700,
+        ..PlatformFaults::default()
+    };
+    table.set(slow).await;
+    let result = table.commit(&entry(1, 11), NODE_PATIENCE_MS).await;
+    assert_eq!(result, CommitResult::Committed);
+    table.set(PlatformFaults::default()).await;
+    assert_eq!(table.entries().await, vec![entry(1, 11)]);
+    table.server.stop().await;
+}
+
 /// Guards against a write that is not repeated after a refusal proved that it had no effect.
 #[actix_rt::test]
 async fn a_refused_write_is_repeated_until_the_table_returns() {
--- /dev/null
+++ b/crates/balsam-daemon/tests/table_outage.rs
@@ -0,0 +1,93 @@
+//! Daemons while the platform's table does not answer.
+
+mod support;
+
+use balsam_wire::operator::{
+    EDIT_PATH, EPOCHS_PATH, EpochsResponse, ErrorCode, ErrorResponse, SETTINGS_PATH,
+    SettingsResponse,
+};
+use balsam_wire::platform::{OutageKind, PlatformFaults};
+use rstest::rstest;
+use serde_json::json;
+use std::time::Duration;
+use support::{Platform, TestDaemon};
+
+/// Longer than the life of a right, so that a right that is held after it was renewed.
+const OUTAGE: Duration = Duration::from_secs(3);
+
+async fn three_daemons(platform: &Platform) -> Vec<TestDaemon> {
+    let mut daemons = Vec::new();
+    for _ in 0..3 {
+        daemons.push(TestDaemon::start(platform).await);
+    }
+    for daemon in &daemons {
+        daemon.wait_for_roster(3).await;
+    }
+    daemons
+}
+
+async fn set(platform: &Platform, down: OutageKind) {
+    let faults = PlatformFaults {
+        down,
+        ..PlatformFaults::default()
+    };
+    platform
+        .client
+        .set_faults(&faults)
+        .await
+        .expect("an answer");
+}
+
+/// Guards against daemons that lose their rights although a majority of the roster is connected,
+/// and against edits that are reported as accepted without a table.
+#[rstest]
+#[case::silent(OutageKind::Silent)]
+#[case::refused(OutageKind::Refused)]
+#[actix_rt::test]
+async fn rights_outlast_the_table(#[case] down: OutageKind) {
+    let platform = Platform::start().await;
+    let daemons = three_daemons(&platform).await;
+    set(&platform, down).await;
+    tokio::time::sleep(OUTAGE).await;
+    for daemon in &daemons {
+        let epochs: EpochsResponse = daemon
+            .wait_for(EPOCHS_PATH, |found: &EpochsResponse| found.right_ms > 0)
+            .await;
+        assert!(!epochs.table_ok, "{epochs:?}");
+    }
+    let edit = json!({"path": "/", "base_version": 0, "values": {"weight": 2}});
+    let answer = daemons[0].post(EDIT_PATH, &json!({"edits": [edit]})).await;
+    assert_eq!(answer.status, 503, "{}", answer.text());
+    let refusal: ErrorResponse = serde_json::from_slice(&answer.body).unwrap();
+    assert_eq!(refusal.code, ErrorCode::TableUnavailable);
+    set(&platform, OutageKind::None).await;
+    for daemon in &daemons {
+        daemon
+            .wait_for(EPOCHS_PATH, |found: &EpochsResponse| found.table_ok)
+            .await;
+        let settings: SettingsResponse = daemon.get(SETTINGS_PATH).await;
+        assert!(settings.nodes.iter().all(|node| node.values.is_empty()));
+    }
+    for daemon in daemons {
+        daemon.stop().await;
+    }
+    platform.server.stop().await;
+}
+
+/// Guards against a single daemon that keeps its right without a table or a majority.
+#[actix_rt::test]
+async fn a_daemon_without_table_and_majority_loses_its_right() {
+    let platform = Platform::start().await;
+    let mut daemons = three_daemons(&platform).await;
+    set(&platform, OutageKind::Silent).await;
+    for lost in daemons.drain(1..) {
+        lost.kill().await;
+    }
+    daemons[0]
+        .wait_for(EPOCHS_PATH, |found: &EpochsResponse| found.right_ms == 0)
+        .await;
+    tokio::time::sleep(OUTAGE).await;
+    let epochs: EpochsResponse = daemons[0].get(EPOCHS_PATH).await;
+    assert_eq!(epochs.right_ms, 0, "{epochs:?}");
+    platform.server.stop().await;
+}
