--- a/crates/balsam-daemon/src/request/chain/attempts.rs
+++ b/crates/balsam-daemon/src/request/chain/attempts.rs
@@ -7,7 +7,7 @@
 use crate::request::identify::Identified;
 use crate::request::locate::{Route, locate};
 use crate::request::message::{Answer, Attempt, AttemptResult, Failure};
-use crate::request::record::Via;
+use crate::request::record::{Recorder, Via};
 use crate::request::relay;
 use balsam_decide::entry::EntryRank;
 use balsam_decide::retry::{self, GiveUpReason, RetryVerdict};
@@ -27,6 +27,18 @@
     pub(super) number: u32,
 }
 
+impl Trace {
+    /// Copies what is known to the request's record.
+    pub(super) fn note(&self, recorder: &mut Recorder) {
+        recorder.attempts = self.number;
+        recorder.via = self.via;
+        if let Some(route) = &self.route {
+            recorder.unit = Some(route.unit);
+            recorder.upstream = Some(route.upstream.clone());
+        }
+    }
+}
+
 /// The log line of a retry.
 #[derive(Debug, Serialize)]
 #[serde(tag = "kind", rename = "retry")]
@@ -47,6 +59,8 @@
     fingerprint: Fingerprint,
     body: BodySource,
     sent: u32,
+    /// Why it is unknown whether an earlier attempt was run.
+    may_have_run: Option<UnknownReason>,
     pub(super) trace: Trace,
 }
 
@@ -63,6 +77,7 @@
             fingerprint,
             body,
             sent: 0,
+            may_have_run: None,
             trace: Trace::default(),
         }
     }
@@ -75,7 +90,14 @@
     }
 
     /// Makes attempts until one is answered or no more may be made.
+    ///
+    /// A request that an earlier attempt may have run is not reported as not run.
     pub(super) async fn run(&mut self) -> AttemptResult {
+        let result = self.run_attempts().await;
+        result.map_err(|failure| self.may_have_run.map_or(failure, Failure::Unknown))
+    }
+
+    async fn run_attempts(&mut self) -> AttemptResult {
         self.entry.retries.first_attempt(self.rank());
         let head = self.request.head.clone();
         loop {
@@ -83,6 +105,9 @@
                 Ok(answer) => return Ok(answer),
                 Err(failure) => failure,
             };
+            if let Failure::Unknown(reason) = failure {
+                self.may_have_run.get_or_insert(reason);
+            }
             if !self.body.is_left() {
                 return Err(failure);
             }
