--- a/crates/balsam-decide/src/placer/machine.rs
+++ b/crates/balsam-decide/src/placer/machine.rs
@@ -2,6 +2,7 @@
 
 use super::reports::Reports;
 use super::revocations::Revocations;
+use super::summary::Summary;
 use super::{Scene, dispatchers, moves, planning, roster, statuses};
 use crate::control::ControlState;
 use crate::grants::RevokeReply;
@@ -21,6 +22,9 @@
     /// When balancing moved how many units of a service.
     pub(super) balance_moves: Vec<(TimeMs, ServiceName, u64)>,
     pub(super) next_plan_at: TimeMs,
+    /// The epoch at which units without an available owner could not be placed.
+    pub(super) homes_planned_at: Option<Epoch>,
+    pub(super) summary: Summary,
     in_office: Option<Incarnation>,
     in_office_since: TimeMs,
 }
@@ -41,6 +45,8 @@
             status_since: new_map(),
             balance_moves: Vec::new(),
             next_plan_at: TimeMs(0),
+            homes_planned_at: None,
+            summary: Summary::default(),
             in_office: None,
             in_office_since: TimeMs(0),
         }
@@ -50,6 +56,7 @@
     ///
     /// Changes that give keys an owner again come first.
     pub fn next_change(&mut self, scene: &Scene<'_>) -> Option<Change> {
+        self.summary.follow(scene.state);
         moves::finish(self, scene)
             .or_else(|| statuses::change(self, scene))
             .or_else(|| planning::plan_homes(self, scene))
@@ -94,7 +101,8 @@
 
     /// Returns the revocations that are due.
     pub fn revoke(&mut self, scene: &Scene<'_>) -> Vec<NodeOutput> {
-        self.revocations.due(scene)
+        self.summary.follow(scene.state);
+        self.revocations.due(scene, &self.summary.moving)
     }
 
     /// Discards what was learned before a pause of this daemon itself.
--- a/crates/balsam-decide/src/placer/mod.rs
+++ b/crates/balsam-decide/src/placer/mod.rs
@@ -12,6 +12,7 @@
 mod roster;
 mod scene;
 mod statuses;
+mod summary;
 
 pub use machine::Placer;
 pub use scene::Scene;
--- a/crates/balsam-decide/src/placer/moves.rs
+++ b/crates/balsam-decide/src/placer/moves.rs
@@ -3,12 +3,15 @@
 use super::revocations::is_revocable;
 use super::{Placer, Scene};
 use balsam_types::control::{Change, UnitOwner, UpstreamStatus};
-use balsam_types::{Epoch, Map, ServiceName, UnitId, UpstreamName, new_map};
+use balsam_types::{Epoch, Map, ServiceName, UpstreamName, new_map};
 
 /// Gives every unit its owner whose former owner can no longer run requests on it.
 pub(super) fn finish(placer: &Placer, scene: &Scene<'_>) -> Option<Change> {
     let lapsed = scene.adoption.lapsed(scene.now);
-    for (service, placement) in &scene.state.services {
+    for service in &placer.summary.moving {
+        let Some(placement) = scene.state.services.get(service) else {
+            continue;
+        };
         let mut targets = Targets::new(scene, service);
         let mut units = Vec::new();
         for (unit, owner) in &placement.units {
@@ -90,15 +93,3 @@
         Some(fewest.0.clone())
     }
 }
-
-/// Returns whether `unit` is in the planner's sense without an available owner.
-pub(super) fn is_homeless(scene: &Scene<'_>, service: &ServiceName, unit: UnitId) -> bool {
-    match scene.state.owner_of(service, unit) {
-        None => true,
-        Some(UnitOwner::Moving { .. }) => false,
-        Some(UnitOwner::Owned(name)) => {
-            let owner = scene.state.upstreams.get(name);
-            owner.is_none_or(|owner| owner.status != UpstreamStatus::Active)
-        }
-    }
-}
--- a/crates/balsam-decide/src/placer/planning.rs
+++ b/crates/balsam-decide/src/placer/planning.rs
@@ -1,6 +1,5 @@
 //! The planner's steps as changes.
 
-use super::moves::is_homeless;
 use super::{Placer, Scene};
 use crate::placement::{PlanInput, PlanStep, PlanUpstream, plan};
 use balsam_types::control::{Change, MoveReason, UnitMove, UpstreamStatus};
@@ -13,11 +12,18 @@
 const MINUTE_MS: u64 = 60_000;
 
 /// Plans at once for services that have units without an available owner.
-pub(super) fn plan_homes(placer: &Placer, scene: &Scene<'_>) -> Option<Change> {
-    let services = scene.state.settings.services();
-    services
-        .filter(|service| has_homeless(scene, service))
-        .find_map(|service| plan_service(placer, scene, service))
+///
+/// Without an upstream that can take the units there is nothing to plan until the state changes.
+pub(super) fn plan_homes(placer: &mut Placer, scene: &Scene<'_>) -> Option<Change> {
+    if placer.homes_planned_at == Some(scene.state.epoch) {
+        return None;
+    }
+    let mut services = placer.summary.homeless.iter();
+    let change = services.find_map(|service| plan_service(placer, scene, service));
+    if change.is_none() {
+        placer.homes_planned_at = Some(scene.state.epoch);
+    }
+    change
 }
 
 /// Plans for all services, at most once in [`PLAN_MS`].
@@ -30,20 +36,6 @@
     services.find_map(|service| plan_service(placer, scene, service))
 }
 
-fn has_homeless(scene: &Scene<'_>, service: &ServiceName) -> bool {
-    let Some(policy) = scene.state.settings.service_policy(service) else {
-        return false;
-    };
-    let placement = scene.state.services.get(service);
-    let hot_keys = placement
-        .into_iter()
-        .flat_map(|placement| &placement.hot_keys);
-    let mut units = (0..policy.slices)
-        .map(UnitId)
-        .chain(hot_keys.map(|key| UnitId::hot_key(*key)));
-    units.any(|unit| is_homeless(scene, service, unit))
-}
-
 fn plan_service(placer: &Placer, scene: &Scene<'_>, service: &ServiceName) -> Option<Change> {
     let policy = scene.state.settings.service_policy(service)?;
     let mut unit_loads = new_map();
--- a/crates/balsam-decide/src/placer/revocations.rs
+++ b/crates/balsam-decide/src/placer/revocations.rs
@@ -92,12 +92,13 @@
     /// A revocation is sent only after a majority has adopted the epoch that suspended the unit: if
     /// the former owner restarts after its acknowledgement and forgets its fence, no daemon can
     /// gain a new right under which it would grant the unit again.
-    pub fn due(&mut self, scene: &Scene<'_>) -> Vec<NodeOutput> {
+    pub fn due(&mut self, scene: &Scene<'_>, moving: &[ServiceName]) -> Vec<NodeOutput> {
         self.settle(scene.state);
         let adopted = scene.adoption.adopted();
         let mut by_upstream: BTreeMap<&UpstreamName, BTreeSet<UnitId>> = BTreeMap::new();
-        for (service, placement) in &scene.state.services {
-            for (unit, owner) in &placement.units {
+        for service in moving {
+            let placement = scene.state.services.get(service);
+            for (unit, owner) in placement.into_iter().flat_map(|placement| &placement.units) {
                 if let UnitOwner::Moving {
                     from, since_epoch, ..
                 } = owner
--- /dev/null
+++ b/crates/balsam-decide/src/placer/summary.rs
@@ -0,0 +1,68 @@
+//! What is unfinished in the placement, derived once for each epoch.
+
+use crate::control::ControlState;
+use balsam_types::control::{UnitOwner, UpstreamStatus};
+use balsam_types::{Epoch, ServiceName, UnitId};
+
+/// The services with unfinished placement at one epoch.
+///
+/// Going through all units takes about as long as everything else that the placer does at a tick,
+/// so it is done only when the state has changed.
+#[derive(Debug, Default)]
+pub(super) struct Summary {
+    epoch: Epoch,
+    /// Services with units that are on the move.
+    pub moving: Vec<ServiceName>,
+    /// Services with units that have no available owner and are not on the move.
+    pub homeless: Vec<ServiceName>,
+}
+
+impl Summary {
+    /// Follows the state if its epoch is another one.
+    pub fn follow(&mut self, state: &ControlState) {
+        if self.epoch == state.epoch {
+            return;
+        }
+        let has_moving = |service: &&ServiceName| {
+            let placement = state.services.get(*service);
+            let mut owners = placement
+                .into_iter()
+                .flat_map(|placement| placement.units.values());
+            owners.any(|owner| matches!(owner, UnitOwner::Moving { .. }))
+        };
+        let services = state.settings.services();
+        *self = Self {
+            epoch: state.epoch,
+            moving: state.services.keys().filter(has_moving).cloned().collect(),
+            homeless: services
+                .filter(|service| has_homeless(state, service))
+                .cloned()
+                .collect(),
+        };
+    }
+}
+
+fn has_homeless(state: &ControlState, service: &ServiceName) -> bool {
+    let Some(policy) = state.settings.service_policy(service) else {
+        return false;
+    };
+    let placement = state.services.get(service);
+    let hot_keys = placement
+        .into_iter()
+        .flat_map(|placement| &placement.hot_keys);
+    let mut units = (0..policy.slices)
+        .map(UnitId)
+        .chain(hot_keys.map(|key| UnitId::hot_key(*key)));
+    units.any(|unit| is_homeless(state, service, unit))
+}
+
+fn is_homeless(state: &ControlState, service: &ServiceName, unit: UnitId) -> bool {
+    match state.owner_of(service, unit) {
+        None => true,
+        Some(UnitOwner::Moving { .. }) => false,
+        Some(UnitOwner::Owned(name)) => {
+            let owner = state.upstreams.get(name);
+            owner.is_none_or(|owner| owner.status != UpstreamStatus::Active)
+        }
+    }
+}
--- /dev/null
+++ b/crates/balsam-decide/tests/recovery_time.rs
@@ -0,0 +1,98 @@
+//! Guards against keys that stay without an owner for longer than the stated 3 s after a loss.
+
+mod common;
+
+use balsam_types::Incarnation;
+use balsam_types::control::UnitOwner;
+use balsam_types::timing::RIGHT_WAIT_MS;
+use common::participants::{Place, service, upstream_name};
+use common::world::World;
+use rstest::rstest;
+
+/// The stated bound from the loss of an owner until its keys are served again, in milliseconds.
+const BOUND_MS: u64 = 3_000;
+
+/// The time after which every grant from before a loss has lapsed, in milliseconds.
+const GRANT_LAPSED_MS: u64 = RIGHT_WAIT_MS;
+
+const SEEDS: u64 = 40;
+
+/// What is lost together with the owner of a unit.
+#[derive(Clone, Copy, Debug)]
+enum With {
+    Nothing,
+    Dispatcher,
+    Placer,
+}
+
+fn owner_of_first_unit(world: &World) -> usize {
+    let owner = world
+        .table
+        .state
+        .owner_of(&service(), balsam_types::UnitId(0));
+    match owner {
+        Some(UnitOwner::Owned(name)) => world.upstream_named(name).expect("the owner exists"),
+        other => panic!("unit 0 has owner {other:?}"),
+    }
+}
+
+fn daemon_of(world: &World, incarnation: Option<Incarnation>) -> usize {
+    let lives = world
+        .nodes
+        .iter()
+        .map(|process| Some(Incarnation(process.life)));
+    lives
+        .into_iter()
+        .position(|life| life == incarnation)
+        .expect("the daemon runs")
+}
+
+fn dispatcher_of(world: &World, upstream: usize) -> usize {
+    let info = &world.table.state.upstreams[&upstream_name(upstream)];
+    daemon_of(world, info.dispatcher)
+}
+
+#[rstest]
+fn lost_owner_is_replaced(
+    #[values(With::Nothing, With::Dispatcher, With::Placer)] with: With,
+    #[values(false, true)] frozen: bool,
+) {
+    let mut longest = 0;
+    for seed in 0..SEEDS {
+        let mut world = World::settled(seed);
+        let lost = owner_of_first_unit(&world);
+        match with {
+            With::Nothing => {}
+            With::Dispatcher => world.kill_node(dispatcher_of(&world, lost)),
+            With::Placer => world.kill_node(daemon_of(&world, world.table.state.placer)),
+        }
+        if frozen {
+            world.freeze_forever(lost);
+        } else {
+            world.isolate(&[Place::Upstream(lost)]);
+        }
+        // Until then the lost owner may still hold a grant and look as if it served its units.
+        world.run_until(world.t + GRANT_LAPSED_MS);
+        let served = world.time_to_serve(BOUND_MS - GRANT_LAPSED_MS);
+        let Some(served) = served else {
+            panic!(
+                "seed {seed}: not served within {BOUND_MS} ms: {}",
+                world.describe()
+            );
+        };
+        longest = longest.max(served + GRANT_LAPSED_MS);
+    }
+    println!("{with:?}, frozen {frozen}: longest {longest} ms");
+}
+
+#[test]
+fn lost_dispatcher_is_replaced() {
+    for seed in 0..SEEDS {
+        let mut world = World::settled(seed);
+        let upstream = owner_of_first_unit(&world);
+        world.kill_node(dispatcher_of(&world, upstream));
+        world.run_until(world.t + GRANT_LAPSED_MS);
+        let served = world.time_to_serve(BOUND_MS - GRANT_LAPSED_MS);
+        assert!(served.is_some(), "seed {seed}: {}", world.describe());
+    }
+}
