--- a/crates/balsam-decide/tests/common/table.rs
+++ b/crates/balsam-decide/tests/common/table.rs
@@ -118,6 +118,9 @@
             return;
         }
         let result = self.table.write(entry);
+        if self.lose_write_answers && self.chance(70) {
+            return;
+        }
         let input = NodeInput::CommitDone {
             attempt: entry.attempt,
             result,
@@ -152,7 +155,7 @@
             } else {
                 InstanceState::Live
             },
-            checks_grants: true,
+            checks_grants: self.checks_grants,
         });
         let input = NodeInput::Instances(Arc::new(listed.collect()));
         self.after(5, Event::Input(caller, Box::new(input)));
--- a/crates/balsam-decide/tests/common/work.rs
+++ b/crates/balsam-decide/tests/common/work.rs
@@ -96,7 +96,6 @@
         if self.nodes[node].frozen {
             return;
         }
-        let life = self.nodes[node].life;
         let path = NodePath::Service(service());
         let version = state
             .settings
@@ -115,11 +114,21 @@
             edits: vec![edit],
             wait,
         };
+        self.command(node, command);
+    }
+
+    /// Ends the schedule's own edits.
+    pub fn stop_edits(&mut self) {
+        self.queue.retain(|_, event| !matches!(event, Event::Edit));
+    }
+
+    /// Gives a command to a daemon and returns the name of its answer.
+    pub fn command(&mut self, node: usize, command: OperatorCommand) -> RequestId {
         let request = RequestId(self.new_id());
-        self.input(
-            Caller { node, life },
-            NodeInput::Command { request, command },
-        );
+        let life = self.nodes[node].life;
+        let input = NodeInput::Command { request, command };
+        self.input(Caller { node, life }, input);
+        request
     }
 
     pub fn command_answered(&mut self, result: &CommandResult) {
--- a/crates/balsam-decide/tests/common/world.rs
+++ b/crates/balsam-decide/tests/common/world.rs
@@ -7,7 +7,7 @@
 };
 use super::table::Table;
 use balsam_decide::grants::{Grant, GrantReply, HolderSafeguard, Revoke, RevokeReply};
-use balsam_decide::node::{NodeInput, NodeOutput};
+use balsam_decide::node::{CommandResult, NodeInput, NodeOutput, RequestId};
 use balsam_decide::rights::Safeguard;
 use balsam_types::control::LogEntry;
 use balsam_types::{Epoch, KeyHash, Map, Set, TimeMs, UnitId, UpstreamName};
@@ -94,6 +94,12 @@
     pub open_calls: Set<u64>,
     pub next_id: u64,
     pub edits: u64,
+    /// The answers to operator commands.
+    pub answers: Map<RequestId, CommandResult>,
+    /// Whether answers to writes are lost after the writes took effect.
+    pub lose_write_answers: bool,
+    /// Whether the instance list says that the upstreams check grants.
+    pub checks_grants: bool,
     sequence: u64,
 }
 
@@ -115,6 +121,9 @@
             open_calls: Set::default(),
             next_id: 1,
             edits: 0,
+            answers: Map::default(),
+            lose_write_answers: false,
+            checks_grants: true,
             sequence: 0,
         };
         for index in 0..options.profile.daemons() {
@@ -302,7 +311,10 @@
                 process.node = None;
                 process.view = None;
             }
-            NodeOutput::AnswerCommand { result, .. } => self.command_answered(&result),
+            NodeOutput::AnswerCommand { request, result } => {
+                self.command_answered(&result);
+                self.answers.insert(request, result);
+            }
             NodeOutput::WriteSnapshot(_) | NodeOutput::Log(_) => {}
             other => self.call(caller, other),
         }
