--- a/crates/balsam-ctl/src/commands/epochs.rs
+++ b/crates/balsam-ctl/src/commands/epochs.rs
@@ -2,7 +2,7 @@
 
 use crate::report::or_dash;
 use crate::{Client, CtlError, Report, Table};
-use balsam_wire::operator::{EPOCHS_PATH, EpochsResponse};
+use balsam_wire::operator::{EPOCHS_PATH, EpochsResponse, RosterBody};
 use clap::Args;
 
 /// Lists the adopted epoch of each daemon.
@@ -26,13 +26,22 @@
         });
         let table = Table::new(["daemon", "epoch", "silent ms"]).with_rows(rows);
         let summary = format!(
-            "daemon {}: epoch {}, right for {} ms, table {}, {} open rosters\n",
+            "daemon {}: epoch {}, right for {} ms, table {}\n",
             answer.me,
             answer.epoch,
             answer.right_ms,
             if answer.table_ok { "answers" } else { "silent" },
-            answer.open_rosters.len(),
         );
-        Ok(Report::new(&answer, format!("{summary}{table}")))
+        let rosters = rosters_table(&answer.open_rosters);
+        Ok(Report::new(&answer, format!("{summary}{table}{rosters}")))
     }
 }
+
+/// Shows which daemons a change still has to reach, also those that have left the roster.
+fn rosters_table(rosters: &[RosterBody]) -> Table {
+    let rows = rosters.iter().map(|roster| {
+        let members: Vec<String> = roster.members.iter().map(ToString::to_string).collect();
+        vec![roster.since.to_string(), members.join(" ")]
+    });
+    Table::new(["open roster since", "members"]).with_rows(rows)
+}
