--- a/crates/balsam-decide/src/placement/ledger.rs
+++ b/crates/balsam-decide/src/placement/ledger.rs
@@ -109,9 +109,12 @@
             load_factor: 0.0,
         };
         let owned = ledger.owned_units(input);
-        let guesses = ledger.guess_loads(&owned);
-        let load_of = |unit: &Owned| unit.load.unwrap_or(guesses[unit.at]);
         let unassigned = unassigned_slices(input);
+        let (guesses, mean) = guess_loads(&ledger.hosts, &owned);
+        let load_of = |unit: &Owned| {
+            let guess = guesses[unit.at];
+            unit.load.unwrap_or(guess).max(guess)
+        };
         let total_load: f64 = owned.iter().map(load_of).sum();
         let count = (owned.len() + unassigned.len()).max(1) as f64;
         let load_share = ledger.load_share(total_load);
@@ -123,9 +126,8 @@
             let cost = (key_cost + ledger.load_factor * load_of(unit)).round();
             ledger.enter(unit, cost);
         }
-        let mean_load = total_load / count;
         for unit in unassigned {
-            let load = input.unit_loads.get(&unit).copied().unwrap_or(mean_load);
+            let load = input.unit_loads.get(&unit).copied().unwrap_or(mean);
             let cost = (key_cost + ledger.load_factor * load).round();
             ledger.homeless.push(Homeless {
                 unit,
@@ -205,20 +207,6 @@
         input.placement.units.iter().filter_map(entry).collect()
     }
 
-    /// Spreads the load that is not attributed to a unit evenly over an upstream's other units.
-    fn guess_loads(&self, owned: &[Owned]) -> Vec<f64> {
-        let mut rest: Vec<f64> = self.hosts.iter().map(|host| host.info.load).collect();
-        let mut unknown = vec![0_u64; rest.len()];
-        for unit in owned {
-            match unit.load {
-                Some(load) => rest[unit.at] -= load,
-                None => unknown[unit.at] += 1,
-            }
-        }
-        let guess = |(rest, count): (f64, u64)| rest.max(0.0) / count.max(1) as f64;
-        rest.into_iter().zip(unknown).map(guess).collect()
-    }
-
     /// Returns the weight of load in costs; the load of an almost idle service is noise.
     fn load_share(&self, total_load: f64) -> f64 {
         let capacity: f64 = self.hosts.iter().map(Host::capacity).sum();
@@ -248,6 +236,35 @@
     }
 }
 
+/// Returns the load of a unit of unknown load, for each upstream and for units without an owner.
+///
+/// The load that is not attributed to a unit is spread evenly over an upstream's other units.
+/// Measured load follows a move with a delay, so units of an upstream that is being filled count
+/// with the mean of all upstreams; they would seem too light.
+fn guess_loads(hosts: &[Host<'_>], owned: &[Owned]) -> (Vec<f64>, f64) {
+    let mut rest: Vec<f64> = hosts.iter().map(|host| host.info.load).collect();
+    let mut unknown = vec![0_u64; hosts.len()];
+    for unit in owned {
+        match unit.load {
+            Some(load) => rest[unit.at] -= load,
+            None => unknown[unit.at] += 1,
+        }
+    }
+    let spread = |rest: f64, count: u64| match count {
+        0 => 0.0,
+        count => rest.max(0.0) / count as f64,
+    };
+    let mean = spread(rest.iter().sum(), unknown.iter().sum());
+    let guess = |(at, host): (usize, &Host<'_>)| {
+        if host.filling {
+            mean
+        } else {
+            spread(rest[at], unknown[at])
+        }
+    };
+    (hosts.iter().enumerate().map(guess).collect(), mean)
+}
+
 /// Returns the weight of each upstream: its slots, reduced while it warms up.
 ///
 /// Without any upstream past its warm-up nothing is gained by sparing some of them.
