Guard restarted upstreams and cut single links

An upstream that restarts after it acknowledged a revocation has no fence. A daemon that has not adopted the move could grant it the units again while another upstream owns them. Schedules now also cut single links and drain upstreams by operator.

--- a/crates/balsam-decide/src/grants/issuer.rs
+++ b/crates/balsam-decide/src/grants/issuer.rs
@@ -1,6 +1,7 @@
 //! The daemon's side of grants.
 
 use super::{Grant, GrantReply, GrantUnits, GrantVerdict, GrantedUnits, UnitsDigest};
+use crate::rights::Safeguard;
 use balsam_types::timing::{RIGHT_TTL_MS, SUSPECT_MS};
 use balsam_types::{Epoch, Incarnation, ServiceName, TimeMs};
 use std::sync::Arc;
@@ -43,6 +44,7 @@
     granted_fence: Option<Epoch>,
     granted_until: TimeMs,
     draining: bool,
+    without: Option<Safeguard>,
 }
 
 impl Issuer {
@@ -58,9 +60,17 @@
             granted_fence: None,
             granted_until: TimeMs(0),
             draining: false,
+            without: None,
         }
     }
 
+    /// Removes a safety rule, if one is given; only for tests.
+    #[must_use]
+    pub const fn without(mut self, safeguard: Option<Safeguard>) -> Self {
+        self.without = safeguard;
+        self
+    }
+
     /// Makes the next grant or question, or `None` while the daemon's right has lapsed.
     ///
     /// The grant expires no later than the daemon's right, also if the upstream's answer took
@@ -114,13 +124,15 @@
     /// every move that an earlier incarnation acknowledged.
     pub fn can_grant(&self, now: TimeMs, right_until: TimeMs) -> bool {
         self.seen.is_some_and(|seen| {
-            now.since(seen.received_at) <= CLOCK_AGE_MAX_MS
-                && right_until >= seen.first_answer_at.after(RIGHT_TTL_MS)
+            now.since(seen.received_at) <= CLOCK_AGE_MAX_MS && !self.needs_newer_right(right_until)
         })
     }
 
     /// Returns whether a newer right is needed before the upstream can get a grant.
     pub fn needs_newer_right(&self, right_until: TimeMs) -> bool {
+        if self.without == Some(Safeguard::RightAfterRestart) {
+            return false;
+        }
         self.seen
             .is_some_and(|seen| right_until < seen.first_answer_at.after(RIGHT_TTL_MS))
     }
--- a/crates/balsam-decide/src/node/dispatching.rs
+++ b/crates/balsam-decide/src/node/dispatching.rs
@@ -5,6 +5,7 @@
 use crate::control::ControlState;
 use crate::grants::{Grant, GrantHealth, GrantReply, GrantedUnits, Issuer, UnitsDigest};
 use crate::placer::Scene;
+use crate::rights::Safeguard;
 use balsam_types::control::UpstreamInfo;
 use balsam_types::timing::PULSE_MS;
 use balsam_types::{Epoch, Incarnation, Set, TimeMs, UpstreamName};
@@ -50,9 +51,9 @@
 }
 
 impl Dispatching {
-    fn new(upstream: &UpstreamInfo, role: Role, now: TimeMs) -> Self {
+    fn new(upstream: &UpstreamInfo, role: Role, now: TimeMs, without: Option<Safeguard>) -> Self {
         Self {
-            issuer: Issuer::new(upstream.service.clone(), now),
+            issuer: Issuer::new(upstream.service.clone(), now).without(without),
             role,
             address: upstream.address,
             next_at: now,
@@ -131,6 +132,7 @@
             self.upstreams.clear();
             return;
         }
+        let without = self.without;
         let suspected = &self.suspected;
         let late = self.membership.late(now, &state);
         let role_of = |upstream: &UpstreamInfo| {
@@ -155,7 +157,7 @@
                     let dispatching = self
                         .upstreams
                         .entry(upstream.name.clone())
-                        .or_insert_with(|| Dispatching::new(upstream, role, now));
+                        .or_insert_with(|| Dispatching::new(upstream, role, now, without));
                     dispatching.role = role;
                 }
             }
--- a/crates/balsam-decide/src/node/machine.rs
+++ b/crates/balsam-decide/src/node/machine.rs
@@ -59,6 +59,7 @@
     pub(super) due: Due,
     /// Whether a newer right was asked for, for an upstream that has restarted.
     pub(super) newer_right_asked: bool,
+    pub(super) without: Option<Safeguard>,
     last_input_at: TimeMs,
     right_logged: bool,
 }
@@ -93,6 +94,7 @@
                 decide: true,
             },
             newer_right_asked: false,
+            without: None,
             last_input_at: now,
             right_logged: false,
         }
@@ -103,6 +105,8 @@
     pub fn without(mut self, safeguard: Safeguard) -> Self {
         self.rights = self.rights.without(safeguard);
         self.adoption = self.adoption.without(safeguard);
+        self.placer = self.placer.without(safeguard);
+        self.without = Some(safeguard);
         self
     }
 
--- a/crates/balsam-decide/src/placer/machine.rs
+++ b/crates/balsam-decide/src/placer/machine.rs
@@ -7,6 +7,7 @@
 use crate::control::ControlState;
 use crate::grants::RevokeReply;
 use crate::node::{Decision, NodeOutput, UpstreamReport};
+use crate::rights::Safeguard;
 use balsam_types::control::{Change, Instance, LogEntry, UpstreamStatus};
 use balsam_types::{Epoch, Incarnation, Map, ServiceName, TimeMs, UnitId, UpstreamName, new_map};
 use std::sync::Arc;
@@ -52,6 +53,13 @@
         }
     }
 
+    /// Removes a safety rule; only for tests.
+    #[must_use]
+    pub fn without(mut self, safeguard: Safeguard) -> Self {
+        self.revocations = self.revocations.without(safeguard);
+        self
+    }
+
     /// Returns the next change to commit while this daemon is the placer.
     ///
     /// Changes that give keys an owner again come first.
--- a/crates/balsam-decide/src/placer/revocations.rs
+++ b/crates/balsam-decide/src/placer/revocations.rs
@@ -4,6 +4,7 @@
 use crate::control::ControlState;
 use crate::grants::{Revoke, RevokeReply};
 use crate::node::NodeOutput;
+use crate::rights::Safeguard;
 use balsam_types::control::{UnitOwner, UpstreamInfo, UpstreamStatus};
 use balsam_types::{Epoch, Map, ServiceName, TimeMs, UnitId, UpstreamName, new_map};
 use std::collections::{BTreeMap, BTreeSet};
@@ -35,6 +36,7 @@
     acknowledged: BTreeMap<(ServiceName, UnitId), Acknowledged>,
     next_at: Map<UpstreamName, TimeMs>,
     freed: Vec<Freed>,
+    without: Option<Safeguard>,
 }
 
 impl Revocations {
@@ -43,9 +45,15 @@
             acknowledged: BTreeMap::new(),
             next_at: new_map(),
             freed: Vec::new(),
+            without: None,
         }
     }
 
+    pub const fn without(mut self, safeguard: Safeguard) -> Self {
+        self.without = Some(safeguard);
+        self
+    }
+
     /// Forgets acknowledgements of moves that have ended.
     pub fn follow(&mut self, state: &ControlState) {
         self.acknowledged.retain(|(service, unit), ack| {
@@ -94,7 +102,10 @@
     /// gain a new right under which it would grant the unit again.
     pub fn due(&mut self, scene: &Scene<'_>, moving: &[ServiceName]) -> Vec<NodeOutput> {
         self.settle(scene.state);
-        let adopted = scene.adoption.adopted();
+        let adopted = match self.without {
+            Some(Safeguard::AdoptionBeforeRevoke) => scene.state.epoch,
+            _ => scene.adoption.adopted(),
+        };
         let mut by_upstream: BTreeMap<&UpstreamName, BTreeSet<UnitId>> = BTreeMap::new();
         for service in moving {
             let placement = scene.state.services.get(service);
--- a/crates/balsam-decide/src/rights/safeguard.rs
+++ b/crates/balsam-decide/src/rights/safeguard.rs
@@ -16,4 +16,8 @@
     SameRound,
     /// A majority of each open roster must adopt an epoch, not only of the current one.
     EveryOpenRoster,
+    /// A revocation is sent only after a majority has adopted the epoch that suspended the units.
+    AdoptionBeforeRevoke,
+    /// An incarnation of an upstream gets units only under a right dated after its first answer.
+    RightAfterRestart,
 }
--- a/crates/balsam-decide/tests/common/faults.rs
+++ b/crates/balsam-decide/tests/common/faults.rs
@@ -1,8 +1,8 @@
 //! Faults and the profiles that choose among them.
 
-use super::participants::{Clock, DaemonProcess, Place, UpstreamProcess};
+use super::participants::{Clock, DaemonProcess, Place, UpstreamProcess, upstream_name};
 use super::world::{Caller, Event, World};
-use balsam_decide::node::NodeInput;
+use balsam_decide::node::{NodeInput, OperatorCommand};
 use balsam_types::Map;
 use rand::RngExt;
 
@@ -40,6 +40,8 @@
     TableDown,
     LeaveUpstream,
     CutNextUpstream,
+    CutLink,
+    OperatorDrain,
 }
 
 impl Profile {
@@ -123,6 +125,8 @@
                 Fault::AddNode,
                 Fault::TableDown,
                 Fault::LeaveUpstream,
+                Fault::CutLink,
+                Fault::OperatorDrain,
             ],
             Self::Late => &[
                 Fault::Partition,
@@ -136,6 +140,8 @@
                 Fault::CutTable,
                 Fault::CutTable,
                 Fault::CutUpstream,
+                Fault::CutLink,
+                Fault::CutLink,
             ],
             Self::Upstreams => &[
                 Fault::CutUpstream,
@@ -143,6 +149,7 @@
                 Fault::RestartUpstream,
                 Fault::LeaveUpstream,
                 Fault::CutUpstream,
+                Fault::CutLink,
             ],
             Self::Daemons => &[
                 Fault::RestartNode,
@@ -177,6 +184,8 @@
             Fault::AddNode => self.add_node(),
             Fault::TableDown => self.table.down = !self.table.down,
             Fault::LeaveUpstream => self.leave_upstream(upstream),
+            Fault::CutLink => self.cut_link(),
+            Fault::OperatorDrain => self.operator_drain(node, upstream),
             Fault::CutNextUpstream => self.cut_next_upstream(),
         }
     }
@@ -185,6 +194,7 @@
     pub fn heal(&mut self) {
         self.healed = true;
         self.sides.clear();
+        self.cut_links.clear();
         self.table.down = false;
         self.queue
             .retain(|_, event| !matches!(event, Event::Fault | Event::Request));
@@ -201,8 +211,20 @@
         }
     }
 
+    /// Starts daemons that have left, and takes back drains of operators.
+    pub fn tend(&mut self) {
+        self.restart_ended();
+        let node = self.rng.random_range(0..self.nodes.len());
+        for index in 0..self.upstreams.len() {
+            let info = self.table.state.upstreams.get(&upstream_name(index));
+            if info.is_some_and(|info| info.drained_by_operator) {
+                self.command_drain(node, index, false);
+            }
+        }
+    }
+
     /// Starts a new daemon wherever one has left.
-    pub fn restart_ended(&mut self) {
+    fn restart_ended(&mut self) {
         for index in 0..self.nodes.len() {
             if self.nodes[index].node.is_none() {
                 self.restart_node(index);
@@ -247,6 +269,28 @@
         }
     }
 
+    /// Cuts or restores one link, so that places see each other differently.
+    fn cut_link(&mut self) {
+        let places = self.places();
+        let from = places[self.rng.random_range(0..places.len())];
+        let to = places[self.rng.random_range(0..places.len())];
+        if !self.cut_links.remove(&(from, to)) {
+            self.cut_links.insert((from, to));
+        }
+    }
+
+    fn operator_drain(&mut self, node: usize, upstream: usize) {
+        let drain = self.chance(50);
+        if !self.nodes[node].frozen {
+            self.command_drain(node, upstream, drain);
+        }
+    }
+
+    fn command_drain(&mut self, node: usize, upstream: usize, drain: bool) {
+        let upstream = upstream_name(upstream);
+        self.command(node, OperatorCommand::Drain { upstream, drain });
+    }
+
     fn cut_next_upstream(&mut self) {
         let is_cut = |index: &usize| self.sides.contains_key(&Place::Upstream(*index));
         let last = (0..self.upstreams.len()).find(is_cut);
--- a/crates/balsam-decide/tests/common/mod.rs
+++ b/crates/balsam-decide/tests/common/mod.rs
@@ -4,7 +4,7 @@
 //! offset and a rate within 1 % of true time.
 #![allow(dead_code, reason = "each test file uses a part of the driver")]
 
-mod check;
+pub mod check;
 mod control_calls;
 pub mod faults;
 pub mod participants;
--- a/crates/balsam-decide/tests/common/run.rs
+++ b/crates/balsam-decide/tests/common/run.rs
@@ -43,7 +43,7 @@
     let mut unrecovered: Option<String> = None;
     while world.checks.violation.is_none() && world.t < heal_at_ms + RECOVERY_MS {
         world.run_until(world.t + LOOK_MS);
-        world.restart_ended();
+        world.tend();
         unrecovered = world.unrecovered();
         if unrecovered.is_none() {
             break;
@@ -105,10 +105,14 @@
 impl World {
     /// Makes a world without faults in which every unit has an owner.
     pub fn settled(seed: u64) -> Self {
+        Self::settled_without(seed, None)
+    }
+
+    pub fn settled_without(seed: u64, without: Option<Safeguard>) -> Self {
         let mut world = Self::new(Options {
             seed,
             profile: Profile::Quiet,
-            without: None,
+            without,
             holder_without: None,
         });
         world.after(200, Event::Edit);
--- a/crates/balsam-decide/tests/common/world.rs
+++ b/crates/balsam-decide/tests/common/world.rs
@@ -86,6 +86,8 @@
     pub table: Table,
     /// The side of each place; messages between sides are lost.
     pub sides: Map<Place, u8>,
+    /// Pairs of places that do not reach each other.
+    pub cut_links: Set<(Place, Place)>,
     pub healed: bool,
     pub checks: Checks,
     pub queue: BTreeMap<(u64, u64), Event>,
@@ -113,6 +115,7 @@
             upstreams: Vec::new(),
             table: Table::new(),
             sides: Map::default(),
+            cut_links: Set::default(),
             healed: false,
             checks: Checks::new(),
             queue: BTreeMap::new(),
@@ -185,7 +188,8 @@
 
     pub fn is_connected(&self, from: Place, to: Place) -> bool {
         let side = |place| self.sides.get(&place).copied().unwrap_or(0);
-        side(from) == side(to)
+        let cut = self.cut_links.contains(&(from, to)) || self.cut_links.contains(&(to, from));
+        side(from) == side(to) && !cut
     }
 
     pub fn chance(&mut self, percent: u32) -> bool {
