--- a/crates/balsam-decide/src/placement/balance.rs
+++ b/crates/balsam-decide/src/placement/balance.rs
@@ -8,7 +8,10 @@
 /// Plans moves from the fullest to the least filled upstream while they pay for themselves.
 ///
 /// Balancing starts when the gap between the two exceeds the margin and ends at half of it, so
-/// that noise in the load does not start the next round at once.
+/// that noise in the load does not start the next round at once. A round starts only when the last
+/// one is a minute ago, because measured load shows a move late and moves would be repeated. Moves to an upstream that is being
+/// filled are limited by its warm-up and not by the moves per minute, which would stretch the
+/// warm-up of one upstream among 20 to minutes.
 pub(super) fn plan_balance(
     input: &PlanInput<'_>,
     ledger: &mut Ledger<'_>,
@@ -18,14 +21,12 @@
     let margin = mean * input.policy.move_margin_percent as f64 / 100.0;
     let mut steps = Vec::new();
     let mut exhausted = vec![false; ledger.hosts.len()];
-    for host in &mut ledger.hosts {
-        let by_cost =
-            |a: &(f64, UnitId), b: &(f64, UnitId)| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1));
-        host.movable.sort_unstable_by(by_cost);
-    }
-    while *budget > 0 {
-        let (Some(full), Some(low)) = (fullest(ledger, &exhausted), ledger.least_filled(None))
-        else {
+    let mut sorted = vec![false; ledger.hosts.len()];
+    let settled = input.recent_moves == 0;
+    loop {
+        let may_get = |at| settled && *budget > 0 || ledger.is_filling(at);
+        let low = ledger.least_filled(may_get);
+        let (Some(full), Some(low)) = (fullest(ledger, &exhausted), low) else {
             break;
         };
         let gap = ledger.hosts[full].ratio() - ledger.hosts[low].ratio();
@@ -37,13 +38,18 @@
         if full == low || gap <= enough {
             break;
         }
+        if !std::mem::replace(&mut sorted[full], true) {
+            sort_by_cost(&mut ledger.hosts[full].movable);
+        }
         let Some((cost, unit)) = choose(&ledger.hosts[full], &ledger.hosts[low], mean, margin)
         else {
             exhausted[full] = true;
             continue;
         };
+        if !ledger.is_filling(low) {
+            *budget -= 1;
+        }
         ledger.shift(unit, cost, full, low);
-        *budget -= 1;
         steps.push(PlanStep::Move(UnitMove {
             unit,
             from: input.upstreams[full].name.clone(),
@@ -54,6 +60,10 @@
     steps
 }
 
+fn sort_by_cost(units: &mut [(f64, UnitId)]) {
+    units.sort_unstable_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
+}
+
 fn fullest(ledger: &Ledger<'_>, exhausted: &[bool]) -> Option<usize> {
     let givers =
         (0..ledger.hosts.len()).filter(|at| !exhausted[*at] && ledger.hosts[*at].weight > 0.0);
@@ -65,17 +75,23 @@
     })
 }
 
-/// Returns the heaviest unit that brings both hosts towards the mean without overshooting, or the
-/// lightest unit if even that one overshoots but still narrows the gap by the margin.
+/// Returns the heaviest unit whose move pays for itself, so that few units have to move.
+///
+/// A unit that brings both hosts towards the mean always does. A unit that overshoots by up to the
+/// margin must narrow the gap by the margin, so that it does not move back in the next round.
 fn choose(full: &Host<'_>, low: &Host<'_>, mean: f64, margin: f64) -> Option<(f64, UnitId)> {
     let excess = full.held - mean * full.weight;
     let room = mean * low.weight - low.held;
     let fits = excess.min(room);
-    let fitting = full.movable.partition_point(|(cost, _)| *cost <= fits);
-    if let Some(at) = fitting.checked_sub(1) {
-        return Some(full.movable[at]);
-    }
-    let (cost, unit) = *full.movable.first()?;
-    let after = (low.held + cost) / low.weight;
-    (after + margin <= full.ratio()).then_some((cost, unit))
+    let heaviest_within = |limit: f64| {
+        let within = full.movable.partition_point(|(cost, _)| *cost <= limit);
+        Some(full.movable[within.checked_sub(1)?])
+    };
+    let pays = |(cost, _): &(f64, UnitId)| {
+        *cost <= fits || (low.held + cost) / low.weight + margin <= full.ratio()
+    };
+    let overshooting = heaviest_within(fits + margin * low.weight).filter(pays);
+    overshooting
+        .or_else(|| heaviest_within(fits))
+        .or_else(|| full.movable.first().copied().filter(pays))
 }
