--- a/crates/balsam-decide/tests/common/mod.rs
+++ b/crates/balsam-decide/tests/common/mod.rs
@@ -4,10 +4,10 @@
 //! offset and a rate within 1 % of true time.
 #![allow(dead_code, reason = "each test file uses a part of the driver")]
 
-mod check;
+pub mod check;
 mod control_calls;
 pub mod faults;
-mod participants;
+pub mod participants;
 pub mod run;
 mod table;
 mod work;
--- a/crates/balsam-decide/tests/common/world.rs
+++ b/crates/balsam-decide/tests/common/world.rs
@@ -7,7 +7,7 @@
 };
 use super::table::Table;
 use balsam_decide::grants::{Grant, GrantReply, HolderSafeguard, Revoke, RevokeReply};
-use balsam_decide::node::{NodeInput, NodeOutput};
+use balsam_decide::node::{CommandResult, NodeInput, NodeOutput, RequestId};
 use balsam_decide::rights::Safeguard;
 use balsam_types::control::LogEntry;
 use balsam_types::{Epoch, KeyHash, Map, Set, TimeMs, UnitId, UpstreamName};
@@ -86,6 +86,8 @@
     pub table: Table,
     /// The side of each place; messages between sides are lost.
     pub sides: Map<Place, u8>,
+    /// Pairs of places that do not reach each other.
+    pub cut_links: Set<(Place, Place)>,
     pub healed: bool,
     pub checks: Checks,
     pub queue: BTreeMap<(u64, u64), Event>,
@@ -94,6 +96,12 @@
     pub open_calls: Set<u64>,
     pub next_id: u64,
     pub edits: u64,
+    /// The answers to operator commands.
+    pub answers: Map<RequestId, CommandResult>,
+    /// Whether answers to writes are lost after the writes took effect.
+    pub lose_write_answers: bool,
+    /// Whether the instance list says that the upstreams check grants.
+    pub checks_grants: bool,
     sequence: u64,
 }
 
@@ -107,6 +115,7 @@
             upstreams: Vec::new(),
             table: Table::new(),
             sides: Map::default(),
+            cut_links: Set::default(),
             healed: false,
             checks: Checks::new(),
             queue: BTreeMap::new(),
@@ -115,6 +124,9 @@
             open_calls: Set::default(),
             next_id: 1,
             edits: 0,
+            answers: Map::default(),
+            lose_write_answers: false,
+            checks_grants: true,
             sequence: 0,
         };
         for index in 0..options.profile.daemons() {
@@ -165,7 +177,8 @@
         if !self.is_connected(from, to) || self.chance(self.loss_percent()) {
             return;
         }
-        if may_double && !self.healed && self.chance(2) {
+        let doubles = !self.healed && self.options.profile != Profile::Quiet;
+        if may_double && doubles && self.chance(2) {
             let delay = self.delay();
             self.after(delay, event.clone());
         }
@@ -175,7 +188,8 @@
 
     pub fn is_connected(&self, from: Place, to: Place) -> bool {
         let side = |place| self.sides.get(&place).copied().unwrap_or(0);
-        side(from) == side(to)
+        let cut = self.cut_links.contains(&(from, to)) || self.cut_links.contains(&(to, from));
+        side(from) == side(to) && !cut
     }
 
     pub fn chance(&mut self, percent: u32) -> bool {
@@ -258,7 +272,7 @@
             Event::Heal => self.heal(),
             Event::Resume(place, life) => self.resume(place, life),
         }
-        self.check();
+        self.check(place);
     }
 
     pub fn is_alive(&self, caller: Caller) -> bool {
@@ -301,7 +315,10 @@
                 process.node = None;
                 process.view = None;
             }
-            NodeOutput::AnswerCommand { result, .. } => self.command_answered(&result),
+            NodeOutput::AnswerCommand { request, result } => {
+                self.command_answered(&result);
+                self.answers.insert(request, result);
+            }
             NodeOutput::WriteSnapshot(_) | NodeOutput::Log(_) => {}
             other => self.call(caller, other),
         }
