Add the demonstration

Cause: a new contributor needs one command that shows the main job from end to end. Change: binary balsam-demo runs a platform, six upstreams of three services and two daemons in one process, serves a lookup, an order and a streamed download, prints which upstream answered and why, and sends the order again to show that it does not run twice.

--- a/crates/balsam-standins/src/lib.rs
+++ b/crates/balsam-standins/src/lib.rs
@@ -4,6 +4,7 @@
 
 mod clock;
 
+pub mod demo;
 pub mod harness;
 pub mod load;
 pub mod platform;
