--- a/crates/balsam-decide/tests/common/faults.rs
+++ b/crates/balsam-decide/tests/common/faults.rs
@@ -1,14 +1,16 @@
 //! Faults and the profiles that choose among them.
 
-use super::participants::{Clock, DaemonProcess, Place, UpstreamProcess};
+use super::participants::{Clock, DaemonProcess, Place, UpstreamProcess, upstream_name};
 use super::world::{Caller, Event, World};
-use balsam_decide::node::NodeInput;
+use balsam_decide::node::{NodeInput, OperatorCommand};
 use balsam_types::Map;
 use rand::RngExt;
 
 /// The kind of faults that a schedule has.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Profile {
+    /// No faults but those that a test makes itself.
+    Quiet,
     /// All faults.
     Mixed,
     /// Messages are often late.
@@ -38,12 +40,15 @@
     TableDown,
     LeaveUpstream,
     CutNextUpstream,
+    CutLink,
+    OperatorDrain,
 }
 
 impl Profile {
     pub const fn daemons(self) -> usize {
         match self {
             Self::Upstreams | Self::Returns => 2,
+            Self::Quiet => 4,
             Self::Mixed | Self::Late | Self::Partitions | Self::Daemons => 3,
         }
     }
@@ -51,12 +56,13 @@
     pub const fn upstreams(self) -> usize {
         match self {
             Self::Daemons | Self::Mixed | Self::Late | Self::Partitions | Self::Returns => 2,
-            Self::Upstreams => 3,
+            Self::Upstreams | Self::Quiet => 3,
         }
     }
 
     pub const fn loss_percent(self) -> u32 {
         match self {
+            Self::Quiet => 0,
             Self::Mixed | Self::Daemons => 2,
             Self::Late => 5,
             Self::Partitions | Self::Upstreams | Self::Returns => 1,
@@ -65,6 +71,7 @@
 
     pub const fn late_percent(self) -> u32 {
         match self {
+            Self::Quiet => 0,
             Self::Late => 10,
             Self::Mixed => 2,
             Self::Partitions | Self::Upstreams | Self::Daemons | Self::Returns => 1,
@@ -75,6 +82,7 @@
         match self {
             Self::Upstreams => 30,
             Self::Returns => 60,
+            Self::Quiet => 0,
             Self::Mixed | Self::Late | Self::Partitions | Self::Daemons => 5,
         }
     }
@@ -117,6 +125,8 @@
                 Fault::AddNode,
                 Fault::TableDown,
                 Fault::LeaveUpstream,
+                Fault::CutLink,
+                Fault::OperatorDrain,
             ],
             Self::Late => &[
                 Fault::Partition,
@@ -130,6 +140,8 @@
                 Fault::CutTable,
                 Fault::CutTable,
                 Fault::CutUpstream,
+                Fault::CutLink,
+                Fault::CutLink,
             ],
             Self::Upstreams => &[
                 Fault::CutUpstream,
@@ -137,6 +149,7 @@
                 Fault::RestartUpstream,
                 Fault::LeaveUpstream,
                 Fault::CutUpstream,
+                Fault::CutLink,
             ],
             Self::Daemons => &[
                 Fault::RestartNode,
@@ -146,6 +159,7 @@
                 Fault::CutTable,
             ],
             Self::Returns => &[Fault::CutNextUpstream],
+            Self::Quiet => &[],
         }
     }
 }
@@ -170,6 +184,8 @@
             Fault::AddNode => self.add_node(),
             Fault::TableDown => self.table.down = !self.table.down,
             Fault::LeaveUpstream => self.leave_upstream(upstream),
+            Fault::CutLink => self.cut_link(),
+            Fault::OperatorDrain => self.operator_drain(node, upstream),
             Fault::CutNextUpstream => self.cut_next_upstream(),
         }
     }
@@ -178,6 +194,7 @@
     pub fn heal(&mut self) {
         self.healed = true;
         self.sides.clear();
+        self.cut_links.clear();
         self.table.down = false;
         self.queue
             .retain(|_, event| !matches!(event, Event::Fault | Event::Request));
@@ -194,8 +211,20 @@
         }
     }
 
+    /// Starts daemons that have left, and takes back drains of operators.
+    pub fn tend(&mut self) {
+        self.restart_ended();
+        let node = self.rng.random_range(0..self.nodes.len());
+        for index in 0..self.upstreams.len() {
+            let info = self.table.state.upstreams.get(&upstream_name(index));
+            if info.is_some_and(|info| info.drained_by_operator) {
+                self.command_drain(node, index, false);
+            }
+        }
+    }
+
     /// Starts a new daemon wherever one has left.
-    pub fn restart_ended(&mut self) {
+    fn restart_ended(&mut self) {
         for index in 0..self.nodes.len() {
             if self.nodes[index].node.is_none() {
                 self.restart_node(index);
@@ -203,6 +232,12 @@
         }
     }
 
+    /// Cuts `places` off from everything else.
+    pub fn isolate(&mut self, places: &[Place]) {
+        self.sides.clear();
+        self.sides.extend(places.iter().map(|place| (*place, 1)));
+    }
+
     fn partition(&mut self) {
         if !self.sides.is_empty() && self.chance(60) {
             self.sides.clear();
@@ -234,6 +269,28 @@
         }
     }
 
+    /// Cuts or restores one link, so that places see each other differently.
+    fn cut_link(&mut self) {
+        let places = self.places();
+        let from = places[self.rng.random_range(0..places.len())];
+        let to = places[self.rng.random_range(0..places.len())];
+        if !self.cut_links.remove(&(from, to)) {
+            self.cut_links.insert((from, to));
+        }
+    }
+
+    fn operator_drain(&mut self, node: usize, upstream: usize) {
+        let drain = self.chance(50);
+        if !self.nodes[node].frozen {
+            self.command_drain(node, upstream, drain);
+        }
+    }
+
+    fn command_drain(&mut self, node: usize, upstream: usize, drain: bool) {
+        let upstream = upstream_name(upstream);
+        self.command(node, OperatorCommand::Drain { upstream, drain });
+    }
+
     fn cut_next_upstream(&mut self) {
         let is_cut = |index: &usize| self.sides.contains_key(&Place::Upstream(*index));
         let last = (0..self.upstreams.len()).find(is_cut);
@@ -279,7 +336,7 @@
         }
     }
 
-    fn restart_node(&mut self, node: usize) {
+    pub fn restart_node(&mut self, node: usize) {
         let life = self.new_life();
         let clock = self.nodes[node].clock;
         let without = self.options.without;
@@ -288,7 +345,7 @@
         self.start_ticks(node);
     }
 
-    fn restart_upstream(&mut self, upstream: usize) {
+    pub fn restart_upstream(&mut self, upstream: usize) {
         let life = self.new_life();
         let clock: Clock = self.upstreams[upstream].clock;
         let leaving = self.upstreams[upstream].leaving;
@@ -297,7 +354,17 @@
         self.upstreams[upstream].leaving = leaving;
     }
 
-    fn stop_node(&mut self, node: usize) {
+    /// Ends a daemon without notice and does not start it again.
+    pub fn kill_node(&mut self, node: usize) {
+        self.nodes[node].node = None;
+        self.nodes[node].view = None;
+    }
+
+    pub fn freeze_forever(&mut self, upstream: usize) {
+        self.upstreams[upstream].frozen = true;
+    }
+
+    pub fn stop_node(&mut self, node: usize) {
         let life = self.nodes[node].life;
         if !self.nodes[node].frozen {
             self.input(Caller { node, life }, NodeInput::Stop);
@@ -316,7 +383,7 @@
         }
     }
 
-    fn leave_upstream(&mut self, upstream: usize) {
+    pub fn leave_upstream(&mut self, upstream: usize) {
         let leaving = &mut self.upstreams[upstream].leaving;
         *leaving = !*leaving;
     }
