End the daemon's tasks in a fixed order

Cause: operators' requests in flight at a stop lost their connection, a command to a stopped control task was answered as busy, and balsamctl listed nothing for nodes that do not exist. Change: the control tasks end after the relayed requests and before the operator listener, which answers what still waits; commands to a stopped control task are refused as stopping; balsamctl refuses unknown nodes.

--- a/crates/balsam-ctl/src/commands/rank_list.rs
+++ b/crates/balsam-ctl/src/commands/rank_list.rs
@@ -1,6 +1,7 @@
 //! `balsamctl rank list SERVICE`.
 
 use super::settings_get::{own_values, read_nodes};
+use crate::error::NoNodeSnafu;
 use crate::{Client, CtlError, Report, Table};
 use balsam_types::ServiceName;
 use balsam_types::settings::NodePath;
@@ -20,8 +21,13 @@
     ///
     /// Returns a [`CtlError`] if the daemon does not answer or refuses.
     pub async fn run(&self, client: &Client) -> Result<Report, CtlError> {
-        let wanted = |path: &NodePath| matches!(path, NodePath::Rank(service, _) if *service == self.service);
-        let nodes = read_nodes(client, wanted).await?;
+        let service = Some(&self.service);
+        let mut nodes = read_nodes(client, |path| path.service() == service).await?;
+        if nodes.is_empty() {
+            let path = NodePath::Service(self.service.clone());
+            return NoNodeSnafu { path }.fail();
+        }
+        nodes.retain(|node| matches!(node.path, NodePath::Rank(..)));
         let rows = nodes.iter().filter_map(|node| match &node.path {
             NodePath::Rank(_, rank) => Some(vec![
                 rank.to_string(),
--- a/crates/balsam-ctl/src/commands/settings_get.rs
+++ b/crates/balsam-ctl/src/commands/settings_get.rs
@@ -1,5 +1,6 @@
 //! `balsamctl settings get [PATH]`.
 
+use crate::error::NoNodeSnafu;
 use crate::{Client, CtlError, Report, Table};
 use balsam_types::settings::NodePath;
 use balsam_wire::operator::{NodeBody, SETTINGS_PATH, SettingsResponse};
@@ -21,6 +22,9 @@
     pub async fn run(&self, client: &Client) -> Result<Report, CtlError> {
         let wanted = |path: &NodePath| self.path.as_ref().is_none_or(|wanted| wanted == path);
         let nodes = read_nodes(client, wanted).await?;
+        if let Some(path) = self.path.as_ref().filter(|_| nodes.is_empty()) {
+            return NoNodeSnafu { path: path.clone() }.fail();
+        }
         let rows = nodes.iter().map(|node| {
             vec![
                 node.path.to_string(),
--- a/crates/balsam-ctl/src/error.rs
+++ b/crates/balsam-ctl/src/error.rs
@@ -1,7 +1,7 @@
 //! Why a command failed, what the operator can do, and the exit code.
 
 use balsam_types::NameError;
-use balsam_types::settings::{NodePathError, ValueError};
+use balsam_types::settings::{NodePath, NodePathError, ValueError};
 use balsam_wire::operator::{ErrorCode, ErrorResponse};
 use serde_json::{Value, json};
 use snafu::Snafu;
@@ -88,6 +88,12 @@
         /// The HTTP status code.
         status: u16,
     },
+    /// The settings tree has no such node.
+    #[snafu(display("{path}: no such node"))]
+    NoNode {
+        /// The path.
+        path: NodePath,
+    },
     /// The daemon refused the request.
     #[snafu(display("{}", refusal.message))]
     Refused {
@@ -120,7 +126,9 @@
             Self::UnknownKey { .. } => "`balsamctl settings explain /` lists the keys",
             Self::BadValue { .. } => "choose a value in the accepted range",
             Self::BadName { .. } => "choose another name",
-            Self::BadPath { .. } => "`balsamctl settings get` lists the nodes",
+            Self::BadPath { .. } | Self::NoNode { .. } => {
+                "`balsamctl settings get` lists the nodes"
+            }
             Self::Unreachable { .. } => {
                 "check the address or try another daemon; read the state \
                                          back before repeating a change"
@@ -148,7 +156,7 @@
             | Self::BadPath { .. } => EXIT_USAGE,
             Self::Unreachable { .. } | Self::BadAnswer { .. } => EXIT_UNREACHABLE,
             Self::Refused { refusal } => refusal_code(refusal.code),
-            Self::Output { .. } => EXIT_REFUSED,
+            Self::NoNode { .. } | Self::Output { .. } => EXIT_REFUSED,
         }
     }
 
@@ -159,9 +167,10 @@
         {
             return value;
         }
-        let code = match self.exit_code() {
-            EXIT_UNREACHABLE => "unreachable",
-            EXIT_USAGE => "usage",
+        let code = match (self, self.exit_code()) {
+            (Self::NoNode { .. }, _) => "not-found",
+            (_, EXIT_UNREACHABLE) => "unreachable",
+            (_, EXIT_USAGE) => "usage",
             _ => "failed",
         };
         json!({"code": code, "message": self.to_string(), "help": self.help()})
--- a/crates/balsam-ctl/tests/exit_codes.rs
+++ b/crates/balsam-ctl/tests/exit_codes.rs
@@ -25,6 +25,14 @@
     let refused = deployment.ctl(0, &["drain", "nobody"]).await;
     assert_eq!(refused.code, 1, "{refused:?}");
     assert!(refused.err.contains("help: "), "{refused:?}");
+    for missing in [
+        ["settings", "get", "/services/none"],
+        ["rank", "list", "none"],
+    ] {
+        let printed = deployment.ctl(0, &missing).await;
+        assert_eq!(printed.code, 1, "{printed:?}");
+        assert!(printed.err.contains("no such node"), "{printed:?}");
+    }
     let server = deployment.operator(0).to_string();
     let stranger = run(Some("another-credential"), &["--server", &server, "epochs"]).await;
     assert_eq!(stranger.code, 1, "{stranger:?}");
--- a/crates/balsam-daemon/src/assembly/daemon.rs
+++ b/crates/balsam-daemon/src/assembly/daemon.rs
@@ -28,6 +28,9 @@
 /// Relayed requests that wait for the dispatch tasks.
 const RELAY_QUEUE: usize = 1_024;
 
+/// The wait for the answers to operators at the end.
+const OPERATOR_WAIT: Duration = Duration::from_secs(2);
+
 /// The addresses that a daemon listens on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Addresses {
@@ -49,7 +52,8 @@
     control: ControlTasks,
     peer_listener: ListenerHandle,
     operator_stop: watch::Sender<bool>,
-    tasks: JoinSet<()>,
+    operator_tasks: JoinSet<()>,
+    control_tasks: JoinSet<()>,
 }
 
 /// Runs a daemon with the settings of `config` until `stop` is ready, and lets it end in order.
@@ -70,7 +74,7 @@
     ///
     /// Returns a [`RunError`] if a listener cannot be bound.
     pub async fn start(config: Config) -> Result<Self, RunError> {
-        let mut tasks = JoinSet::new();
+        let mut control_tasks = JoinSet::new();
         let (instruments, metrics_text) = metrics::start().context(MetricsSnafu)?;
         let operator = bind_operator(&config).await?;
         let peers = start_peers(&config).await?;
@@ -81,7 +85,8 @@
             zone: config.zone.clone(),
         };
         let client = peers.client.clone();
-        let control = start_control(me, config.platform, client, peers.incoming, &mut tasks);
+        let incoming = peers.incoming;
+        let control = start_control(me, config.platform, client, incoming, &mut control_tasks);
         let channels = RequestChannels {
             control: control.handle.clone(),
             table: control.table.clone(),
@@ -97,7 +102,8 @@
         };
         let context = operator_context(&config, &control, metrics_text);
         let (operator_stop, operator_stopped) = watch::channel(false);
-        tasks.spawn_local(operator.run(context, operator_stopped));
+        let mut operator_tasks = JoinSet::new();
+        operator_tasks.spawn_local(operator.run(context, operator_stopped));
         Ok(Self {
             addresses,
             incarnation,
@@ -106,7 +112,8 @@
             control,
             peer_listener: peers.listener,
             operator_stop,
-            tasks,
+            operator_tasks,
+            control_tasks,
         })
     }
 
@@ -128,24 +135,28 @@
     pub async fn run(mut self, stop: impl Future<Output = ()>) -> Result<(), RunError> {
         tokio::select! {
             () = stop => {}
-            Some(_) = self.tasks.join_next() => return TaskEndedSnafu.fail(),
+            Some(_) = self.control_tasks.join_next() => return TaskEndedSnafu.fail(),
+            Some(_) = self.operator_tasks.join_next() => return TaskEndedSnafu.fail(),
         }
         self.leave().await;
         Ok(())
     }
 
     /// Finishes callers' requests first, because they need the freshness right, then leaves the
-    /// roster, and at last finishes the requests that other daemons relayed.
-    async fn leave(self) {
+    /// roster, then finishes the requests that other daemons relayed.
+    ///
+    /// The control tasks end before the operator listener, which tells the commands that still wait
+    /// that the daemon is stopping.
+    async fn leave(mut self) {
         log::info!("stopping");
         self.requests.stop().await;
-        self.control.handle.stop().await;
-        let leave_wait = Duration::from_millis(self.limits.leave_ms);
-        if timeout(leave_wait, self.control.left).await.is_err() {
+        let left = leave_roster(self.control);
+        if timeout(Duration::from_millis(self.limits.leave_ms), left)
+            .await
+            .is_err()
+        {
             log::warn!("could not leave the roster in time");
         }
-        // No receiver is left if the listener has ended already.
-        let _ = self.operator_stop.send(true);
         let drain_wait = Duration::from_millis(self.limits.drain_ms);
         if timeout(drain_wait, self.peer_listener.stop())
             .await
@@ -153,10 +164,23 @@
         {
             log::warn!("could not finish the requests of peers in time");
         }
+        self.control_tasks.shutdown().await;
+        // No receiver is left if the listener has ended already.
+        let _ = self.operator_stop.send(true);
+        let operators_done = async { while self.operator_tasks.join_next().await.is_some() {} };
+        if timeout(OPERATOR_WAIT, operators_done).await.is_err() {
+            log::warn!("could not finish the requests of operators in time");
+        }
         log::info!("stopped");
     }
 }
 
+async fn leave_roster(control: ControlTasks) {
+    control.handle.stop().await;
+    // The sender is gone only if the control task has ended.
+    let _ = control.left.await;
+}
+
 /// The peer transport with the channels of its incoming requests.
 struct Peers {
     client: PeerClient,
--- a/crates/balsam-daemon/src/control/decide/handle.rs
+++ b/crates/balsam-daemon/src/control/decide/handle.rs
@@ -6,6 +6,7 @@
 use balsam_types::control::QuarantineEntry;
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::sync::mpsc::error::TrySendError;
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::timeout;
 
@@ -56,8 +57,12 @@
             command,
             reply: Some(reply),
         };
-        if self.inputs.try_send(input).is_err() {
-            return CommandResult::Refused(CommandFailure::Busy);
+        match self.inputs.try_send(input) {
+            Ok(()) => {}
+            Err(TrySendError::Full(_)) => return CommandResult::Refused(CommandFailure::Busy),
+            Err(TrySendError::Closed(_)) => {
+                return CommandResult::Refused(CommandFailure::Stopping);
+            }
         }
         match timeout(wait, result).await {
             Ok(Ok(result)) => result,
