Keep reads of a starting daemon from piling up

Cause: a daemon that starts while the table is silent asked again each second with a wait of 10 s for each read, so that reads piled up for the table's return, and a lost answer delayed its start by up to 10 s.

--- a/crates/balsam-daemon/src/control/edge/platform_task.rs
+++ b/crates/balsam-daemon/src/control/edge/platform_task.rs
@@ -119,16 +119,27 @@
     pub async fn run(mut self) {
         let mut control_running = FuturesUnordered::new();
         let mut table_running = FuturesUnordered::new();
+        let mut starting = false;
         loop {
             tokio::select! {
                 Some(exchange) = self.control.recv(), if control_running.len() < CONTROL_EXCHANGES => {
+                    // The node asks again before a long first read ends; one read is enough.
+                    if is_first_read(&exchange) && std::mem::replace(&mut starting, true) {
+                        continue;
+                    }
                     let (platform, clock) = (self.platform.clone(), self.clock.clone());
-                    control_running.push(run_control(platform, clock, self.inputs.clone(), exchange));
+                    control_running.push(run_control(platform, clock, exchange));
                 }
                 Some(exchange) = self.table.recv(), if table_running.len() < ORDER_EXCHANGES => {
                     table_running.push(run_table(self.platform.clone(), exchange));
                 }
-                Some(()) = control_running.next() => {}
+                Some(finished) = control_running.next() => {
+                    starting &= !finished.was_first_read;
+                    if let Some(input) = finished.input {
+                        // The control task is gone only while the daemon exits.
+                        let _ = self.inputs.send(ControlInput::Node(input)).await;
+                    }
+                }
                 Some(()) = table_running.next() => {}
                 else => return,
             }
@@ -136,15 +147,25 @@
     }
 }
 
+const fn is_first_read(exchange: &ControlExchange) -> bool {
+    matches!(exchange, ControlExchange::ReadTable { after: Epoch(0) })
+}
+
+/// The end of a control exchange.
+struct Finished {
+    was_first_read: bool,
+    input: Option<NodeInput>,
+}
+
 async fn run_control<P: Platform, C: Clock>(
     platform: P,
     clock: C,
-    inputs: mpsc::Sender<ControlInput>,
     exchange: ControlExchange,
-) {
+) -> Finished {
+    let was_first_read = is_first_read(&exchange);
     let input = match exchange {
         ControlExchange::ReadTable { after } => {
-            let wait = if after == Epoch(0) {
+            let wait = if was_first_read {
                 FIRST_READ_WAIT
             } else {
                 READ_WAIT
@@ -172,9 +193,9 @@
             None
         }
     };
-    if let Some(input) = input {
-        // The control task is gone only while the daemon exits.
-        let _ = inputs.send(ControlInput::Node(input)).await;
+    Finished {
+        was_first_read,
+        input,
     }
 }
 
--- a/crates/balsam-daemon/src/control/observe/table.rs
+++ b/crates/balsam-daemon/src/control/observe/table.rs
@@ -17,6 +17,9 @@
 /// Log rows in one answer; a daemon that is further behind reads again.
 const PAGE_ROWS: usize = 512;
 
+/// The wait for one page; only a snapshot's object may take longer.
+const PAGE_WAIT: Duration = Duration::from_secs(1);
+
 /// The rows of one read of the control state.
 struct Page {
     epoch: Epoch,
@@ -121,7 +124,8 @@
     let mut request = ReadRequest::of_keys([CONTROL_ROW.to_owned(), SNAPSHOT_ROW.to_owned()])
         .with_prefix(LOG_PREFIX, Some(log_row_key(after)));
     request.limit = Some(PAGE_ROWS);
-    let response = platform.read(&request, remaining(until)).await?;
+    let wait = remaining(until).min(PAGE_WAIT);
+    let response = platform.read(&request, wait).await?;
     let mut page = Page {
         epoch: Epoch(0),
         snapshot: None,
--- a/crates/balsam-daemon/tests/table_outage.rs
+++ b/crates/balsam-daemon/tests/table_outage.rs
@@ -91,3 +91,19 @@
     assert_eq!(epochs.right_ms, 0, "{epochs:?}");
     platform.server.stop().await;
 }
+
+/// Guards against a daemon that does not join because the table was down when it started, and
+/// against reads that pile up meanwhile.
+#[actix_rt::test]
+async fn a_daemon_started_in_an_outage_joins_after_it() {
+    let platform = Platform::start().await;
+    set(&platform, OutageKind::Silent).await;
+    let daemon = TestDaemon::start(&platform).await;
+    tokio::time::sleep(OUTAGE).await;
+    let before = platform.client.counters().await.unwrap().faulted;
+    assert!(before <= 5, "{before} reads");
+    set(&platform, OutageKind::None).await;
+    daemon.wait_until_joined().await;
+    daemon.stop().await;
+    platform.server.stop().await;
+}
