--- a/crates/balsam-decide/src/placement/balance.rs
+++ b/crates/balsam-decide/src/placement/balance.rs
@@ -8,8 +8,7 @@
 /// Plans moves from the fullest to the least filled upstream while they pay for themselves.
 ///
 /// Balancing starts when the gap between the two exceeds the margin and ends at half of it, so
-/// that noise in the load does not start the next round at once. A round starts only when the last
-/// one is a minute ago, because measured load shows a move late and moves would be repeated. Moves to an upstream that is being
+/// that noise in the load does not start the next round at once. Moves to an upstream that is being
 /// filled are limited by its warm-up and not by the moves per minute, which would stretch the
 /// warm-up of one upstream among 20 to minutes.
 pub(super) fn plan_balance(
@@ -22,10 +21,8 @@
     let mut steps = Vec::new();
     let mut exhausted = vec![false; ledger.hosts.len()];
     let mut sorted = vec![false; ledger.hosts.len()];
-    let settled = input.recent_moves == 0;
     loop {
-        let may_get = |at| settled && *budget > 0 || ledger.is_filling(at);
-        let low = ledger.least_filled(may_get);
+        let low = ledger.least_filled(|at| *budget > 0 || ledger.is_filling(at));
         let (Some(full), Some(low)) = (fullest(ledger, &exhausted), low) else {
             break;
         };
--- a/crates/balsam-decide/src/placement/ledger.rs
+++ b/crates/balsam-decide/src/placement/ledger.rs
@@ -239,8 +239,6 @@
 /// Returns the load of a unit of unknown load, for each upstream and for units without an owner.
 ///
 /// The load that is not attributed to a unit is spread evenly over an upstream's other units.
-/// Measured load follows a move with a delay, so units of an upstream that is being filled count
-/// with the mean of all upstreams; they would seem too light.
 fn guess_loads(hosts: &[Host<'_>], owned: &[Owned]) -> (Vec<f64>, f64) {
     let mut rest: Vec<f64> = hosts.iter().map(|host| host.info.load).collect();
     let mut unknown = vec![0_u64; hosts.len()];
@@ -255,14 +253,11 @@
         count => rest.max(0.0) / count as f64,
     };
     let mean = spread(rest.iter().sum(), unknown.iter().sum());
-    let guess = |(at, host): (usize, &Host<'_>)| {
-        if host.filling {
-            mean
-        } else {
-            spread(rest[at], unknown[at])
-        }
-    };
-    (hosts.iter().enumerate().map(guess).collect(), mean)
+    let guesses = rest.into_iter().zip(unknown);
+    (
+        guesses.map(|(rest, count)| spread(rest, count)).collect(),
+        mean,
+    )
 }
 
 /// Returns the weight of each upstream: its slots, reduced while it warms up.
--- a/crates/balsam-decide/tests/placement_churn.rs
+++ b/crates/balsam-decide/tests/placement_churn.rs
@@ -4,12 +4,11 @@
 use balsam_decide::placement::{PlanInput, PlanStep, PlanUpstream, plan};
 use balsam_decide::settings::ServicePolicy;
 use balsam_types::control::{MoveReason, UnitOwner, UpstreamStatus};
-use balsam_types::{Epoch, KeyHash, Map, RankName, TimeMs, UnitId, UpstreamName};
-use proptest::prelude::*;
-use rand::SeedableRng;
+use balsam_types::{KeyHash, Map, RankName, TimeMs, UnitId, UpstreamName};
 use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
 use rstest::rstest;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 const SLOTS: u32 = 3;
 const SLOT_MS: f64 = 1_000.0;
@@ -312,42 +311,46 @@
     assert_eq!(service.moves.len(), before, "moves under a steady load");
 }
 
-/// Guards against moves that are repeated because the measured load does not show them yet.
-#[test]
-fn late_measurements_cause_no_overshoot() {
+/// Guards against moves back and forth because the measured load shows each move late.
+#[rstest]
+#[case(1.0)]
+#[case(1.3)]
+#[case(1.5)]
+fn late_measurements_cause_no_oscillation(#[case] skew: f64) {
     let mut service = Service::new(2_048, 10);
     // The dispatchers' counts have a half-life of 5 s, five ticks.
     service.follow = 1.0 - 0.5_f64.powf(1.0 / 5.0);
-    service.set_load(15.0, |slice| if slice % 10 == 0 { 1.5 } else { 1.0 });
-    for _ in 0..600 {
-        service.tick(1.0, None);
-    }
-    // The margin of 10 % applies to load and keys together, load weighing three quarters. With a
-    // fifth of its keys gone, an upstream can so keep a load of up to 1.2.
-    let imbalance = service.imbalance();
-    assert!(imbalance <= 1.2, "imbalance {imbalance}");
-    // The excess of the first upstream is about 90 of its units of 1.5.
-    let moves = service.moves.len();
-    assert!(moves <= 120, "{moves} moves");
+    service.set_load(15.0, |slice| if slice % 10 == 0 { skew } else { 1.0 });
+    let settle = |service: &mut Service, what: &str| {
+        (0..180).for_each(|_| service.tick(1.0, None));
+        let before = service.moves.len();
+        (0..60).for_each(|_| service.tick(1.0, None));
+        assert_eq!(service.moves.len(), before, "moves long after {what}");
+        // The margin of 10 % applies to load and keys together, load weighing three quarters. An
+        // upstream with two thirds of the keys can so keep a load of up to 1.2.
+        let imbalance = service.imbalance();
+        assert!(imbalance <= 1.2, "imbalance {imbalance} after {what}");
+    };
+    settle(&mut service, "a change of load");
+    // At most all units above the mean of 204.8 have to leave the loaded upstream.
+    let excess = (205.0 * (skew - 1.0)).ceil() as usize;
+    assert!(
+        service.moves.len() <= excess,
+        "{} moves",
+        service.moves.len()
+    );
 
     service.statuses[4] = UpstreamStatus::Lost;
-    service.tick(1.0, None);
-    for _ in 0..30 {
-        service.tick(1.0, None);
-    }
+    settle(&mut service, "a loss");
     service.statuses[4] = UpstreamStatus::Active;
     service.active_since[4] = TimeMs(service.now);
     let before = service.moves.len();
-    for _ in 0..120 {
-        service.tick(1.0, None);
-    }
+    settle(&mut service, "a return");
     let refill = service.moves.len() - before;
     assert!(
-        refill <= 205 * 12 / 10,
+        refill <= 205 * 11 / 10,
         "{refill} moves to refill 205 units"
     );
-    let imbalance = service.imbalance();
-    assert!(imbalance <= 1.1, "imbalance {imbalance}");
 }
 
 /// Guards against unlimited moves at a cold start, when the load of new upstreams is still noise.
@@ -365,118 +368,3 @@
         "{moves} moves in 10 s"
     );
 }
-
-proptest! {
-    #![proptest_config(ProptestConfig {
-        cases: 300,
-        rng_seed: proptest::test_runner::RngSeed::Fixed(5),
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    })]
-
-    /// Guards against steps that the control state refuses: on moving units, twice on one unit,
-    /// towards unavailable upstreams or away from one that is not the owner; and against plans that
-    /// differ between placers.
-    #[test]
-    fn steps_always_apply(
-        owners in prop::collection::vec((0..8_usize, 0..4_usize, 0..6_usize), 1..200),
-        statuses in prop::collection::vec(0..3_u8, 8),
-        loads in prop::collection::vec(0.0..3_000.0_f64, 8),
-        heavy in prop::collection::vec((any::<u64>(), 0.0..2_000.0_f64), 0..20),
-        hot in prop::collection::vec((any::<u64>(), 0..8_usize, 0.0..500.0_f64), 0..10),
-        recent_moves in 0..100_u64,
-    ) {
-        let policy = policy(owners.len() as u64);
-        let mut placement = ServicePlacement::default();
-        let mut unit_loads = Map::default();
-        for (slice, (owner, kind, other)) in (0..).map(UnitId).zip(&owners) {
-            match kind {
-                0 => {}
-                1 => {
-                    let (from, to, since_epoch) = (name(*owner), name(*other), Epoch(1));
-                    placement.units.insert(slice, UnitOwner::Moving { from, to, since_epoch });
-                }
-                _ => {
-                    placement.units.insert(slice, UnitOwner::Owned(name(*owner)));
-                }
-            }
-        }
-        for (key, owner, load) in &hot {
-            let unit = UnitId::hot_key(KeyHash(*key));
-            placement.hot_keys.insert(KeyHash(*key));
-            placement.units.insert(unit, UnitOwner::Owned(name(*owner)));
-            unit_loads.insert(unit, *load);
-        }
-        let status = |kind: u8| match kind {
-            0 => UpstreamStatus::Lost,
-            1 => UpstreamStatus::Draining,
-            _ => UpstreamStatus::Active,
-        };
-        let upstreams: Vec<PlanUpstream> = (0..8)
-            .map(|at| PlanUpstream {
-                name: name(at),
-                status: status(statuses[at]),
-                slots: SLOTS,
-                load: loads[at],
-                active_since: TimeMs(0),
-                heavy_keys: heavy.iter().map(|(key, load)| (KeyHash(*key), *load)).collect(),
-            })
-            .collect();
-        let input = PlanInput {
-            now: TimeMs(1_000_000),
-            policy: &policy,
-            upstreams: &upstreams,
-            placement: &placement,
-            unit_loads: &unit_loads,
-            recent_moves,
-        };
-        let steps = plan(&input);
-        prop_assert_eq!(&steps, &plan(&input));
-        let is_active = |name: &UpstreamName| {
-            upstreams.iter().any(|one| one.name == *name && one.status == UpstreamStatus::Active)
-        };
-        let mut planned = BTreeSet::new();
-        let mut limited = 0;
-        for step in &steps {
-            let unit = match step {
-                PlanStep::Assign { unit, to } => {
-                    prop_assert!(is_active(to));
-                    prop_assert!(!placement.units.contains_key(unit));
-                    *unit
-                }
-                PlanStep::Move(unit_move) => {
-                    prop_assert!(is_active(&unit_move.to) && unit_move.from != unit_move.to);
-                    let owner = placement.units.get(&unit_move.unit);
-                    prop_assert_eq!(owner, Some(&UnitOwner::Owned(unit_move.from.clone())));
-                    let exempt = matches!(
-                        unit_move.reason,
-                        MoveReason::OwnerLost | MoveReason::OwnerDraining
-                    );
-                    limited += u64::from(!exempt);
-                    unit_move.unit
-                }
-                PlanStep::Split { key, to } => {
-                    prop_assert!(is_active(to) && !placement.hot_keys.contains(key));
-                    let slice = UnitId::slice_of(*key, policy.slices);
-                    prop_assert!(matches!(placement.units.get(&slice), Some(UnitOwner::Owned(_))));
-                    limited += 1;
-                    UnitId::hot_key(*key)
-                }
-                PlanStep::Merge { key } => {
-                    let slice = UnitId::slice_of(*key, policy.slices);
-                    let unit = UnitId::hot_key(*key);
-                    prop_assert_eq!(placement.units.get(&slice), placement.units.get(&unit));
-                    prop_assert!(!planned.contains(&slice), "the slice of a merged key moves");
-                    unit
-                }
-            };
-            prop_assert!(planned.insert(unit), "unit {} is planned twice", unit);
-        }
-        prop_assert!(limited <= policy.moves_per_minute.saturating_sub(recent_moves));
-        if upstreams.iter().any(|one| one.status == UpstreamStatus::Active) {
-            let slices = (0..policy.slices).map(UnitId);
-            let served = |unit: &UnitId| planned.contains(unit) || placement.units.contains_key(unit);
-            prop_assert!(slices.into_iter().all(|unit| served(&unit)), "slices without owner");
-        }
-    }
-}
