Balance once a minute and keep hot keys that have just moved

With load that is measured with the dispatchers' half-life of 5 s, changing hot keys made the simulated service spend its whole limit of moves every minute, reach 1.30 times the mean load and never come to rest. Two causes were seen: balancing repeated moves that the load did not show yet, and a key that had just moved seemed cold at its new owner and was merged back. A balancing round now starts only when no move is counted in the last minute and no hot key step is planned, and a key's load is the sum over all upstreams that name it.

--- a/crates/balsam-decide/src/placement/balance.rs
+++ b/crates/balsam-decide/src/placement/balance.rs
@@ -14,7 +14,7 @@
 pub(super) fn plan_balance(
     input: &PlanInput<'_>,
     ledger: &mut Ledger<'_>,
-    budget: &mut u64,
+    mut budget: u64,
 ) -> Vec<PlanStep> {
     let mean = ledger.mean_ratio();
     let margin = mean * input.policy.move_margin_percent as f64 / 100.0;
@@ -22,7 +22,7 @@
     let mut exhausted = vec![false; ledger.hosts.len()];
     let mut sorted = vec![false; ledger.hosts.len()];
     loop {
-        let low = ledger.least_filled(|at| *budget > 0 || ledger.is_filling(at));
+        let low = ledger.least_filled(|at| budget > 0 || ledger.is_filling(at));
         let (Some(full), Some(low)) = (fullest(ledger, &exhausted), low) else {
             break;
         };
@@ -44,7 +44,7 @@
             continue;
         };
         if !ledger.is_filling(low) {
-            *budget -= 1;
+            budget -= 1;
         }
         ledger.shift(unit, cost, full, low);
         steps.push(PlanStep::Move(UnitMove {
--- a/crates/balsam-decide/src/placement/hot.rs
+++ b/crates/balsam-decide/src/placement/hot.rs
@@ -135,10 +135,20 @@
         // An idle upstream, or one without a sample yet, says nothing about its keys.
         return false;
     }
-    match input.unit_loads.get(&UnitId::hot_key(key)) {
-        Some(load) => *load < split_load(input, ledger, at) * MERGE_BELOW,
-        None => input.placement.hot_keys.len() > UNKNOWN_KEPT,
-    }
+    let unit_load = input.unit_loads.get(&UnitId::hot_key(key)).copied();
+    let Some(load) = unit_load.or_else(|| key_load(input, key)) else {
+        return input.placement.hot_keys.len() > UNKNOWN_KEPT;
+    };
+    // The new owner's measurement of a key that has just moved is still rising.
+    let load = load.max(key_load(input, key).unwrap_or(0.0));
+    load < split_load(input, ledger, at) * MERGE_BELOW
+}
+
+/// Returns the load of a heavy key at all upstreams, its former owner included.
+fn key_load(input: &PlanInput<'_>, key: KeyHash) -> Option<f64> {
+    let keys = input.upstreams.iter().flat_map(|one| &one.heavy_keys);
+    let loads = keys.filter(|(of, _)| *of == key).map(|(_, load)| *load);
+    loads.reduce(|sum, load| sum + load)
 }
 
 fn active_owner(input: &PlanInput<'_>, ledger: &Ledger<'_>, unit: UnitId) -> Option<usize> {
--- a/crates/balsam-decide/src/placement/message.rs
+++ b/crates/balsam-decide/src/placement/message.rs
@@ -34,9 +34,6 @@
     /// Who owns which unit.
     pub placement: &'a ServicePlacement,
     /// The load of the units for which it is known, in milliseconds of slot time for each second.
-    ///
-    /// Measured load follows a move with a delay, so the reports of the former and of the next
-    /// owner are added up.
     pub unit_loads: &'a Map<UnitId, f64>,
     /// Units that balancing moved in the last minute.
     pub recent_moves: u64,
--- a/crates/balsam-decide/src/placement/plan.rs
+++ b/crates/balsam-decide/src/placement/plan.rs
@@ -17,8 +17,14 @@
         .policy
         .moves_per_minute
         .saturating_sub(input.recent_moves);
-    steps.extend(hot::plan_merges(input, &mut ledger, &mut budget));
-    steps.extend(hot::plan_splits(input, &mut ledger, &mut budget));
-    steps.extend(balance::plan_balance(input, &mut ledger, &mut budget));
+    let mut hot_steps = hot::plan_merges(input, &mut ledger, &mut budget);
+    hot_steps.extend(hot::plan_splits(input, &mut ledger, &mut budget));
+    // Measured load follows a move with a delay of seconds. Balancing on it sooner would repeat
+    // moves and undo them later, so a round starts only when the last one is a minute ago.
+    if input.recent_moves > 0 || !hot_steps.is_empty() {
+        budget = 0;
+    }
+    steps.extend(hot_steps);
+    steps.extend(balance::plan_balance(input, &mut ledger, budget));
     steps
 }
