--- a/crates/balsam-decide/tests/placement_balance.rs
+++ b/crates/balsam-decide/tests/placement_balance.rs
@@ -219,7 +219,7 @@
 #[rstest]
 #[case(0, 64)]
 #[case(1, 0)]
-#[case(64, 0)]
+#[case(100, 0)]
 fn balance_respects_limit_per_minute(#[case] recent_moves: u64, #[case] allowed: usize) {
     let policy = policy(1_000);
     let upstreams = upstreams(10);
