--- a/crates/balsam-daemon/src/peer/mod.rs
+++ b/crates/balsam-daemon/src/peer/mod.rs
@@ -22,6 +22,6 @@
 pub use listener::{ListenerHandle, PeerChannels, start_listener};
 pub use message::{IncomingControl, PeerRequest, PeerResponse};
 pub use pool::start_client;
-pub use relay::{IncomingRelay, RelayCall, RelayReader, RelayWriter};
+pub use relay::{IncomingRelay, RelayCall, RelayReader, RelayWriter, RequestFrame};
 pub use settings::PeerSettings;
 pub use stream::BodyPart;
--- a/crates/balsam-daemon/src/peer/relay.rs
+++ b/crates/balsam-daemon/src/peer/relay.rs
@@ -15,6 +15,22 @@
 use snafu::ensure;
 use std::future::poll_fn;
 
+/// The encoded head of a request.
+#[derive(Clone, Debug)]
+pub struct RequestFrame(Bytes);
+
+impl RequestFrame {
+    /// Encodes the head of a request, before anything of it is sent.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`PeerError`] if the head is too long.
+    pub fn new(request: &RelayRequest) -> Result<Self, PeerError> {
+        let frame = frame_message(FrameKind::Head, &WireRelayRequest::from(request))?;
+        Ok(Self(frame))
+    }
+}
+
 /// Writes body frames and the end marker.
 #[derive(Debug)]
 pub struct RelayWriter {
@@ -34,10 +50,9 @@
     ///
     /// # Errors
     ///
-    /// Returns a [`PeerError`] if the stream breaks or the head is too long.
-    pub async fn send_request(&mut self, request: &RelayRequest) -> Result<(), PeerError> {
-        let frame = frame_message(FrameKind::Head, &WireRelayRequest::from(request))?;
-        send_bytes(&mut self.stream, frame).await
+    /// Returns a [`PeerError`] if the stream breaks.
+    pub async fn send_request(&mut self, head: RequestFrame) -> Result<(), PeerError> {
+        send_bytes(&mut self.stream, head.0).await
     }
 
     /// Sends the head of an answer.
--- a/crates/balsam-daemon/src/request/relay/outgoing.rs
+++ b/crates/balsam-daemon/src/request/relay/outgoing.rs
@@ -1,6 +1,6 @@
 //! The entry daemon's side of a relay.
 
-use crate::peer::{BodyPart, PeerClient, PeerError, RelayReader, RelayWriter};
+use crate::peer::{BodyPart, PeerClient, PeerError, RelayReader, RelayWriter, RequestFrame};
 use crate::request::clock::instant_at;
 use crate::request::message::{Answer, Attempt, AttemptResult, BODY_PARTS, Failure, RequestBody};
 use balsam_types::{NotRunReason, Outcome, UnknownReason};
@@ -31,6 +31,10 @@
         deadline,
     } = attempt;
     let until = instant_at(deadline);
+    let head = RequestFrame::new(&request).map_err(|error| {
+        debug!("relay: {error}");
+        Failure::NotRun(NotRunReason::BadRequest)
+    })?;
     let opened = peers.relay(to, until.min(Instant::now() + OPEN_TIMEOUT));
     let (mut writer, response) = match opened.await {
         Ok(call) => call.split(),
@@ -39,10 +43,10 @@
             return Err(Failure::NotRun(NotRunReason::PeerUnreachable));
         }
     };
-    let upstream = request.upstream.clone();
+    let upstream = request.upstream;
     let mut writing: Writing = Box::pin(async move {
         // A broken stream is seen by the reader of the answer as well.
-        if writer.send_request(&request).await.is_ok() {
+        if writer.send_request(head).await.is_ok() {
             write_body(writer, body).await;
         }
     });
--- /dev/null
+++ b/crates/balsam-daemon/tests/lease_deadline.rs
@@ -0,0 +1,69 @@
+//! Guards what an upstream is told of a request's time and place.
+
+mod common;
+
+use common::{Cluster, Upstream, call, now, open_call, read_answer};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::sleep;
+
+/// Guards sole ownership where no grants are checked: no work outlasts the dispatcher's right.
+#[actix_rt::test]
+async fn end_of_right() {
+    let mut upstream = Upstream::start().await;
+    let cluster = Cluster::start(2, upstream.address).await;
+    let dispatcher = cluster.dispatcher();
+    dispatcher.change(|view| view.right_until = now().after(300));
+    let answer = call(cluster.entry().caller, "POST /files/k1", "").await;
+    assert_eq!(answer.outcome(), ("unknown", "deadline-after-send"));
+    let seen = upstream.next().await;
+    let deadline = seen.field("balsam-deadline-ms").expect("a deadline");
+    let deadline_ms: u64 = deadline.parse().unwrap();
+    assert!(deadline_ms <= 300, "{deadline_ms}");
+}
+
+/// Guards an upstream that checks grants: nothing is sent before it holds this daemon's grant.
+#[actix_rt::test]
+async fn missing_grant() {
+    let mut upstream = Upstream::start().await;
+    let cluster = Cluster::start(2, upstream.address).await;
+    cluster.change_all(|view| {
+        let state = Arc::make_mut(&mut view.state);
+        for upstream in state.upstreams.values_mut() {
+            upstream.checks_grants = true;
+        }
+    });
+    let entry = cluster.entry().caller;
+    let mut caller = open_call(entry, "GET /files/k1", "").await;
+    sleep(Duration::from_millis(100)).await;
+    assert!(upstream.try_next().is_none(), "sent without a grant");
+    cluster.dispatcher().change(|view| {
+        view.granted = view.state.upstreams.keys().cloned().collect();
+    });
+    let seen = upstream.next().await;
+    let deadline = seen.field("balsam-deadline-ms").expect("a deadline");
+    let deadline_ms: u64 = deadline.parse().unwrap();
+    assert!((1..=5_000).contains(&deadline_ms), "{deadline_ms}");
+    seen.ok("done").await;
+    assert!(read_answer(&mut caller).await.whole);
+}
+
+/// Guards against an entry daemon that is ahead: the dispatcher waits until it knows as much.
+#[actix_rt::test]
+async fn older_dispatcher() {
+    let mut upstream = Upstream::start().await;
+    let cluster = Cluster::start(2, upstream.address).await;
+    let newer = |view: &mut balsam_decide::node::View| {
+        let state = Arc::make_mut(&mut view.state);
+        state.epoch = state.epoch.next();
+    };
+    cluster.entry().change(newer);
+    let mut caller = open_call(cluster.entry().caller, "GET /files/k1", "").await;
+    sleep(Duration::from_millis(100)).await;
+    assert!(upstream.try_next().is_none(), "sent under an older epoch");
+    cluster.dispatcher().change(newer);
+    let seen = upstream.next().await;
+    assert_eq!(seen.field("balsam-epoch"), Some("2"));
+    seen.ok("done").await;
+    assert!(read_answer(&mut caller).await.whole);
+}
