Leave upstreams that are known to be lost

A trial with an upstream frozen for 3.5 s showed reads that waited for it until it woke, although their units had another owner by then. Idempotent requests now end as unknown as soon as the upstream is listed as lost, and are sent to the next owner; waiting requests whose keys moved are refused, so that their entry daemons look them up again. Work that must not run twice still waits for its late answer.

--- a/crates/balsam-daemon/src/request/dispatch/task.rs
+++ b/crates/balsam-daemon/src/request/dispatch/task.rs
@@ -8,9 +8,9 @@
     Dispatch, DispatchInput, DispatchOutput, DispatchPolicy, LoadSample, QueuedRequest, SlotResult,
     Ticket,
 };
-use balsam_decide::node::{UpstreamReport, View};
+use balsam_decide::node::{Located, UpstreamReport, View};
 use balsam_types::control::UpstreamInfo;
-use balsam_types::{Map, NotRunReason, UpstreamName, new_map};
+use balsam_types::{Epoch, Map, NotRunReason, UpstreamName, new_map};
 use futures_util::StreamExt;
 use futures_util::future::BoxFuture;
 use futures_util::stream::FuturesUnordered;
@@ -44,6 +44,8 @@
     running: Map<Id, Ticket>,
     forwards: JoinSet<ForwardDone>,
     next_ticket: u64,
+    /// The epoch at which waiting requests were last looked up.
+    checked_epoch: Epoch,
 }
 
 impl DispatchTask {
@@ -61,6 +63,7 @@
             running: new_map(),
             forwards: JoinSet::new(),
             next_ticket: 0,
+            checked_epoch: Epoch(0),
         }
     }
 
@@ -88,7 +91,10 @@
                     self.step(DispatchInput::Tick);
                 }
                 _ = reports.tick() => self.report(),
-                Ok(()) = views.changed() => self.refresh_policy(),
+                Ok(()) = views.changed() => {
+                    self.refresh_policy();
+                    self.refuse_moved();
+                }
             }
         }
     }
@@ -233,6 +239,41 @@
         }
     }
 
+    /// Refuses waiting requests whose keys another upstream or dispatcher serves by now, so that
+    /// their entry daemons look them up again instead of waiting for a slot here.
+    fn refuse_moved(&mut self) {
+        let view = Arc::clone(&self.views.borrow());
+        if view.state.epoch == self.checked_epoch {
+            return;
+        }
+        self.checked_epoch = view.state.epoch;
+        let is_here = |waiting: &Waiting| {
+            let head = &waiting.attempt.request.head;
+            match view.locate(&head.service, head.key.hash) {
+                Located::At {
+                    upstream,
+                    dispatcher,
+                    ..
+                } => {
+                    let is_mine = dispatcher.is_some_and(|daemon| daemon.incarnation == view.me);
+                    upstream.name == self.upstream && is_mine
+                }
+                // A newer view of the entry daemon may know more.
+                _ => waiting.attempt.request.epoch > view.state.epoch,
+            }
+        };
+        let moved = self.waiting.iter().filter(|(_, waiting)| !is_here(waiting));
+        let moved: Vec<Ticket> = moved.map(|(ticket, _)| *ticket).collect();
+        for ticket in moved {
+            if let Some(waiting) = self.waiting.remove(&ticket) {
+                let failure = Failure::NotRun(NotRunReason::NotDispatcher);
+                // The requester may have gone away.
+                drop(waiting.reply.send(Err(failure)));
+            }
+            self.step(DispatchInput::Cancel { ticket });
+        }
+    }
+
     fn report(&mut self) {
         self.idle.retain(UpstreamConnection::is_fresh);
         let LoadSample {
--- a/crates/balsam-daemon/src/request/forward/mod.rs
+++ b/crates/balsam-daemon/src/request/forward/mod.rs
@@ -16,8 +16,9 @@
 use super::message::{Answer, Attempt, AttemptResult, BODY_PARTS, Failure};
 use super::quarantine::Crashes;
 use balsam_decide::dispatch::SlotResult;
-use balsam_types::NotRunReason;
+use balsam_types::{NotRunReason, RequestHead, UnknownReason};
 use exchange::{Ended, Started};
+use http::Method;
 use tokio::sync::{mpsc, oneshot};
 
 /// A request that got its slot.
@@ -57,8 +58,12 @@
     let fingerprint = attempt.request.fingerprint;
     let upstream = attempt.request.upstream.clone();
     let done = |result, connection| ForwardDone { result, connection };
+    let is_idempotent = is_idempotent(&attempt.request.head);
     let started = tokio::select! {
         started = exchange::start(attempt, connection, &permit) => started,
+        () = permit.upstream_lost(), if is_idempotent => {
+            Err(Failure::Unknown(UnknownReason::UpstreamLost).into())
+        }
         // Dropping the exchange closes its connection, which cancels the request upstream.
         () = reply.closed() => return done(SlotResult::Failed, None),
     };
@@ -74,7 +79,11 @@
             if reply.send(Ok(answer)).is_err() {
                 return done(SlotResult::Failed, None);
             }
-            done(SlotResult::Served, reading.stream_to(parts).await)
+            let connection = tokio::select! {
+                connection = reading.stream_to(parts) => connection,
+                () = permit.upstream_lost(), if is_idempotent => None,
+            };
+            done(SlotResult::Served, connection)
         }
         Err(Ended {
             failure,
@@ -95,3 +104,9 @@
         }
     }
 }
+
+/// Returns whether a request may be sent to another upstream although this one may run it.
+fn is_idempotent(head: &RequestHead) -> bool {
+    let method = Method::from_bytes(head.method.as_bytes());
+    head.order_id.is_none() && method.is_ok_and(|method| method.is_idempotent())
+}
--- a/crates/balsam-daemon/src/request/forward/permit.rs
+++ b/crates/balsam-daemon/src/request/forward/permit.rs
@@ -119,6 +119,22 @@
         Err(Blocked::Refuse(NotRunReason::NotDispatcher))
     }
 
+    /// Waits until the control state lists the upstream as lost, or no longer lists it.
+    ///
+    /// A frozen upstream keeps its connections open; idempotent work need not wait for it, because
+    /// its units are on their way to another owner.
+    pub(super) async fn upstream_lost(&self) {
+        let mut views = self.views.clone();
+        let is_lost = |view: &Arc<View>| {
+            let upstream = view.state.upstreams.get(&self.upstream);
+            upstream.is_none_or(|upstream| upstream.status == UpstreamStatus::Lost)
+        };
+        if views.wait_for(is_lost).await.is_err() {
+            // Without a control task nothing is known of the upstream.
+            std::future::pending::<()>().await;
+        }
+    }
+
     /// Waits until `check` passes, or returns why it does not before the deadline.
     pub(super) async fn wait<T>(
         &self,
