--- a/crates/balsam-standins/src/load/record.rs
+++ b/crates/balsam-standins/src/load/record.rs
@@ -1,7 +1,7 @@
 //! Results by rank and member.
 
 use super::report::{LoadReport, MemberReport, RankReport, jain_index};
-use balsam_types::{MemberName, RankName};
+use balsam_types::{MemberName, NotRunReason, RankName, UnknownReason};
 use hdrhistogram::Histogram;
 use snafu::{ResultExt, Snafu};
 use std::collections::BTreeMap;
@@ -14,16 +14,31 @@
 pub enum Verdict {
     /// A whole answer arrived.
     Answered,
-    /// The request was reported as not run.
-    NotRun,
-    /// It was reported as unknown whether the request ran.
-    Unknown,
+    /// The request was reported as not run, for this reason if one was given.
+    NotRun(Option<NotRunReason>),
+    /// It was reported as unknown whether the request ran, for this reason if one was given.
+    Unknown(Option<UnknownReason>),
     /// There was another answer, a part of one or none.
     Failed,
     /// The generator held too many requests to send this one.
     NotSent,
 }
 
+impl Verdict {
+    /// Returns the text of the reason.
+    pub const fn reason(self) -> Option<&'static str> {
+        match self {
+            Self::NotRun(Some(reason)) => Some(reason.as_str()),
+            Self::Unknown(Some(reason)) => Some(reason.as_str()),
+            Self::NotRun(None)
+            | Self::Unknown(None)
+            | Self::Answered
+            | Self::Failed
+            | Self::NotSent => None,
+        }
+    }
+}
+
 /// One finished request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Measured {
@@ -54,6 +69,7 @@
     unknown: u64,
     failed: u64,
     not_sent: u64,
+    reasons: BTreeMap<&'static str, u64>,
 }
 
 impl Tally {
@@ -68,11 +84,15 @@
             unknown: 0,
             failed: 0,
             not_sent: 0,
+            reasons: BTreeMap::new(),
         })
     }
 
     fn add(&mut self, measured: &Measured) {
         self.scheduled += 1;
+        if let Some(reason) = measured.verdict.reason() {
+            *self.reasons.entry(reason).or_default() += 1;
+        }
         self.send_delay_us.saturating_record(measured.send_delay_us);
         match measured.verdict {
             Verdict::Answered => {
@@ -81,13 +101,18 @@
                     self.in_deadline += 1;
                 }
             }
-            Verdict::NotRun => self.not_run += 1,
-            Verdict::Unknown => self.unknown += 1,
+            Verdict::NotRun(_) => self.not_run += 1,
+            Verdict::Unknown(_) => self.unknown += 1,
             Verdict::Failed => self.failed += 1,
             Verdict::NotSent => self.not_sent += 1,
         }
     }
 
+    fn reasons(&self) -> impl Iterator<Item = (String, u64)> {
+        let reasons = self.reasons.iter();
+        reasons.map(|(reason, count)| ((*reason).to_owned(), *count))
+    }
+
     fn report(&self) -> MemberReport {
         let quantile_ms = |q| milliseconds(self.latency_us.value_at_quantile(q));
         MemberReport {
@@ -98,6 +123,7 @@
             unknown: self.unknown,
             failed: self.failed,
             not_sent: self.not_sent,
+            reasons: self.reasons().collect(),
             share_kept: self.in_deadline as f64 / self.scheduled.max(1) as f64,
             p50_ms: quantile_ms(0.5),
             p99_ms: quantile_ms(0.99),
--- a/crates/balsam-standins/src/load/report.rs
+++ b/crates/balsam-standins/src/load/report.rs
@@ -21,6 +21,8 @@
     pub failed: u64,
     /// Requests that the generator did not send because it held too many.
     pub not_sent: u64,
+    /// The number of requests by the reason that callers were given.
+    pub reasons: BTreeMap<String, u64>,
     /// The share of the scheduled requests that were answered within the deadline, from 0 to 1.
     pub share_kept: f64,
     /// Median latency of the answered requests, in milliseconds.
--- a/crates/balsam-standins/src/load/run.rs
+++ b/crates/balsam-standins/src/load/run.rs
@@ -181,8 +181,8 @@
         let order = (Some(stream.member.clone()), order_id);
         match one.measured.verdict {
             Verdict::Answered => orders.answered.insert(order),
-            Verdict::NotRun | Verdict::NotSent => orders.not_run.insert(order),
-            Verdict::Unknown | Verdict::Failed => continue,
+            Verdict::NotRun(_) | Verdict::NotSent => orders.not_run.insert(order),
+            Verdict::Unknown(_) | Verdict::Failed => continue,
         };
     }
     Ok((recorder, orders))
--- a/crates/balsam-standins/src/load/send.rs
+++ b/crates/balsam-standins/src/load/send.rs
@@ -2,8 +2,8 @@
 
 use super::{LoadStream, Verdict, WorkKind};
 use crate::harness::{Answer, Client, HarnessError, Sent};
-use balsam_types::OrderId;
-use balsam_wire::upstream::headers;
+use balsam_types::{NotRunReason, OrderId, UnknownReason};
+use balsam_wire::upstream::{NotRunCause, headers};
 
 /// Makes the request of one arrival.
 pub(super) fn request(stream: &LoadStream, key: u64, order_id: Option<&OrderId>) -> Sent {
@@ -34,12 +34,14 @@
     if !answer.complete {
         return Verdict::Failed;
     }
-    if answer.header(headers::NOT_RUN).is_some() {
-        return Verdict::NotRun;
+    // An upstream that is measured without a daemon gives its cause directly.
+    if let Some(cause) = answer.header(headers::NOT_RUN) {
+        return Verdict::NotRun(NotRunCause::from_text(cause).map(Into::into));
     }
+    let reason = answer.header(headers::REASON);
     match answer.header(headers::OUTCOME) {
-        Some("not-run") => Verdict::NotRun,
-        Some("unknown") => Verdict::Unknown,
+        Some("not-run") => Verdict::NotRun(reason.and_then(NotRunReason::from_text)),
+        Some("unknown") => Verdict::Unknown(reason.and_then(UnknownReason::from_text)),
         _ if (200..300).contains(&answer.status) => Verdict::Answered,
         _ => Verdict::Failed,
     }
