--- a/crates/balsam-standins/src/harness/cluster/members.rs
+++ b/crates/balsam-standins/src/harness/cluster/members.rs
@@ -174,6 +174,27 @@
         link.set_process_faults(process, faults);
     }
 
+    /// Delays all links between zones by `delay_ms` in each direction.
+    ///
+    /// A restarted process needs its delays set again.
+    pub fn set_zone_delay(&self, delay_ms: u64) {
+        let zones = &self.plan.daemon_zones;
+        let delay = |near: bool| LinkFaults {
+            delay_ms: if near { 0 } else { delay_ms },
+            ..LinkFaults::default()
+        };
+        for (one, one_zone) in zones.iter().enumerate() {
+            for (other, other_zone) in zones.iter().enumerate().skip(one + 1) {
+                let faults = delay(one_zone == other_zone);
+                self.set_peer_faults(one, other, Some(faults));
+            }
+            for (upstream, process) in self.upstreams.iter().enumerate() {
+                let faults = delay(*one_zone == process.plan.zone);
+                self.set_upstream_faults(one, upstream, Some(faults));
+            }
+        }
+    }
+
     /// Reads the journals of the upstreams that answer.
     pub async fn journals(&self) -> Vec<JournalResponse> {
         let reading = self
--- a/crates/balsam-standins/src/harness/link_source.rs
+++ b/crates/balsam-standins/src/harness/link_source.rs
@@ -63,7 +63,8 @@
     let sockets = fs::read_to_string("/proc/net/tcp").ok()?;
     let local = format!(":{:04X}", ports.local);
     let remote = format!(":{:04X}", ports.remote);
-    sockets.lines().skip(1).find_map(|line| {
+    let mut candidates = sockets.lines().filter(|line| line.contains(&local));
+    candidates.find_map(|line| {
         let columns: Vec<&str> = line.split_whitespace().collect();
         let matches = columns.get(LOCAL_COLUMN)?.ends_with(&local)
             && columns.get(REMOTE_COLUMN)?.ends_with(&remote);
--- a/crates/balsam-standins/tests/cluster_control.rs
+++ b/crates/balsam-standins/tests/cluster_control.rs
@@ -5,11 +5,11 @@
 use balsam_standins::harness::cluster::{
     Cluster, ClusterPlan, ServicePlan, UpstreamPlan, wait_until,
 };
-use balsam_standins::harness::{LinkFaults, LinkMode, Work};
+use balsam_standins::harness::{Client, LinkFaults, LinkMode, Sent, Work};
 use balsam_types::settings::{SettingKey, SettingValue};
 use balsam_types::{ServiceName, UnitId, UpstreamName};
 use balsam_wire::upstream::headers;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Long against every time that the design page names, so that a busy machine does not matter.
 const DEADLINE: Duration = Duration::from_secs(30);
@@ -154,3 +154,30 @@
     let joined = wait_until("the new incarnation", DEADLINE, joined_anew).await;
     joined.expect("the roster holds the new incarnation only");
 }
+
+/// Guards against a zone delay that is missing on the way from a caller's daemon to the owner.
+#[actix_rt::test]
+async fn zone_delay_counts() {
+    const DELAY_MS: u64 = 50;
+    let cluster = started().await;
+    cluster.set_zone_delay(DELAY_MS);
+    // The upstreams are in zones 0 and 1, so the way from daemon 2 leads through another zone.
+    let caller = cluster.daemons[2].caller_address().unwrap();
+    let caller = Client::new(caller, DEADLINE);
+    let served = || async {
+        let begun = Instant::now();
+        let answer = caller.send(Sent::get("/lookup/some-key")).await.ok()?;
+        (answer.status == 200).then(|| begun.elapsed())
+    };
+    let both_ways = Duration::from_millis(2 * DELAY_MS);
+    // Open connections take the new delay on after a moment, and one answer can also be late for
+    // another reason.
+    let always_delayed = || async {
+        for _ in 0..5 {
+            served().await.filter(|elapsed| *elapsed >= both_ways)?;
+        }
+        Some(())
+    };
+    let taken_on = wait_until("five delayed answers in a row", DEADLINE, always_delayed).await;
+    taken_on.expect("the delay counts both ways");
+}
