--- a/crates/balsam-standins/src/harness/operator_client.rs
+++ b/crates/balsam-standins/src/harness/operator_client.rs
@@ -6,7 +6,7 @@
 use balsam_wire::operator::{
     CommandResponse, DAEMONS_PATH, DRAIN_SUFFIX, DaemonsResponse, DrainRequest, EDIT_PATH,
     EPOCHS_PATH, EditRequest, EpochsResponse, METRICS_PATH, OWNER_PATH, OwnerResponse,
-    UPSTREAMS_PATH, UpstreamsResponse,
+    SETTINGS_PATH, SettingsResponse, UPSTREAMS_PATH, UpstreamsResponse,
 };
 
 /// The operators' interface of one daemon.
@@ -64,6 +64,15 @@
         self.client.get_json(&path).await
     }
 
+    /// Reads the settings tree.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if there is no answer.
+    pub async fn settings(&self) -> Result<SettingsResponse, HarnessError> {
+        self.client.get_json(SETTINGS_PATH).await
+    }
+
     /// Lists the upstreams.
     ///
     /// # Errors
