Compute each member's queue share once per refusal

Finding the member that loses its place in a full queue compared shares by two look-ups per comparison. Each share is now computed once.

--- a/crates/balsam-decide/src/dispatch/rank.rs
+++ b/crates/balsam-decide/src/dispatch/rank.rs
@@ -176,13 +176,12 @@
         }
         let share = |name: &MemberName| {
             let member = self.members.get(name);
-            member.map_or(0.0, |member| member.waiting.len() as f64 / member.weight)
+            let share = member.map_or(0.0, |m| m.waiting.len() as f64 / m.weight);
+            (share, Some(name) == arriving)
         };
-        let by_share = |a: &&MemberName, b: &&MemberName| {
-            let tie = (Some(*a) == arriving).cmp(&(Some(*b) == arriving));
-            share(a).total_cmp(&share(b)).then(tie)
-        };
-        let name = self.turns.iter().max_by(by_share)?.clone();
+        let shares = self.turns.iter().map(|name| (name, share(name)));
+        let furthest = shares.max_by(|(_, a), (_, b)| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
+        let name = furthest?.0.clone();
         let request = self.members.get_mut(&name)?.waiting.pop_back()?;
         self.after_removal(&request);
         Some(request)
