Replace an earlier incarnation in the change that joins its successor

The new incarnation had joined before its predecessor was removed as silent, so the predecessor was never recorded as departed and its rosters stayed open. A removal keyed on the address alone was ruled out: of two roster daemons at one address it cannot tell which has ended. Change: DaemonJoined removes earlier incarnations at the address and records them as departed. Commands that still wait when the daemon ends are answered, a service with upstreams cannot be deleted, and the loads that the former and the next owner of a unit report are added up. The driver no longer reports a table read as failed after it has succeeded, which had delayed moves in tests.

--- a/crates/balsam-decide/src/control/apply.rs
+++ b/crates/balsam-decide/src/control/apply.rs
@@ -5,9 +5,11 @@
     SettingsSnafu, StillOwnerSnafu, UnknownUpstreamSnafu, WrongOwnerSnafu,
 };
 use super::{ApplyError, ControlState, Roster, ServicePlacement};
+use crate::settings::SettingsError;
 use balsam_types::control::{
     Change, DaemonInfo, LogEntry, RemovalReason, UnitMove, UnitOwner, UpstreamInfo,
 };
+use balsam_types::settings::{NodeEdit, NodePath};
 use balsam_types::{Epoch, Incarnation, KeyHash, ServiceName, UnitId, UpstreamName};
 use snafu::{ResultExt, ensure};
 use std::sync::Arc;
@@ -38,9 +40,7 @@
             ensure!(self.placer == Some(author), NotPlacerSnafu { author });
         }
         match change {
-            Change::Settings { edits } => Arc::make_mut(&mut self.settings)
-                .apply(self.epoch, edits)
-                .context(SettingsSnafu),
+            Change::Settings { edits } => self.edit_settings(edits),
             Change::DaemonJoined { daemon } => self.join(daemon),
             Change::DaemonsRemoved {
                 incarnations,
@@ -87,7 +87,28 @@
         }
     }
 
-    /// Adds a daemon, which proves that silent daemons at its address have ended.
+    /// Edits the settings; a service that still has upstreams cannot be deleted.
+    fn edit_settings(&mut self, edits: &[NodeEdit]) -> Result<(), ApplyError> {
+        for edit in edits.iter().filter(|edit| edit.delete) {
+            let NodePath::Service(service) = &edit.path else {
+                continue;
+            };
+            let mut upstreams = self.upstreams.values();
+            if upstreams.any(|upstream| upstream.service == *service) {
+                let path = edit.path.clone();
+                return Err(SettingsError::HasChildren { path }).context(SettingsSnafu);
+            }
+            self.services.remove(service);
+        }
+        Arc::make_mut(&mut self.settings)
+            .apply(self.epoch, edits)
+            .context(SettingsSnafu)
+    }
+
+    /// Adds a daemon, which proves that earlier incarnations at its address have ended.
+    ///
+    /// They are removed by the same change: a removal as silent in between would no longer tell
+    /// that they have ended, and their rosters could stay open for good.
     fn join(&mut self, daemon: &DaemonInfo) -> Result<(), ApplyError> {
         let incarnation = daemon.incarnation;
         ensure!(
@@ -95,6 +116,9 @@
             DepartedSnafu { incarnation }
         );
         self.silent.remove(&incarnation);
+        for replaced in self.replaced_by(daemon) {
+            self.remove_daemon(replaced, RemovalReason::Replaced)?;
+        }
         let ended = |silent: &DaemonInfo| silent.peer_address == daemon.peer_address;
         let at_address = self.silent.extract_if(.., |_, silent| ended(silent));
         self.departed.extend(at_address.map(|(ended, _)| ended));
@@ -103,6 +127,16 @@
         Ok(())
     }
 
+    /// Returns the roster daemons whose place `daemon` takes when it joins.
+    pub fn replaced_by(&self, daemon: &DaemonInfo) -> Vec<Incarnation> {
+        let same_address = |known: &&DaemonInfo| known.peer_address == daemon.peer_address;
+        let daemons = self.daemons.values().filter(same_address);
+        daemons
+            .map(|known| known.incarnation)
+            .filter(|known| *known != daemon.incarnation)
+            .collect()
+    }
+
     /// Removes daemons; all but silent ones are known to make no more statements.
     fn remove_daemons(
         &mut self,
--- a/crates/balsam-decide/src/membership/peers.rs
+++ b/crates/balsam-decide/src/membership/peers.rs
@@ -87,7 +87,7 @@
 
     /// Takes note that another incarnation answers in place of `incarnation`.
     ///
-    /// The peer is suspected at once. Only the new incarnation itself commits the replacement,
+    /// The peer is suspected at once. Only the join of the new incarnation replaces it,
     /// because a delayed answer of an earlier incarnation looks the same from outside.
     pub fn set_replaced(&mut self, incarnation: Incarnation) {
         if let Some(peer) = self.peers.get_mut(&incarnation) {
--- a/crates/balsam-decide/src/node/commands.rs
+++ b/crates/balsam-decide/src/node/commands.rs
@@ -234,6 +234,19 @@
         }
     }
 
+    /// Answers all commands, because the daemon ends.
+    pub(super) fn refuse_commands(&mut self, out: &mut Vec<NodeOutput>) {
+        let waiting = std::mem::take(&mut self.commands.waiting);
+        out.extend(waiting.into_iter().map(|(request, waiting)| {
+            let result = match waiting.stage {
+                Stage::Queued => CommandResult::Refused(CommandFailure::Stopping),
+                Stage::Committing { .. } => CommandResult::Refused(CommandFailure::Unsettled),
+                Stage::Committed { epoch, .. } => CommandResult::Pending { epoch },
+            };
+            NodeOutput::AnswerCommand { request, result }
+        }));
+    }
+
     fn result_of(&self, now: TimeMs, waiting: &Waiting) -> Option<CommandResult> {
         let over = |since: TimeMs, wait_ms| now.since(since) >= wait_ms;
         let (epoch, at) = match waiting.stage {
--- a/crates/balsam-decide/src/node/commits.rs
+++ b/crates/balsam-decide/src/node/commits.rs
@@ -2,7 +2,7 @@
 
 use super::{CommitResult, Node, NodeOutput};
 use crate::placer::Scene;
-use balsam_types::control::{Change, LogEntry, RemovalReason};
+use balsam_types::control::{Change, LogEntry};
 use balsam_types::{AttemptId, Incarnation, KeyHash, TimeMs};
 
 /// How long the task tries to settle a commit, in milliseconds.
@@ -152,22 +152,9 @@
         if self.is_leaving() {
             return self.leaving_change(now);
         }
-        if !self.is_member() {
-            let may_join = !self.state.departed.contains(&me);
-            return may_join.then(|| Change::DaemonJoined {
-                daemon: self.me.clone(),
-            });
-        }
-        // This process listens at the address, so an earlier incarnation there has ended.
-        let daemons = self.state.daemons.values();
-        let earlier: Vec<Incarnation> = daemons
-            .filter(|daemon| daemon.peer_address == self.me.peer_address)
-            .map(|daemon| daemon.incarnation)
-            .filter(|incarnation| *incarnation != me)
-            .collect();
-        (!earlier.is_empty()).then_some(Change::DaemonsRemoved {
-            incarnations: earlier,
-            reason: RemovalReason::Replaced,
+        let may_join = !self.is_member() && !self.state.departed.contains(&me);
+        may_join.then(|| Change::DaemonJoined {
+            daemon: self.me.clone(),
         })
     }
 
--- a/crates/balsam-decide/src/node/leaving.rs
+++ b/crates/balsam-decide/src/node/leaving.rs
@@ -93,6 +93,7 @@
         };
         if !self.is_member() || now.since(since) >= LEAVE_MS {
             self.phase = Phase::Left;
+            self.refuse_commands(out);
             out.push(NodeOutput::Left);
         }
     }
--- a/crates/balsam-decide/src/node/output.rs
+++ b/crates/balsam-decide/src/node/output.rs
@@ -180,7 +180,7 @@
         /// The pulse.
         pulse: Pulse,
     },
-    /// Answer a pulse.
+    /// Answer a pulse; a daemon that is leaving the roster answers none.
     AnswerPulse {
         /// The pulse's request.
         request: RequestId,
--- a/crates/balsam-decide/src/node/table.rs
+++ b/crates/balsam-decide/src/node/table.rs
@@ -2,9 +2,9 @@
 
 use super::{ChangesBody, Decision, Node, NodeOutput, TableResult};
 use crate::control::ControlState;
-use balsam_types::control::{Change, LogEntry};
+use balsam_types::control::{Change, LogEntry, RemovalReason};
 use balsam_types::timing::{PULSE_MS, SNAPSHOT_EVERY};
-use balsam_types::{Epoch, TimeMs};
+use balsam_types::{Epoch, Incarnation, TimeMs};
 use std::sync::Arc;
 
 /// The time after which a table read without a result is given up, in milliseconds.
@@ -142,9 +142,14 @@
             }
             // A committed entry that does not fit means a damaged log: the node stays at its
             // epoch, loses its right and reports that it is not ready.
+            let replaced = match &entry.change {
+                Change::DaemonJoined { daemon } => self.state.replaced_by(daemon),
+                _ => Vec::new(),
+            };
             if Arc::make_mut(&mut self.state).apply(&entry).is_err() {
                 break;
             }
+            log_removed(&replaced, RemovalReason::Replaced, out);
             newest_author = Some(entry.author);
             self.applied(now, &entry, out);
             self.log.push(entry);
@@ -166,12 +171,7 @@
     }
 
     /// Follows a new epoch and tells those who wait for its adoption.
-    fn adopted(
-        &mut self,
-        now: TimeMs,
-        author: Option<balsam_types::Incarnation>,
-        out: &mut Vec<NodeOutput>,
-    ) {
+    fn adopted(&mut self, now: TimeMs, author: Option<Incarnation>, out: &mut Vec<NodeOutput>) {
         self.table.seen_epoch = self.table.seen_epoch.max(self.state.epoch);
         self.due.decide = true;
         self.due.follow = true;
@@ -196,12 +196,16 @@
         Change::DaemonsRemoved {
             incarnations,
             reason,
-        } => out.extend(incarnations.iter().map(|incarnation| {
-            NodeOutput::Log(Decision::DaemonRemoved {
-                incarnation: *incarnation,
-                reason: *reason,
-            })
-        })),
+        } => log_removed(incarnations, *reason, out),
         _ => {}
     }
 }
+
+fn log_removed(incarnations: &[Incarnation], reason: RemovalReason, out: &mut Vec<NodeOutput>) {
+    out.extend(incarnations.iter().map(|incarnation| {
+        NodeOutput::Log(Decision::DaemonRemoved {
+            incarnation: *incarnation,
+            reason,
+        })
+    }));
+}
--- a/crates/balsam-decide/src/placer/planning.rs
+++ b/crates/balsam-decide/src/placer/planning.rs
@@ -66,7 +66,9 @@
         let since = placer.status_since.get(&upstream.name);
         let report = placer.reports.load(scene.now, &upstream.name);
         if let Some(report) = report {
-            unit_loads.extend(report.heavy_units.iter().copied());
+            for (unit, load) in &report.heavy_units {
+                *unit_loads.entry(*unit).or_insert(0.0) += load;
+            }
         }
         upstreams.push(PlanUpstream {
             name: upstream.name.clone(),
--- a/crates/balsam-decide/tests/common/table.rs
+++ b/crates/balsam-decide/tests/common/table.rs
@@ -55,20 +55,29 @@
 impl World {
     pub fn read_table(&mut self, caller: Caller, after: Epoch) {
         let started_at = self.nodes[caller.node].clock.at(self.t);
-        let read = Event::TableRead(caller, after, started_at);
+        let call = self.new_id();
+        self.open_calls.insert(call);
+        let read = Event::TableRead(caller, call, after, started_at);
         self.send(Place::Node(caller.node), Place::Table, read, false);
         let failed = NodeInput::TableRead {
             started_at,
             result: TableResult::Failed,
         };
         if self.table.down {
-            self.after(5, Event::Input(caller, Box::new(failed)));
+            self.after(5, Event::ReadEnds(caller, call, Box::new(failed)));
             return;
         }
-        self.after(READ_TIMEOUT_MS, Event::Input(caller, Box::new(failed)));
+        let ends = Event::ReadEnds(caller, call, Box::new(failed));
+        self.after(READ_TIMEOUT_MS, ends);
     }
 
-    pub fn table_read_arrives(&mut self, caller: Caller, after: Epoch, started_at: TimeMs) {
+    pub fn table_read_arrives(
+        &mut self,
+        caller: Caller,
+        call: u64,
+        after: Epoch,
+        started_at: TimeMs,
+    ) {
         if self.table.down {
             return;
         }
@@ -87,10 +96,17 @@
             }
         };
         let input = NodeInput::TableRead { started_at, result };
-        let answer = Event::Input(caller, Box::new(input));
+        let answer = Event::ReadEnds(caller, call, Box::new(input));
         self.send(Place::Table, Place::Node(caller.node), answer, false);
     }
 
+    /// Ends a read with its answer or its failure, whichever comes first.
+    pub fn read_ends(&mut self, caller: Caller, call: u64, input: NodeInput) {
+        if self.open_calls.remove(&call) {
+            self.input(caller, input);
+        }
+    }
+
     pub fn begin_commit(&mut self, caller: Caller, entry: &LogEntry, give_up_at: TimeMs) {
         let now = self.nodes[caller.node].clock.at(self.t);
         let until = self.t + give_up_at.since(now);
--- a/crates/balsam-decide/tests/common/world.rs
+++ b/crates/balsam-decide/tests/common/world.rs
@@ -55,7 +55,8 @@
     Tick(Caller),
     Input(Caller, Box<NodeInput>),
     PeerRequest(usize, Caller, Box<PeerRequest>),
-    TableRead(Caller, Epoch, TimeMs),
+    TableRead(Caller, u64, Epoch, TimeMs),
+    ReadEnds(Caller, u64, Box<NodeInput>),
     CommitArrives(Caller, Box<LogEntry>),
     CommitRetry(Caller, Box<LogEntry>, u64),
     UpstreamArrives(usize, Caller, u64, UpstreamCall),
@@ -251,9 +252,10 @@
             }
             Event::Input(caller, input) => self.input(caller, *input),
             Event::PeerRequest(node, caller, request) => self.peer_request(node, caller, *request),
-            Event::TableRead(caller, after, started_at) => {
-                self.table_read_arrives(caller, after, started_at);
+            Event::TableRead(caller, call, after, started_at) => {
+                self.table_read_arrives(caller, call, after, started_at);
             }
+            Event::ReadEnds(caller, call, input) => self.read_ends(caller, call, *input),
             Event::CommitArrives(caller, entry) => self.commit_arrives(caller, &entry),
             Event::CommitRetry(caller, entry, until) => self.commit_retry(caller, &entry, until),
             Event::UpstreamArrives(upstream, caller, call, body) => {
@@ -331,6 +333,7 @@
         match self {
             Self::Tick(caller)
             | Self::Input(caller, _)
+            | Self::ReadEnds(caller, ..)
             | Self::CommitRetry(caller, ..)
             | Self::CallEnds(caller, ..) => Some(Place::Node(caller.node)),
             Self::PeerRequest(node, ..) => Some(Place::Node(*node)),
--- a/crates/balsam-decide/tests/orderly_changes.rs
+++ b/crates/balsam-decide/tests/orderly_changes.rs
@@ -5,7 +5,7 @@
 
 use balsam_decide::grants::WorkRequest;
 use balsam_types::control::{UnitOwner, UpstreamStatus};
-use balsam_types::timing::RIGHT_TTL_MS;
+use balsam_types::timing::{RIGHT_TTL_MS, RIGHT_WAIT_MS};
 use balsam_types::{KeyHash, UnitId};
 use common::participants::{Work, service, upstream_name};
 use common::world::{Event, World};
@@ -113,3 +113,27 @@
         );
     }
 }
+
+#[test]
+fn planned_move_is_shorter_than_a_lapse_wait() {
+    let mut longest = 0;
+    for seed in 0..SEEDS {
+        let mut world = World::settled(seed);
+        let unit = UnitId(0);
+        let upstream = owner_of(&world, unit).expect("the unit is owned");
+        world.leave_upstream(upstream);
+        let until = world.t + LEAVING_BOUND_MS;
+        while owner_of(&world, unit) == Some(upstream) && world.t < until {
+            world.run_until(world.t + 1);
+        }
+        let moving = world.time_to_serve(RIGHT_WAIT_MS);
+        let Some(moving_ms) = moving else {
+            panic!(
+                "seed {seed}: waits for rights to lapse: {}",
+                world.describe()
+            );
+        };
+        longest = longest.max(moving_ms);
+    }
+    println!("longest planned move: {longest} ms");
+}
--- a/crates/balsam-decide/tests/settings_order.rs
+++ b/crates/balsam-decide/tests/settings_order.rs
@@ -192,3 +192,20 @@
         );
     }
 }
+
+#[test]
+fn service_with_upstreams_is_not_deleted() {
+    let mut world = settled(0);
+    let path = NodePath::Service(service());
+    let mut edit = NodeEdit::new(path.clone(), version_of(&world, &path));
+    edit.delete = true;
+    let edits = vec![edit];
+    let request = world.command(0, OperatorCommand::Edit { edits, wait: false });
+    world.run_until(world.t + 1_000);
+    let answer = &world.answers[&request];
+    let expected = CommandResult::Refused(CommandFailure::Settings {
+        source: SettingsError::HasChildren { path },
+    });
+    assert_eq!(*answer, expected);
+    assert!(world.all_served());
+}
--- a/crates/balsam-types/src/control/change.rs
+++ b/crates/balsam-types/src/control/change.rs
@@ -30,7 +30,7 @@
         /// The edits, each guarded by its node's version.
         edits: Vec<NodeEdit>,
     },
-    /// A daemon joins the roster.
+    /// A daemon joins the roster and replaces earlier incarnations at its address.
     DaemonJoined {
         /// The daemon.
         daemon: DaemonInfo,
