--- a/crates/balsam-daemon/src/request/forward/exchange.rs
+++ b/crates/balsam-daemon/src/request/forward/exchange.rs
@@ -209,9 +209,8 @@
         }
         Err(_) => return Err(Failure::Unknown(UnknownReason::DeadlineAfterSend).into()),
     };
-    let answered_key = field(&parsed.head, headers::KEY);
-    if answered_key.is_some_and(|key| key != head.key.text.as_bytes()) {
-        debug!("the answer belongs to another key");
+    if !is_answer_to(&parsed.head, head) {
+        debug!("the answer names another request");
         return Err(Failure::Unknown(UnknownReason::UpstreamLost).into());
     }
     let declared = not_run_cause(&parsed.head);
@@ -265,6 +264,15 @@
     found.map(|field| field.value.as_slice())
 }
 
+/// Returns whether an answer names no other request than `request`.
+fn is_answer_to(answer: &ResponseHead, request: &RequestHead) -> bool {
+    let key = request.key.text.as_bytes();
+    let id = request.order_id.as_ref().map(|id| id.as_str().as_bytes());
+    let named_key = field(answer, headers::KEY);
+    let named_id = field(answer, headers::IDEMPOTENCY_KEY);
+    named_key.is_none_or(|named| named == key) && (named_id.is_none() || named_id == id)
+}
+
 /// Returns why the upstream declares that it did not run the request.
 fn not_run_cause(head: &ResponseHead) -> Option<NotRunCause> {
     if head.status != 503 {
--- a/crates/balsam-daemon/tests/reused_connections.rs
+++ b/crates/balsam-daemon/tests/reused_connections.rs
@@ -39,14 +39,17 @@
     assert_eq!(read_answer(&mut caller).await.body, b"own");
 }
 
-/// Guards against an answer that names another key than the request.
+/// Guards against an answer that names another request.
+#[rstest]
+#[case::other_key("balsam-key: k9\r\n")]
+#[case::other_order("balsam-key: k1\r\nidempotency-key: o9\r\n")]
 #[actix_rt::test]
-async fn answer_of_another_key() {
+async fn crossed_answer(#[case] fields: &str) {
     let mut upstream = Upstream::start().await;
     let cluster = Cluster::start(1, upstream.address).await;
     let mut caller = open_call(cluster.entry().caller, "POST /files/k1", "").await;
     let seen = upstream.next().await;
-    let crossed = "HTTP/1.1 200 OK\r\nbalsam-key: k9\r\ncontent-length: 1\r\n\r\nx";
+    let crossed = format!("HTTP/1.1 200 OK\r\n{fields}content-length: 1\r\n\r\nx");
     seen.answer(crossed).await;
     let answer = read_answer(&mut caller).await;
     assert_eq!(answer.outcome(), ("unknown", "upstream-lost"));
