Add balsamctl settings delete

Cause: operators could create nodes of the settings tree but not delete them. Change: a command that deletes a node without children; the options that the editing commands share are one type.

--- a/crates/balsam-ctl/src/cli.rs
+++ b/crates/balsam-ctl/src/cli.rs
@@ -2,8 +2,8 @@
 
 use crate::commands::{
     Completions, Daemons, Drain, Epochs, Owner, QuarantineClear, QuarantineList, RankCreate,
-    RankList, RosterForget, ServiceCreate, ServiceList, SettingsExplain, SettingsGet, SettingsSet,
-    SettingsUnset, Upstreams, ZoneCreate, ZoneList,
+    RankList, RosterForget, ServiceCreate, ServiceList, SettingsDelete, SettingsExplain,
+    SettingsGet, SettingsSet, SettingsUnset, Upstreams, ZoneCreate, ZoneList,
 };
 use clap::{Parser, Subcommand};
 use std::net::SocketAddr;
@@ -101,6 +101,8 @@
     Set(SettingsSet),
     /// Remove values of a node, so that it inherits them again.
     Unset(SettingsUnset),
+    /// Delete a node.
+    Delete(SettingsDelete),
     /// Show the values in effect at a node and where each comes from.
     Explain(SettingsExplain),
 }
--- a/crates/balsam-ctl/src/commands/settings_unset.rs
+++ b/crates/balsam-ctl/src/commands/settings_unset.rs
@@ -1,7 +1,7 @@
 //! `balsamctl settings unset PATH KEY...`.
 
+use super::EditOptions;
 use super::assignment::parse_key;
-use super::settings_set::base_version;
 use crate::{Client, CtlError, Report};
 use balsam_types::settings::{NodeEdit, NodePath};
 use clap::Args;
@@ -14,12 +14,8 @@
     /// The keys.
     #[arg(value_name = "KEY", required = true)]
     keys: Vec<String>,
-    /// Version of the node that the edit is based on; the present one if it is left out.
-    #[arg(long, value_name = "EPOCH")]
-    base_version: Option<u64>,
-    /// Wait until the change is in force at every daemon.
-    #[arg(long)]
-    wait: bool,
+    #[command(flatten)]
+    options: EditOptions,
 }
 
 impl SettingsUnset {
@@ -31,11 +27,11 @@
     pub async fn run(self, client: &Client) -> Result<Report, CtlError> {
         let keys: Result<Vec<_>, _> = self.keys.iter().map(|key| parse_key(key)).collect();
         let keys = keys?;
-        let base_version = base_version(client, &self.path, self.base_version).await?;
+        let base_version = self.options.base_version(client, &self.path).await?;
         let subject = format!("settings of {}", self.path);
         let edit = NodeEdit::new(self.path, base_version);
         let edit = keys.into_iter().fold(edit, NodeEdit::with_unset);
-        let answer = client.edit(edit, self.wait).await?;
+        let answer = client.edit(edit, self.options.wait).await?;
         Ok(Report::of_change(subject, &answer))
     }
 }
--- a/crates/balsam-ctl/src/run.rs
+++ b/crates/balsam-ctl/src/run.rs
@@ -54,6 +54,7 @@
         Command::Settings(SettingsCommand::Get(command)) => command.run(client).await,
         Command::Settings(SettingsCommand::Set(command)) => command.run(client).await,
         Command::Settings(SettingsCommand::Unset(command)) => command.run(client).await,
+        Command::Settings(SettingsCommand::Delete(command)) => command.run(client).await,
         Command::Settings(SettingsCommand::Explain(command)) => command.run(client).await,
         Command::Owner(command) => command.run(client).await,
         Command::Daemons(command) => command.run(client).await,
--- a/crates/balsam-ctl/tests/settings_commands.rs
+++ b/crates/balsam-ctl/tests/settings_commands.rs
@@ -115,3 +115,21 @@
     assert!(lines[0].starts_with("ZONE"), "{table}");
     assert!(lines[1].contains("region=east"), "{table}");
 }
+
+/// Guards against a deleted rank that stays, and a parent deleted under its children.
+#[actix_rt::test]
+async fn delete_removes_only_childless_nodes() {
+    let deployment = Deployment::start(1).await;
+    done(&deployment, &["service", "create", "lookup"]).await;
+    done(&deployment, &["rank", "create", "lookup", "urgent"]).await;
+    let refused = deployment
+        .ctl(0, &["settings", "delete", "/services/lookup"])
+        .await;
+    assert_eq!(refused.code, 1, "{refused:?}");
+    let rank = "/services/lookup/ranks/urgent";
+    done(&deployment, &["settings", "delete", rank]).await;
+    let ranks = deployment
+        .ctl(0, &["--json", "rank", "list", "lookup"])
+        .await;
+    assert!(!ranks.out.contains("urgent"), "{ranks:?}");
+}
--- a/crates/balsam-types/src/settings/edit.rs
+++ b/crates/balsam-types/src/settings/edit.rs
@@ -36,6 +36,13 @@
         self
     }
 
+    /// Removes the node instead.
+    #[must_use]
+    pub fn with_delete(mut self) -> Self {
+        self.delete = true;
+        self
+    }
+
     /// Removes an override, so that the node inherits the value again.
     #[must_use]
     pub fn with_unset(mut self, key: SettingKey) -> Self {
