Ping quiet peer connections less often

Every open connection was pinged four times a second, also while nothing but a long answer could be in flight. A connection that was not used for 2 s is pinged every 5 s.

--- a/crates/balsam-daemon/src/peer/connection.rs
+++ b/crates/balsam-daemon/src/peer/connection.rs
@@ -5,7 +5,8 @@
 use super::exchange::{PeerPath, exchange, open_stream};
 use super::relay::{RelayCall, RelayWriter};
 use super::settings::{
-    CONNECT_TIMEOUT, CONNECTION_WINDOW_BYTES, PING_PERIOD, PING_TIMEOUT, STREAM_WINDOW_BYTES,
+    ACTIVE, CONNECT_TIMEOUT, CONNECTION_WINDOW_BYTES, PING_PERIOD, PING_TIMEOUT, QUIET_PING_PERIOD,
+    STREAM_WINDOW_BYTES,
 };
 use super::{PeerCommand, PeerSettings};
 use bytes::Bytes;
@@ -19,7 +20,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 type PeerConnection = Connection<TcpStream, Bytes>;
@@ -86,7 +87,8 @@
     let credential = &settings.credential;
     let idle = Duration::from_millis(settings.idle_close_ms);
     let pings = connection.ping_pong();
-    let mut keepalive = std::pin::pin!(keep_alive(pings));
+    let (used, last_used) = watch::channel(Instant::now());
+    let mut keepalive = std::pin::pin!(keep_alive(pings, last_used));
     let mut calls = FuturesUnordered::new();
     calls.push(serve(sender.clone(), Arc::clone(credential), first));
     let ended = loop {
@@ -96,6 +98,7 @@
             Some(()) = calls.next() => {}
             command = work.recv() => match command {
                 Some(command) => {
+                    used.send_replace(Instant::now());
                     calls.push(serve(sender.clone(), Arc::clone(credential), command));
                 }
                 None => break Ended::Stopped,
@@ -127,12 +130,17 @@
 }
 
 /// Ends when the peer has not answered a ping for [`PING_TIMEOUT`].
-async fn keep_alive(pings: Option<PingPong>) {
+async fn keep_alive(pings: Option<PingPong>, mut last_used: watch::Receiver<Instant>) {
     let Some(mut pings) = pings else {
         return std::future::pending().await;
     };
     loop {
-        sleep(PING_PERIOD).await;
+        if last_used.borrow_and_update().elapsed() < ACTIVE {
+            sleep(PING_PERIOD).await;
+        } else {
+            // The next command starts the short period again.
+            drop(timeout(QUIET_PING_PERIOD, last_used.changed()).await);
+        }
         match timeout(PING_TIMEOUT, pings.ping(Ping::opaque())).await {
             Ok(Ok(_)) => {}
             Ok(Err(_)) | Err(_) => return,
--- a/crates/balsam-daemon/src/peer/settings.rs
+++ b/crates/balsam-daemon/src/peer/settings.rs
@@ -32,9 +32,15 @@
 /// Commands that wait for one peer; beyond that callers are told at once.
 pub(super) const PEER_QUEUE: usize = 1_024;
 
-/// The period of h2 pings.
+/// The period of h2 pings on a connection that was used within [`ACTIVE`].
 pub(super) const PING_PERIOD: Duration = Duration::from_millis(250);
 
+/// The period of h2 pings on other connections, on which only long answers can be in flight.
+pub(super) const QUIET_PING_PERIOD: Duration = Duration::from_secs(5);
+
+/// How long a connection counts as used after a command.
+pub(super) const ACTIVE: Duration = Duration::from_secs(2);
+
 /// The silence after which a connection is given up, as long as a daemon takes to be suspected.
 pub(super) const PING_TIMEOUT: Duration = Duration::from_millis(balsam_types::timing::SUSPECT_MS);
 
--- a/crates/balsam-daemon/src/request/dispatch/task.rs
+++ b/crates/balsam-daemon/src/request/dispatch/task.rs
@@ -169,7 +169,9 @@
 
     fn start(&mut self, ticket: Ticket) {
         let Some(Waiting { attempt, reply }) = self.waiting.remove(&ticket) else {
-            return;
+            // The slot of a request that has gone away must not stay taken.
+            let result = SlotResult::Failed;
+            return self.step(DispatchInput::Finished { ticket, result });
         };
         let head = &attempt.request.head;
         let permit = SendPermit {
