Share crash counts through one row that is read before it is written

Cause: the machine's input Row must be the whole shared row, but the task passed the count of one fingerprint, which dropped the remote counts of all others. The shared counter of a fingerprint only grew: it never expired and an operator's clear did not reset it, so the first crash after a clear quarantined the request again.

Change: on ShareCounts the task reads row crashes, merges it as Row and writes Quarantine::row() conditional on the version that it read. A conflict reads again; without an answer the next tick tries again. The machine also asks to share the counts when an entry is cleared or ends, so that the old counts leave the row before another daemon reads them.

The test covers a conflicting write, the counts of other requests, and a crash after a clear.

--- a/crates/balsam-daemon/src/control/commit/crashes.rs
+++ b/crates/balsam-daemon/src/control/commit/crashes.rs
@@ -1,58 +1,73 @@
-//! Counts of requests that broke their upstream connection.
+//! The shared row of requests that broke their upstream connection.
 
-use crate::control::edge::rows::{decode_row, encode_row, remaining};
+use crate::control::edge::rows::{decode_row, encode_row};
 use crate::control::edge::{Platform, PlatformError};
-use balsam_types::{Fingerprint, ServiceName};
-use balsam_wire::platform::{CrashRow, ReadRequest, TxRequest, crash_row_key};
+use balsam_decide::quarantine::CrashCount;
+use balsam_wire::platform::{CRASH_ROW, CrashRow, ReadRequest, TxRequest};
 use std::time::Duration;
-use tokio::time::Instant;
 
-/// Attempts to count a crash against concurrent counts of other dispatchers.
-const ATTEMPTS: usize = 5;
+/// The shared row as it was read.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct SharedCrashes {
+    /// The version of the row; 0 if it is absent.
+    pub version: u64,
+    /// The counts of all daemons.
+    pub counts: Vec<CrashCount>,
+}
+
+/// Reads the shared row; `None` if the table does not answer or the row cannot be interpreted.
+pub async fn read_crashes(platform: &impl Platform, wait: Duration) -> Option<SharedCrashes> {
+    match try_read(platform, wait).await {
+        Ok(shared) => Some(shared),
+        Err(error) => {
+            log::debug!("crash counts: {error}");
+            None
+        }
+    }
+}
 
-/// Adds a crash to the shared count of `fingerprint` and returns the count; `None` if the table did
-/// not confirm it.
+/// Writes the shared row if it is unchanged since `shared.version`; returns whether it was, or
+/// `None` if the table did not answer.
 ///
-/// A lost answer is not settled: a crash that is counted twice only quarantines a request earlier.
-pub async fn count_crash(
+/// A lost answer is not settled: each daemon writes only its own counts, so that writing them again
+/// counts nothing twice.
+pub async fn write_crashes(
     platform: &impl Platform,
-    service: &ServiceName,
-    fingerprint: Fingerprint,
+    shared: SharedCrashes,
     wait: Duration,
-) -> Option<u32> {
-    let until = Instant::now() + wait;
-    for _ in 0..ATTEMPTS {
-        match try_count(platform, service, fingerprint, until).await {
-            Ok(Some(crashes)) => return Some(crashes),
-            Ok(None) => {}
-            Err(error) => {
-                log::debug!("crash count of {fingerprint}: {error}");
-                return None;
-            }
+) -> Option<bool> {
+    match try_write(platform, shared, wait).await {
+        Ok(committed) => Some(committed),
+        Err(error) => {
+            log::debug!("crash counts: {error}");
+            None
         }
     }
-    None
 }
 
-async fn try_count(
+async fn try_read(
     platform: &impl Platform,
-    service: &ServiceName,
-    fingerprint: Fingerprint,
-    until: Instant,
-) -> Result<Option<u32>, PlatformError> {
-    let key = crash_row_key(fingerprint);
-    let request = ReadRequest::of_keys([key.clone()]);
-    let former = platform.read(&request, remaining(until)).await?.rows.pop();
-    let version = former.as_ref().map_or(0, |row| row.version);
-    let former: Option<CrashRow> = former.map(decode_row).transpose()?;
-    let crashes = former.map_or(0, |row| row.crashes).saturating_add(1);
-    let row = CrashRow {
-        service: service.clone(),
-        crashes,
+    wait: Duration,
+) -> Result<SharedCrashes, PlatformError> {
+    let request = ReadRequest::of_keys([CRASH_ROW.to_owned()]);
+    let Some(row) = platform.read(&request, wait).await?.rows.pop() else {
+        return Ok(SharedCrashes::default());
     };
+    let version = row.version;
+    let row: CrashRow = decode_row(row)?;
+    let counts = row.counts.into_iter().map(CrashCount::from).collect();
+    Ok(SharedCrashes { version, counts })
+}
+
+async fn try_write(
+    platform: &impl Platform,
+    shared: SharedCrashes,
+    wait: Duration,
+) -> Result<bool, PlatformError> {
+    let counts = shared.counts.into_iter().map(Into::into).collect();
+    let value = encode_row(CRASH_ROW, &CrashRow { counts })?;
     let request = TxRequest::new()
-        .with_condition(key.clone(), version)
-        .with_write(key.clone(), Some(encode_row(&key, &row)?));
-    let response = platform.transact(&request, remaining(until)).await?;
-    Ok(response.committed.then_some(crashes))
+        .with_condition(CRASH_ROW, shared.version)
+        .with_write(CRASH_ROW, Some(value));
+    Ok(platform.transact(&request, wait).await?.committed)
 }
--- a/crates/balsam-daemon/src/control/edge/platform_task.rs
+++ b/crates/balsam-daemon/src/control/edge/platform_task.rs
@@ -2,7 +2,8 @@
 
 use super::{Clock, Platform};
 use crate::control::commit::{
-    commit_change, count_crash, read_orders, write_orders, write_snapshot,
+    SharedCrashes, commit_change, read_crashes, read_orders, write_crashes, write_orders,
+    write_snapshot,
 };
 use crate::control::decide::ControlInput;
 use crate::control::observe::read_table;
@@ -10,7 +11,7 @@
 use balsam_decide::node::NodeInput;
 use balsam_decide::orders::{OrderKey, ReadRow, RowWrite, TxResult};
 use balsam_types::control::LogEntry;
-use balsam_types::{Epoch, Fingerprint, ServiceName, TimeMs};
+use balsam_types::{Epoch, TimeMs};
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 use std::sync::Arc;
@@ -76,14 +77,17 @@
         /// Where the rows go; `None` if the table did not answer.
         reply: oneshot::Sender<Option<Vec<ReadRow>>>,
     },
-    /// Counts a crashed connection.
-    CountCrash {
-        /// The service that the request addresses.
-        service: ServiceName,
-        /// What equal requests have in common.
-        fingerprint: Fingerprint,
-        /// Where the shared count goes; `None` if the table did not answer.
-        reply: oneshot::Sender<Option<u32>>,
+    /// Reads the shared row of crash counts.
+    ReadCrashes {
+        /// Where the row goes; `None` if the table did not answer.
+        reply: oneshot::Sender<Option<SharedCrashes>>,
+    },
+    /// Writes the shared row of crash counts if its version is unchanged.
+    WriteCrashes {
+        /// The version that was read, and the counts to write.
+        shared: SharedCrashes,
+        /// Where it goes whether the row was written; `None` if the table did not answer.
+        reply: oneshot::Sender<Option<bool>>,
     },
 }
 
@@ -208,12 +212,11 @@
         TableExchange::ReadOrders { keys, reply } => {
             let _ = reply.send(read_orders(&platform, keys, ORDER_WAIT).await);
         }
-        TableExchange::CountCrash {
-            service,
-            fingerprint,
-            reply,
-        } => {
-            let _ = reply.send(count_crash(&platform, &service, fingerprint, ORDER_WAIT).await);
+        TableExchange::ReadCrashes { reply } => {
+            let _ = reply.send(read_crashes(&platform, ORDER_WAIT).await);
+        }
+        TableExchange::WriteCrashes { shared, reply } => {
+            let _ = reply.send(write_crashes(&platform, shared, ORDER_WAIT).await);
         }
     }
 }
--- a/crates/balsam-daemon/src/control/edge/table_client.rs
+++ b/crates/balsam-daemon/src/control/edge/table_client.rs
@@ -1,8 +1,8 @@
 //! The handle through which the request path reaches the platform's table.
 
 use super::TableExchange;
+use crate::control::commit::SharedCrashes;
 use balsam_decide::orders::{OrderKey, ReadRow, RowWrite, TxResult};
-use balsam_types::{Fingerprint, ServiceName};
 use tokio::sync::{mpsc, oneshot};
 
 /// A cheap handle that sends requests to the platform task.
@@ -31,15 +31,18 @@
         result.await.ok().flatten()
     }
 
-    /// Counts a crashed connection and returns the shared count; `None` if the table does not
-    /// answer.
-    pub async fn count_crash(&self, service: ServiceName, fingerprint: Fingerprint) -> Option<u32> {
+    /// Reads the shared row of crash counts; `None` if the table does not answer.
+    pub async fn read_crashes(&self) -> Option<SharedCrashes> {
         let (reply, result) = oneshot::channel();
-        self.submit(TableExchange::CountCrash {
-            service,
-            fingerprint,
-            reply,
-        });
+        self.submit(TableExchange::ReadCrashes { reply });
+        result.await.ok().flatten()
+    }
+
+    /// Writes the shared row of crash counts if its version is unchanged, and returns whether it
+    /// was; `None` if the table does not answer.
+    pub async fn write_crashes(&self, shared: SharedCrashes) -> Option<bool> {
+        let (reply, result) = oneshot::channel();
+        self.submit(TableExchange::WriteCrashes { shared, reply });
         result.await.ok().flatten()
     }
 
--- a/crates/balsam-daemon/src/request/quarantine/task.rs
+++ b/crates/balsam-daemon/src/request/quarantine/task.rs
@@ -2,15 +2,14 @@
 
 use super::Crashes;
 use super::handle::Crash;
+use crate::control::commit::SharedCrashes;
 use crate::control::decide::ControlHandle;
 use crate::control::edge::TableClient;
 use crate::request::clock::now;
 use balsam_decide::node::{OperatorCommand, View};
-use balsam_decide::quarantine::{
-    CrashCount, Quarantine, QuarantineInput, QuarantineOutput, QuarantinePolicy,
-};
+use balsam_decide::quarantine::{Quarantine, QuarantineInput, QuarantineOutput, QuarantinePolicy};
 use balsam_decide::settings::SettingsTree;
-use balsam_types::{Fingerprint, Incarnation, ServiceName, Set, new_set};
+use balsam_types::{Fingerprint, ServiceName, Set, new_set};
 use futures_util::StreamExt;
 use futures_util::future::BoxFuture;
 use futures_util::stream::FuturesUnordered;
@@ -29,9 +28,6 @@
 /// The wait for the control task's word that an entry is cleared; it is asked again later.
 const CLEAR_WAIT: Duration = Duration::from_secs(5);
 
-/// Stands for all other daemons in the shared count, which does not name them.
-const OTHERS: Incarnation = Incarnation(0);
-
 type Published = watch::Sender<Arc<Set<Fingerprint>>>;
 
 /// Starts the task and returns the handle for crashes and the refused requests.
@@ -44,25 +40,49 @@
     let (published, refused) = watch::channel(Arc::new(new_set()));
     let task = QuarantineTask {
         machine: Quarantine::new(views.borrow().me),
-        me: views.borrow().me,
         views: views.clone(),
         control: control.clone(),
         table: table.clone(),
         published,
+        sharing: Sharing::Done,
         exchanges: FuturesUnordered::new(),
     };
     tokio::spawn(task.run(receiver));
     (Crashes::new(crashes), refused)
 }
 
+/// How far the counts are shared.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Sharing {
+    /// The shared row is as this daemon would write it.
+    Done,
+    /// The row is read or written.
+    Running,
+    /// The row is read or written, and the counts have changed since.
+    RunningStale,
+    /// The table did not answer; the next tick tries again.
+    Failed,
+}
+
+/// The result of an exchange.
+#[derive(Debug)]
+enum Exchanged {
+    /// The shared row was read.
+    Read(Option<SharedCrashes>),
+    /// The shared row was written, unless it had changed.
+    Written(Option<bool>),
+    /// The end of an entry was reported.
+    Cleared,
+}
+
 struct QuarantineTask {
     machine: Quarantine,
-    me: Incarnation,
+    sharing: Sharing,
     views: watch::Receiver<Arc<View>>,
     control: ControlHandle,
     table: TableClient,
     published: Published,
-    exchanges: FuturesUnordered<BoxFuture<'static, Option<QuarantineInput>>>,
+    exchanges: FuturesUnordered<BoxFuture<'static, Exchanged>>,
 }
 
 impl QuarantineTask {
@@ -77,12 +97,10 @@
                     Some(crash) => self.count(crash),
                     None => return,
                 },
-                Some(input) = self.exchanges.next(), if !self.exchanges.is_empty() => {
-                    if let Some(input) = input {
-                        self.step(input);
-                    }
+                Some(exchanged) = self.exchanges.next(), if !self.exchanges.is_empty() => {
+                    self.take(exchanged);
                 }
-                _ = ticks.tick() => self.step(QuarantineInput::Tick),
+                _ = ticks.tick() => self.tick(),
                 Ok(()) = views.changed() => self.adopt(),
             }
             self.publish();
@@ -96,38 +114,75 @@
     }
 
     fn count(&mut self, crash: Crash) {
-        let Crash {
-            service,
-            fingerprint,
-        } = crash;
         self.step(QuarantineInput::Crashed {
-            service: service.clone(),
-            fingerprint,
+            service: crash.service,
+            fingerprint: crash.fingerprint,
         });
-        let own = self.own_count(fingerprint);
+    }
+
+    fn tick(&mut self) {
+        self.step(QuarantineInput::Tick);
+        if self.sharing == Sharing::Failed {
+            self.read_shared();
+        }
+    }
+
+    fn share(&mut self) {
+        match self.sharing {
+            Sharing::Done | Sharing::Failed => self.read_shared(),
+            Sharing::Running | Sharing::RunningStale => self.sharing = Sharing::RunningStale,
+        }
+    }
+
+    fn read_shared(&mut self) {
+        self.sharing = Sharing::Running;
+        let table = self.table.clone();
+        let reading = async move { Exchanged::Read(table.read_crashes().await) };
+        self.exchanges.push(Box::pin(reading));
+    }
+
+    fn take(&mut self, exchanged: Exchanged) {
+        match exchanged {
+            Exchanged::Read(Some(shared)) => self.merge(shared),
+            Exchanged::Read(None) | Exchanged::Written(None) => self.sharing = Sharing::Failed,
+            Exchanged::Written(Some(true)) => self.shared(),
+            // Another daemon has written its counts since the row was read.
+            Exchanged::Written(Some(false)) => self.read_shared(),
+            Exchanged::Cleared => {}
+        }
+    }
+
+    /// Takes over the counts of other daemons and writes the own ones, unless the row has them.
+    fn merge(&mut self, shared: SharedCrashes) {
+        let SharedCrashes {
+            version,
+            counts: former,
+        } = shared;
+        self.step(QuarantineInput::Row(former.clone()));
+        let counts = self.machine.row();
+        if counts == former {
+            self.shared();
+            return;
+        }
         let table = self.table.clone();
         self.exchanges.push(Box::pin(async move {
-            let shared = table.count_crash(service.clone(), fingerprint).await?;
-            Some(QuarantineInput::Row(vec![CrashCount {
-                fingerprint,
-                service,
-                by: OTHERS,
-                crashes: shared.saturating_sub(own),
-            }]))
+            let shared = SharedCrashes { version, counts };
+            Exchanged::Written(table.write_crashes(shared).await)
         }));
     }
 
-    fn own_count(&self, fingerprint: Fingerprint) -> u32 {
-        let row = self.machine.row();
-        let own = |count: &&CrashCount| count.fingerprint == fingerprint && count.by == self.me;
-        row.iter().find(own).map_or(0, |count| count.crashes)
+    fn shared(&mut self) {
+        let is_stale = self.sharing == Sharing::RunningStale;
+        self.sharing = Sharing::Done;
+        if is_stale {
+            self.read_shared();
+        }
     }
 
     fn step(&mut self, input: QuarantineInput) {
         for output in self.machine.handle(now(), input) {
             match output {
-                // Each crash is added to the shared count when it is reported.
-                QuarantineOutput::ShareCounts => {}
+                QuarantineOutput::ShareCounts => self.share(),
                 QuarantineOutput::Commit(entry) => self.control.quarantine(entry),
                 QuarantineOutput::Clear { fingerprint } => {
                     let control = self.control.clone();
@@ -135,7 +190,7 @@
                         let command = OperatorCommand::ClearQuarantine { fingerprint };
                         // The machine asks again if the entry stays.
                         drop(control.command(command, CLEAR_WAIT).await);
-                        None
+                        Exchanged::Cleared
                     }));
                 }
             }
--- a/crates/balsam-daemon/tests/crashed_upstreams.rs
+++ b/crates/balsam-daemon/tests/crashed_upstreams.rs
@@ -2,10 +2,17 @@
 
 mod common;
 
+use balsam_daemon::control::commit::SharedCrashes;
 use balsam_daemon::control::decide::ControlInput;
-use balsam_decide::node::OperatorCommand;
+use balsam_daemon::control::edge::TableExchange;
+use balsam_decide::node::{OperatorCommand, View};
+use balsam_decide::quarantine::CrashCount;
+use balsam_types::control::QuarantineEntry;
+use balsam_types::{Fingerprint, Incarnation};
 use common::{Cluster, Upstream, call, open_call, read_answer};
 use rstest::rstest;
+use std::sync::Arc;
+use tokio::sync::mpsc;
 
 /// Guards that a request is refused after three crashes, in the midst of its retries, and that it
 /// is reported so that all daemons refuse it.
@@ -58,3 +65,94 @@
     upstream.next().await.ok("done").await;
     assert!(read_answer(&mut caller).await.whole);
 }
+
+/// Answers reads with `row`, and returns the next row that is written.
+async fn written(
+    table: &mut mpsc::Receiver<TableExchange>,
+    row: &SharedCrashes,
+    committed: bool,
+) -> SharedCrashes {
+    loop {
+        match table.recv().await.expect("an exchange") {
+            TableExchange::ReadCrashes { reply } => drop(reply.send(Some(row.clone()))),
+            TableExchange::WriteCrashes { shared, reply } => {
+                reply.send(Some(committed)).expect("a waiting task");
+                return shared;
+            }
+            _ => {}
+        }
+    }
+}
+
+/// Guards against a write of the shared row that drops the counts of others, and against a cleared
+/// request that old counts in the row quarantine again at its first crash.
+#[actix_rt::test]
+async fn shared_row() {
+    let mut upstream = Upstream::start().await;
+    let mut cluster = Cluster::start(1, upstream.address).await;
+    let mut table = cluster.daemons[0].table.take().expect("the table");
+    let entry = cluster.entry().caller;
+    let call_poison = async || open_call(entry, "POST /files/poison", "").await;
+    let count = |fingerprint, crashes| CrashCount {
+        fingerprint,
+        service: "files".parse().expect("a name"),
+        by: Incarnation(9),
+        crashes,
+    };
+    let other = count(Fingerprint(1), 2);
+    let mut row = SharedCrashes {
+        version: 7,
+        counts: vec![other.clone()],
+    };
+
+    let mut caller = call_poison().await;
+    upstream.next().await.cut_after("").await;
+    drop(read_answer(&mut caller).await);
+    let lost = written(&mut table, &row, false).await;
+    assert_eq!(lost.version, 7);
+    // Another daemon has counted the same request meanwhile.
+    let own = lost.counts.iter().find(|count| count.by != Incarnation(9));
+    let fingerprint = own.expect("the own count").fingerprint;
+    row.version = 8;
+    row.counts.push(count(fingerprint, 2));
+    let written_row = written(&mut table, &row, true).await;
+    assert_eq!(written_row.version, 8);
+    let crashes: Vec<u32> = written_row
+        .counts
+        .iter()
+        .map(|count| count.crashes)
+        .collect();
+    assert!(written_row.counts.contains(&other), "{written_row:?}");
+    assert_eq!(crashes.iter().sum::<u32>(), 5, "{written_row:?}");
+    let refused = call(entry, "POST /files/poison", "").await;
+    assert_eq!(refused.outcome(), ("not-run", "quarantined"));
+
+    let entry_made = QuarantineEntry {
+        fingerprint,
+        service: other.service.clone(),
+        crashes: 3,
+        ttl_ms: 600_000,
+    };
+    cluster.change_all(|view: &mut View| {
+        let state = Arc::make_mut(&mut view.state);
+        state.quarantine.insert(fingerprint, entry_made.clone());
+    });
+    actix_rt::task::yield_now().await;
+    let refused = call(entry, "POST /files/poison", "").await;
+    assert_eq!(refused.outcome(), ("not-run", "quarantined"));
+    cluster.change_all(|view: &mut View| {
+        Arc::make_mut(&mut view.state).quarantine.clear();
+    });
+    row = SharedCrashes {
+        version: 9,
+        ..written_row
+    };
+    let cleared = written(&mut table, &row, true).await;
+    assert_eq!(cleared.counts, [other]);
+    let mut caller = call_poison().await;
+    upstream.next().await.cut_after("").await;
+    assert_eq!(read_answer(&mut caller).await.status, 504);
+    let mut caller = call_poison().await;
+    upstream.next().await.ok("done").await;
+    assert!(read_answer(&mut caller).await.whole);
+}
--- a/crates/balsam-daemon/tests/order_claims.rs
+++ b/crates/balsam-daemon/tests/order_claims.rs
@@ -43,7 +43,7 @@
                 };
                 let _ = reply.send(Some(keys.into_iter().map(read).collect()));
             }
-            TableExchange::CountCrash { reply, .. } => drop(reply),
+            TableExchange::ReadCrashes { .. } | TableExchange::WriteCrashes { .. } => {}
         }
     }
 }
--- a/crates/balsam-decide/src/quarantine/machine.rs
+++ b/crates/balsam-decide/src/quarantine/machine.rs
@@ -58,7 +58,7 @@
                     outputs.extend(self.entry_due(now, fingerprint));
                 }
             }
-            QuarantineInput::Adopted(entries) => self.adopt(now, entries),
+            QuarantineInput::Adopted(entries) => outputs.extend(self.adopt(now, entries)),
             QuarantineInput::Policies(policies) => self.policies = policies,
             QuarantineInput::Tick => {}
         }
@@ -134,16 +134,24 @@
     }
 
     /// Takes over the entries of a control state; their time runs from here on.
-    fn adopt(&mut self, now: TimeMs, entries: BTreeMap<Fingerprint, QuarantineEntry>) {
+    ///
+    /// The counts of cleared entries leave the shared row at once, because a daemon that reads them
+    /// later would quarantine the request again.
+    fn adopt(
+        &mut self,
+        now: TimeMs,
+        entries: BTreeMap<Fingerprint, QuarantineEntry>,
+    ) -> Option<QuarantineOutput> {
         let cleared: Vec<Fingerprint> = self
             .adopted
             .keys()
             .filter(|fingerprint| !entries.contains_key(fingerprint))
             .copied()
             .collect();
+        let mut counts_cleared = false;
         for fingerprint in cleared {
             self.adopted.remove(&fingerprint);
-            self.clear_tally(fingerprint);
+            counts_cleared |= self.clear_tally(fingerprint);
         }
         for (fingerprint, entry) in entries {
             let known = self.adopted.get(&fingerprint);
@@ -158,12 +166,16 @@
             };
             self.adopted.insert(fingerprint, adopted);
         }
+        counts_cleared.then_some(QuarantineOutput::ShareCounts)
     }
 
-    fn clear_tally(&mut self, fingerprint: Fingerprint) {
-        if let Some(tally) = self.tallies.get_mut(&fingerprint) {
+    /// Clears the counts of a fingerprint; returns whether there were any.
+    fn clear_tally(&mut self, fingerprint: Fingerprint) -> bool {
+        let tally = self.tallies.get_mut(&fingerprint);
+        tally.is_some_and(|tally| {
             tally.clear(self.me);
-        }
+            true
+        })
     }
 
     fn expire(&mut self, now: TimeMs) -> Vec<QuarantineOutput> {
@@ -181,17 +193,17 @@
                 fingerprint: *fingerprint,
             });
         }
+        let mut counts_dropped = false;
         for fingerprint in ended {
-            self.clear_tally(fingerprint);
+            counts_dropped |= self.clear_tally(fingerprint);
         }
-        let mut own_expired = false;
         for tally in self.tallies.values_mut() {
             if let Some(policy) = self.policies.get(&tally.service) {
-                own_expired |= tally.expire(now, self.me, policy.ttl_ms);
+                counts_dropped |= tally.expire(now, self.me, policy.ttl_ms);
             }
         }
         self.tallies.retain(|_, tally| !tally.is_empty());
-        if own_expired {
+        if counts_dropped {
             outputs.push(QuarantineOutput::ShareCounts);
         }
         outputs
--- a/crates/balsam-decide/tests/crash_quarantine.rs
+++ b/crates/balsam-decide/tests/crash_quarantine.rs
@@ -136,7 +136,9 @@
     for machine in [&mut one, &mut two] {
         let state = BTreeMap::from([(POISON, entry())]);
         machine.handle(TimeMs(20), QuarantineInput::Adopted(state));
-        machine.handle(TimeMs(30), QuarantineInput::Adopted(BTreeMap::new()));
+        let cleared = QuarantineInput::Adopted(BTreeMap::new());
+        let outputs = machine.handle(TimeMs(30), cleared);
+        assert_eq!(outputs, [QuarantineOutput::ShareCounts]);
         assert!(!machine.is_refused(TimeMs(30), POISON));
     }
     // The row still names the old crashes of the first daemon.
--- a/crates/balsam-wire/src/platform/mod.rs
+++ b/crates/balsam-wire/src/platform/mod.rs
@@ -17,8 +17,8 @@
     order_row_key, parse_order_row_key,
 };
 pub use rows::{
-    CONTROL_ROW, CRASH_PREFIX, ControlRow, CrashRow, LOG_PREFIX, SNAPSHOT_ROW, SnapshotRow,
-    crash_row_key, log_row_key, parse_log_row_key, snapshot_object,
+    CONTROL_ROW, CRASH_ROW, ControlRow, CrashCountBody, CrashRow, LOG_PREFIX, SNAPSHOT_ROW,
+    SnapshotRow, log_row_key, parse_log_row_key, snapshot_object,
 };
 pub use table::{Condition, ReadRequest, ReadResponse, TableRow, TxRequest, TxResponse, WriteBody};
 
--- a/crates/balsam-wire/src/platform/rows.rs
+++ b/crates/balsam-wire/src/platform/rows.rs
@@ -3,7 +3,8 @@
 //! Row `log/{epoch}` holds a [`balsam_types::control::LogEntry`].
 //! See [the design page, section 4](../../../../docs/design.md#4-control-state).
 
-use balsam_types::{AttemptId, Epoch, Fingerprint, ServiceName};
+use balsam_decide::quarantine::CrashCount;
+use balsam_types::{AttemptId, Epoch, Fingerprint, Incarnation, ServiceName};
 use serde::{Deserialize, Serialize};
 
 /// Key of the row that holds the newest epoch.
@@ -12,8 +13,8 @@
 pub const SNAPSHOT_ROW: &str = "snapshot";
 /// Key prefix of the change log.
 pub const LOG_PREFIX: &str = "log/";
-/// Key prefix of crash counts.
-pub const CRASH_PREFIX: &str = "crash/";
+/// Key of the row of crash counts.
+pub const CRASH_ROW: &str = "crashes";
 
 /// Value of row `control`.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -33,15 +34,48 @@
     pub object: String,
 }
 
-/// Value of a row of crash counts.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+/// Value of row `crashes`, which all dispatchers share.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CrashRow {
+    /// The counts of all requests by the daemons that saw the crashes.
+    pub counts: Vec<CrashCountBody>,
+}
+
+/// One count of row `crashes`.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CrashCountBody {
+    /// What equal requests have in common.
+    pub fingerprint: Fingerprint,
     /// The service that the request addresses.
     pub service: ServiceName,
+    /// The daemon that saw the crashes.
+    pub by: Incarnation,
     /// Upstream connections that broke on equal requests.
     pub crashes: u32,
 }
 
+impl From<CrashCount> for CrashCountBody {
+    fn from(count: CrashCount) -> Self {
+        Self {
+            fingerprint: count.fingerprint,
+            service: count.service,
+            by: count.by,
+            crashes: count.crashes,
+        }
+    }
+}
+
+impl From<CrashCountBody> for CrashCount {
+    fn from(body: CrashCountBody) -> Self {
+        Self {
+            fingerprint: body.fingerprint,
+            service: body.service,
+            by: body.by,
+            crashes: body.crashes,
+        }
+    }
+}
+
 /// Returns the key of the log row of `epoch`; the padding keeps rows in epoch order.
 pub fn log_row_key(epoch: Epoch) -> String {
     format!("{LOG_PREFIX}{:020}", epoch.0)
@@ -56,8 +90,3 @@
 pub fn snapshot_object(epoch: Epoch) -> String {
     format!("snapshot/{:020}", epoch.0)
 }
-
-/// Returns the key of the crash count of `fingerprint`.
-pub fn crash_row_key(fingerprint: Fingerprint) -> String {
-    format!("{CRASH_PREFIX}{:016x}", fingerprint.0)
-}
