Measure the cost of control and requests, floods, losses and placement

The program only sent the load of a plan. It now has a subcommand for each measurement, starts deployments of measured sizes and prints JSON lines and tables. Fault proxies count the bytes they carry, and load is sent from a process of its own so that the links are not delayed by it.

--- a/crates/balsam-standins/src/bin/balsam-measure.rs
+++ b/crates/balsam-standins/src/bin/balsam-measure.rs
@@ -1,24 +1,12 @@
-//! Sends the load of a plan and prints one JSON line with the results.
+//! Measures balsamswitch and prints one JSON line for each result.
 
-use balsam_standins::load::{LoadPlan, run_load};
+use balsam_standins::measure::{MeasureOptions, measure};
 use clap::Parser;
-use std::error::Error;
-use std::io::Write;
-use std::path::PathBuf;
 use std::process::ExitCode;
 
-/// An open-loop load generator.
-#[derive(Debug, Parser)]
-#[command(version)]
-struct Options {
-    /// The plan in JSON.
-    #[arg(long, value_name = "FILE")]
-    plan: PathBuf,
-}
-
 fn main() -> ExitCode {
     env_logger::init();
-    let options = Options::parse();
+    let options = MeasureOptions::parse();
     match actix_rt::System::new().block_on(measure(options)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
@@ -27,11 +15,3 @@
         }
     }
 }
-
-async fn measure(options: Options) -> Result<(), Box<dyn Error>> {
-    let plan = LoadPlan::from_json(std::fs::read_to_string(options.plan)?)?;
-    let result = run_load(plan).await?;
-    let line = serde_json::to_string(&result.report)?;
-    writeln!(std::io::stdout(), "{line}")?;
-    Ok(())
-}
--- a/crates/balsam-standins/src/harness/fault_proxy.rs
+++ b/crates/balsam-standins/src/harness/fault_proxy.rs
@@ -39,6 +39,7 @@
 pub struct FaultProxy {
     address: SocketAddr,
     switches: watch::Sender<Switches>,
+    carried_bytes: watch::Sender<u64>,
 }
 
 impl FaultProxy {
@@ -60,8 +61,14 @@
             target: target.into(),
             ..Switches::default()
         });
-        actix_rt::spawn(accept_loop(listener, address.port(), changes));
-        Ok(Self { address, switches })
+        let carried_bytes = watch::Sender::new(0);
+        let counting = carried_bytes.clone();
+        actix_rt::spawn(accept_loop(listener, address.port(), changes, counting));
+        Ok(Self {
+            address,
+            switches,
+            carried_bytes,
+        })
     }
 
     /// Returns the address to connect to instead of the target's.
@@ -69,6 +76,11 @@
         self.address
     }
 
+    /// Returns the bytes that arrived on the links so far, in both directions together.
+    pub fn carried_bytes(&self) -> u64 {
+        *self.carried_bytes.borrow()
+    }
+
     /// Sets the address that new connections are carried to.
     pub fn set_target(&self, target: SocketAddr) {
         self.switches
@@ -102,6 +114,7 @@
     listener: TcpListener,
     own_port: u16,
     mut switches: watch::Receiver<Switches>,
+    carried_bytes: watch::Sender<u64>,
 ) {
     let mut connections = JoinSet::new();
     loop {
@@ -117,7 +130,12 @@
                         remote: own_port,
                     };
                     let source = LinkSource::new(ports);
-                    connections.spawn_local(carry(stream, source, switches.clone()));
+                    connections.spawn_local(carry(
+                        stream,
+                        source,
+                        switches.clone(),
+                        carried_bytes.clone(),
+                    ));
                 }
                 Err(error) => {
                     log::warn!("proxy accept failed: {error}");
@@ -133,6 +151,7 @@
     client: TcpStream,
     mut source: LinkSource,
     mut switches: watch::Receiver<Switches>,
+    carried_bytes: watch::Sender<u64>,
 ) -> io::Result<()> {
     let current = switches.borrow_and_update().clone();
     let Some(target) = current.target else {
@@ -142,7 +161,7 @@
     let (publish, faults) = watch::channel(faults);
     let mut cut = faults.clone();
     tokio::select! {
-        carried = carry_both(client, target, faults) => carried,
+        carried = carry_both(client, target, faults, carried_bytes) => carried,
         _ = cut.wait_for(|faults| faults.mode == LinkMode::Cut) => Ok(()),
         () = follow(switches, source, publish) => Ok(()),
     }
@@ -165,6 +184,7 @@
     mut client: TcpStream,
     target: SocketAddr,
     faults: watch::Receiver<LinkFaults>,
+    carried_bytes: watch::Sender<u64>,
 ) -> io::Result<()> {
     let connecting = TcpStream::connect(target);
     let mut server = actix_rt::time::timeout(CONNECT_TIMEOUT, connecting).await??;
@@ -177,9 +197,16 @@
             client_read,
             server_write,
             Direction::ToTarget,
-            faults.clone()
+            faults.clone(),
+            carried_bytes.clone(),
+        ),
+        pump(
+            server_read,
+            client_write,
+            Direction::ToClient,
+            faults,
+            carried_bytes,
         ),
-        pump(server_read, client_write, Direction::ToClient, faults),
     )?;
     Ok(())
 }
--- a/crates/balsam-standins/src/harness/program.rs
+++ b/crates/balsam-standins/src/harness/program.rs
@@ -14,6 +14,8 @@
     Platform,
     /// The upstream's stand-in.
     Upstream,
+    /// The measurement program.
+    Measure,
 }
 
 impl Program {
@@ -24,6 +26,7 @@
             Self::Ctl => "balsamctl",
             Self::Platform => "balsam-platform",
             Self::Upstream => "balsam-upstream",
+            Self::Measure => "balsam-measure",
         }
     }
 
--- a/crates/balsam-standins/src/harness/proxy_pump.rs
+++ b/crates/balsam-standins/src/harness/proxy_pump.rs
@@ -68,13 +68,14 @@
     writer: W,
     direction: Direction,
     faults: watch::Receiver<LinkFaults>,
+    carried_bytes: watch::Sender<u64>,
 ) -> io::Result<()>
 where
     R: AsyncRead + Unpin,
     W: AsyncWrite + Unpin,
 {
     let (chunks, delayed) = mpsc::channel(CHUNKS);
-    let receiving = receive(reader, chunks, direction, faults);
+    let receiving = receive(reader, chunks, direction, faults, carried_bytes);
     tokio::try_join!(receiving, deliver(writer, delayed))?;
     Ok(())
 }
@@ -84,6 +85,7 @@
     chunks: mpsc::Sender<Delayed>,
     direction: Direction,
     mut faults: watch::Receiver<LinkFaults>,
+    carried_bytes: watch::Sender<u64>,
 ) -> io::Result<()> {
     let mut buffer = vec![0; CHUNK_BYTES];
     let mut lost_bytes = false;
@@ -105,6 +107,7 @@
         if read == 0 {
             return Ok(());
         }
+        carried_bytes.send_modify(|carried| *carried += read as u64);
         let current = *faults.borrow();
         if current.drops(direction) {
             lost_bytes = true;
--- a/crates/balsam-standins/src/lib.rs
+++ b/crates/balsam-standins/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod demo;
 pub mod harness;
 pub mod load;
+pub mod measure;
 pub mod platform;
 pub mod serve;
 pub mod upstream;
--- a/crates/balsam-standins/src/load/plan.rs
+++ b/crates/balsam-standins/src/load/plan.rs
@@ -1,7 +1,7 @@
 //! What the generator sends.
 
 use balsam_types::{MemberName, RankName, ServiceName};
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 use snafu::{ResultExt, Snafu};
 use std::fmt::Display;
 use std::net::SocketAddr;
@@ -34,7 +34,7 @@
 }
 
 /// The kind of a stream's requests.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum WorkKind {
     /// Reads, which may be repeated.
@@ -47,7 +47,7 @@
 }
 
 /// How the keys of a stream are drawn.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct KeyChoice {
     /// The number of keys, drawn evenly; at least 1.
@@ -76,7 +76,7 @@
 }
 
 /// Requests of one rank and member.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct LoadStream {
     /// The service.
@@ -101,7 +101,7 @@
 }
 
 /// One run of the generator.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct LoadPlan {
     /// The name of the run in its report.
