Give each failure of the daemon's start and of upstream exchanges a type

Cause: the binary returned a boxed error and the exchange a string. Change: ServeError in the binary, ExchangeError for grants and revocations.

--- a/crates/balsam-daemon/src/bin/balsamswitchd.rs
+++ b/crates/balsam-daemon/src/bin/balsamswitchd.rs
@@ -1,11 +1,10 @@
 //! The daemon's binary.
 
-use balsam_daemon::Daemon;
 use balsam_daemon::config::Config;
-use balsam_daemon::logging;
+use balsam_daemon::{Daemon, RunError, logging};
 use clap::Parser;
-use std::error::Error;
-use std::io::Write;
+use snafu::{ResultExt, Snafu};
+use std::io::{self, Write};
 use std::path::PathBuf;
 use std::process::ExitCode;
 use tokio::signal::unix::{Signal, SignalKind, signal};
@@ -22,6 +21,35 @@
     settings: PathBuf,
 }
 
+/// Why the process ends other than by being stopped.
+#[derive(Debug, Snafu)]
+enum ServeError {
+    /// The logger cannot be installed.
+    #[snafu(display("{source}"))]
+    Logging {
+        /// Why.
+        source: logging::InitError,
+    },
+    /// The signals cannot be watched.
+    #[snafu(display("signals: {source}"))]
+    Signals {
+        /// Why.
+        source: io::Error,
+    },
+    /// The addresses cannot be announced.
+    #[snafu(display("standard output: {source}"))]
+    Announce {
+        /// Why.
+        source: io::Error,
+    },
+    /// The daemon cannot start or go on.
+    #[snafu(display("{source}"))]
+    Run {
+        /// Why.
+        source: RunError,
+    },
+}
+
 fn main() -> ExitCode {
     let options = Options::parse();
     let config = match Config::read(&options.settings) {
@@ -40,17 +68,19 @@
     }
 }
 
-async fn serve(config: Config) -> Result<(), Box<dyn Error>> {
-    logging::init(config.log_level)?;
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
-    let daemon = Daemon::start(config).await?;
+async fn serve(config: Config) -> Result<(), ServeError> {
+    logging::init(config.log_level).context(LoggingSnafu)?;
+    let mut terminate = signal(SignalKind::terminate()).context(SignalsSnafu)?;
+    let mut interrupt = signal(SignalKind::interrupt()).context(SignalsSnafu)?;
+    let daemon = Daemon::start(config).await.context(RunSnafu)?;
+    announce(&daemon).context(AnnounceSnafu)?;
+    let stop = stop_wanted(&mut terminate, &mut interrupt);
+    daemon.run(stop).await.context(RunSnafu)
+}
+
+fn announce(daemon: &Daemon) -> io::Result<()> {
     let line = serde_json::to_string(&daemon.addresses())?;
-    writeln!(std::io::stdout(), "{line}")?;
-    daemon
-        .run(stop_wanted(&mut terminate, &mut interrupt))
-        .await?;
-    Ok(())
+    writeln!(io::stdout(), "{line}")
 }
 
 async fn stop_wanted(terminate: &mut Signal, interrupt: &mut Signal) {
--- a/crates/balsam-daemon/src/control/edge/http_upstream.rs
+++ b/crates/balsam-daemon/src/control/edge/http_upstream.rs
@@ -1,6 +1,6 @@
 //! The upstreams' control interface over HTTP and JSON.
 
-use super::upstream::{BrokenSnafu, SilentSnafu};
+use super::upstream::{BodySnafu, ExchangeError, JsonSnafu, SendSnafu, SilentSnafu, StatusSnafu};
 use super::{UpstreamControl, UpstreamControlError};
 use awc::{Client, Connector};
 use balsam_decide::grants::{Grant, GrantReply, Revoke, RevokeReply};
@@ -9,6 +9,7 @@
 };
 use serde::Serialize;
 use serde::de::DeserializeOwned;
+use snafu::{ResultExt, ensure};
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::time::timeout;
@@ -59,7 +60,7 @@
         let wait_ms = wait.as_millis();
         match timeout(wait, self.exchange(address, path, body)).await {
             Ok(Ok(answer)) => Ok(answer),
-            Ok(Err(detail)) => BrokenSnafu { address, detail }.fail(),
+            Ok(Err(source)) => Err(UpstreamControlError::Broken { address, source }),
             Err(_) => SilentSnafu { address, wait_ms }.fail(),
         }
     }
@@ -69,16 +70,18 @@
         address: SocketAddr,
         path: &str,
         body: &Q,
-    ) -> Result<A, String> {
+    ) -> Result<A, ExchangeError> {
         let request = self.client.post(format!("http://{address}{path}"));
-        let response = request.send_json(body).await;
-        let mut response = response.map_err(|error| error.to_string())?;
-        if !response.status().is_success() {
-            return Err(format!("status {}", response.status().as_u16()));
-        }
+        let mut response = request.send_json(body).await.context(SendSnafu)?;
+        let status = response.status();
+        ensure!(
+            status.is_success(),
+            StatusSnafu {
+                status: status.as_u16()
+            }
+        );
         let body = response.body().limit(ANSWER_MAX_BYTES).await;
-        let body = body.map_err(|error| error.to_string())?;
-        serde_json::from_slice(&body).map_err(|error| error.to_string())
+        serde_json::from_slice(&body.context(BodySnafu)?).context(JsonSnafu)
     }
 }
 
--- a/crates/balsam-daemon/src/control/edge/mod.rs
+++ b/crates/balsam-daemon/src/control/edge/mod.rs
@@ -19,4 +19,4 @@
 pub use platform::{Platform, PlatformError};
 pub use platform_task::{ControlExchange, PlatformTask, TableExchange};
 pub use table_client::TableClient;
-pub use upstream::{UpstreamControl, UpstreamControlError};
+pub use upstream::{ExchangeError, UpstreamControl, UpstreamControlError};
--- a/crates/balsam-daemon/src/control/edge/upstream.rs
+++ b/crates/balsam-daemon/src/control/edge/upstream.rs
@@ -18,12 +18,42 @@
         wait_ms: u128,
     },
     /// The exchange broke.
-    #[snafu(display("upstream {address}: {detail}"))]
+    #[snafu(display("upstream {address}: {source}"))]
     Broken {
         /// The upstream's address.
         address: SocketAddr,
-        /// The transport's description.
-        detail: String,
+        /// How it broke.
+        source: ExchangeError,
+    },
+}
+
+/// How an exchange with an upstream broke.
+#[derive(Debug, Snafu)]
+#[snafu(visibility(pub(super)))]
+pub enum ExchangeError {
+    /// The request cannot be sent, or no response came.
+    #[snafu(display("{source}"))]
+    Send {
+        /// Why.
+        source: awc::error::SendRequestError,
+    },
+    /// The upstream refused the request.
+    #[snafu(display("status {status}"))]
+    Status {
+        /// The HTTP status code.
+        status: u16,
+    },
+    /// The response body broke off or is too large.
+    #[snafu(display("{source}"))]
+    Body {
+        /// Why.
+        source: awc::error::PayloadError,
+    },
+    /// The response body is not what the path answers.
+    #[snafu(display("{source}"))]
+    Json {
+        /// Why.
+        source: serde_json::Error,
     },
 }
 
