Refuse callers of older HTTP versions

An answer of unknown length to an HTTP/1.0 caller ends with the connection, so that a part of it would look whole.

--- a/crates/balsam-daemon/src/request/identify/mod.rs
+++ b/crates/balsam-daemon/src/request/identify/mod.rs
@@ -6,6 +6,7 @@
 mod target;
 
 use super::clock::now;
+use actix_http::Version;
 use balsam_decide::control::ControlState;
 use balsam_decide::settings::RankPolicy;
 use balsam_types::{NotRunReason, RequestHead, RequestKey, TimeMs};
@@ -32,12 +33,16 @@
 /// The greatest deadline that a caller may ask for, in milliseconds.
 const DEADLINE_MAX_MS: u64 = 3_600_000;
 
-/// Identifies a request; `body_length_bytes` is what its head says of the body.
+/// Identifies a request by its head.
 pub(crate) fn identify(
     state: &ControlState,
     head: &actix_http::RequestHead,
     header_max_bytes: usize,
 ) -> Result<Identified, NotRunReason> {
+    // The end of an older caller's answer is the end of its connection, which proves nothing.
+    if head.version != Version::HTTP_11 {
+        return Err(NotRunReason::BadRequest);
+    }
     let (service, key) = split_target(&head.uri)?;
     let settings = &state.settings;
     if !settings.has_service(&service) {
--- a/crates/balsam-daemon/tests/not_run_reasons.rs
+++ b/crates/balsam-daemon/tests/not_run_reasons.rs
@@ -10,7 +10,8 @@
 use rstest::rstest;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::net::TcpListener;
+use tokio::io::AsyncWriteExt;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::time::sleep;
 
 /// Guards the checks at the entry: a bad request gets a 4xx with its reason.
@@ -47,6 +48,24 @@
     assert!(upstream.try_next().is_none());
 }
 
+/// Guards against callers that cannot tell a whole answer from a part of one.
+#[actix_rt::test]
+async fn older_version() {
+    let mut upstream = Upstream::start().await;
+    let cluster = Cluster::start(1, upstream.address).await;
+    let mut caller = TcpStream::connect(cluster.entry().caller).await.unwrap();
+    caller
+        .write_all(b"GET /files/k1 HTTP/1.0\r\n\r\n")
+        .await
+        .unwrap();
+    let answer = read_answer(&mut caller).await;
+    assert_eq!(
+        (answer.status, answer.outcome()),
+        (400, ("not-run", "bad-request"))
+    );
+    assert!(upstream.try_next().is_none());
+}
+
 /// Guards that a declaration of the upstream is passed on with its cause, and that work that it
 /// did not run is tried again.
 #[rstest]
