--- a/crates/balsam-standins/src/harness/cluster/members.rs
+++ b/crates/balsam-standins/src/harness/cluster/members.rs
@@ -4,8 +4,8 @@
 use super::plan::{ClusterPlan, ServicePlan, UpstreamPlan};
 use crate::harness::error::{ProcessSnafu, UnannouncedSnafu};
 use crate::harness::{
-    Child, ChildBuilder, Client, FaultProxy, HarnessError, LinkFaults, PlatformClient, Program,
-    UpstreamClient,
+    Child, ChildBuilder, Client, FaultProxy, HarnessError, LinkFaults, LinkMode, PlatformClient,
+    Program, UpstreamClient,
 };
 use balsam_wire::platform::{InstanceBody, InstanceKindBody, InstanceStateBody, InstancesUpdate};
 use balsam_wire::upstream::JournalResponse;
@@ -16,6 +16,8 @@
 
 const START_DEADLINE: Duration = Duration::from_secs(20);
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(10);
+/// Pause in which an upstream handles the bytes that had arrived when its links were cut.
+const CUT_PAUSE: Duration = Duration::from_millis(100);
 
 /// An upstream in a process of its own.
 #[derive(Debug)]
@@ -44,6 +46,37 @@
         })
     }
 
+    /// Ends the process, and returns the journal as it was when the last daemon lost it.
+    ///
+    /// The journal is lost with the process, so that the links are cut before it is read.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the journal cannot be read or the process cannot be killed.
+    pub async fn kill(&mut self) -> Result<JournalResponse, HarnessError> {
+        self.link.set_mode(LinkMode::Cut);
+        actix_rt::time::sleep(CUT_PAUSE).await;
+        let journal = self.client.journal().await?;
+        self.child.kill()?;
+        Ok(journal)
+    }
+
+    /// Ends the running process, if it still runs, and starts a new one behind the same links.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the process does not start.
+    pub async fn restart(&mut self) -> Result<(), HarnessError> {
+        let (child, address) = spawn_upstream(&self.plan).await?;
+        // The replaced child is killed when it is dropped.
+        self.child = child;
+        let client = Client::new(address, REQUEST_TIMEOUT);
+        self.client = UpstreamClient::new(client, self.plan.service.clone());
+        self.link.set_target(address);
+        self.link.set_mode(LinkMode::Open);
+        Ok(())
+    }
+
     /// Returns the upstream's entry of the instance list.
     pub fn instance(&self, state: InstanceStateBody) -> InstanceBody {
         InstanceBody {
