--- a/crates/balsam-decide/src/placement/balance.rs
+++ b/crates/balsam-decide/src/placement/balance.rs
@@ -1,6 +1,6 @@
 //! Moves that even out load and keys.
 
-use super::ledger::{Host, Ledger};
+use super::loads::{Host, Loads};
 use super::{PlanInput, PlanStep};
 use balsam_types::UnitId;
 use balsam_types::control::{MoveReason, UnitMove};
@@ -13,20 +13,20 @@
 /// warm-up of one upstream among 20 to minutes.
 pub(super) fn plan_balance(
     input: &PlanInput<'_>,
-    ledger: &mut Ledger<'_>,
+    loads: &mut Loads<'_>,
     mut budget: u64,
 ) -> Vec<PlanStep> {
-    let mean = ledger.mean_ratio();
+    let mean = loads.mean_ratio();
     let margin = mean * input.policy.move_margin_percent as f64 / 100.0;
     let mut steps = Vec::new();
-    let mut exhausted = vec![false; ledger.hosts.len()];
-    let mut sorted = vec![false; ledger.hosts.len()];
+    let mut exhausted = vec![false; loads.hosts.len()];
+    let mut sorted = vec![false; loads.hosts.len()];
     loop {
-        let low = ledger.least_filled(|at| budget > 0 || ledger.is_filling(at));
-        let (Some(full), Some(low)) = (fullest(ledger, &exhausted), low) else {
+        let low = loads.least_filled(|at| budget > 0 || loads.is_filling(at));
+        let (Some(full), Some(low)) = (fullest(loads, &exhausted), low) else {
             break;
         };
-        let gap = ledger.hosts[full].ratio() - ledger.hosts[low].ratio();
+        let gap = loads.hosts[full].ratio() - loads.hosts[low].ratio();
         let enough = if steps.is_empty() {
             margin
         } else {
@@ -36,17 +36,16 @@
             break;
         }
         if !std::mem::replace(&mut sorted[full], true) {
-            sort_by_cost(&mut ledger.hosts[full].movable);
+            sort_by_cost(&mut loads.hosts[full].movable);
         }
-        let Some((cost, unit)) = choose(&ledger.hosts[full], &ledger.hosts[low], mean, margin)
-        else {
+        let Some((cost, unit)) = choose(&loads.hosts[full], &loads.hosts[low], mean, margin) else {
             exhausted[full] = true;
             continue;
         };
-        if !ledger.is_filling(low) {
+        if !loads.is_filling(low) {
             budget -= 1;
         }
-        ledger.shift(unit, cost, full, low);
+        loads.shift(unit, cost, full, low);
         steps.push(PlanStep::Move(UnitMove {
             unit,
             from: input.upstreams[full].name.clone(),
@@ -61,15 +60,13 @@
     units.sort_unstable_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
 }
 
-fn fullest(ledger: &Ledger<'_>, exhausted: &[bool]) -> Option<usize> {
+fn fullest(loads: &Loads<'_>, exhausted: &[bool]) -> Option<usize> {
     let givers =
-        (0..ledger.hosts.len()).filter(|at| !exhausted[*at] && ledger.hosts[*at].weight > 0.0);
+        (0..loads.hosts.len()).filter(|at| !exhausted[*at] && loads.hosts[*at].weight > 0.0);
     // The reversed order makes the first of equal hosts win.
-    givers.rev().max_by(|a, b| {
-        ledger.hosts[*a]
-            .ratio()
-            .total_cmp(&ledger.hosts[*b].ratio())
-    })
+    givers
+        .rev()
+        .max_by(|a, b| loads.hosts[*a].ratio().total_cmp(&loads.hosts[*b].ratio()))
 }
 
 /// Returns the heaviest unit whose move pays for itself, so that few units have to move.
--- a/crates/balsam-decide/src/placement/hot.rs
+++ b/crates/balsam-decide/src/placement/hot.rs
@@ -1,6 +1,6 @@
 //! Hot keys as units of their own.
 
-use super::ledger::Ledger;
+use super::loads::Loads;
 use super::{PlanInput, PlanStep};
 use balsam_types::control::{MoveReason, UnitMove, UnitOwner, UpstreamStatus};
 use balsam_types::{KeyHash, UnitId, UpstreamName};
@@ -22,7 +22,7 @@
 /// Plans splits of keys that exceed their share of an upstream's load and have a better place.
 pub(super) fn plan_splits(
     input: &PlanInput<'_>,
-    ledger: &mut Ledger<'_>,
+    loads: &mut Loads<'_>,
     budget: &mut u64,
 ) -> Vec<PlanStep> {
     let mut steps = Vec::new();
@@ -30,7 +30,7 @@
         if upstream.status != UpstreamStatus::Active {
             continue;
         }
-        let threshold = split_load(input, ledger, at);
+        let threshold = split_load(input, loads, at);
         let mut keys = upstream.heavy_keys.clone();
         keys.sort_by(|a, b| b.1.total_cmp(&a.1).then(a.0.cmp(&b.0)));
         for (key, load) in keys {
@@ -40,14 +40,14 @@
             if !can_split(input, key, &upstream.name) {
                 continue;
             }
-            let Some(to) = better_host(input, ledger, at, load) else {
+            let Some(to) = better_host(input, loads, at, load) else {
                 continue;
             };
-            let cost = ledger.cost_of_load(load);
-            ledger.hosts[at].held -= cost;
-            ledger.hosts[to].gain(cost);
+            let cost = loads.cost_of_load(load);
+            loads.hosts[at].held -= cost;
+            loads.hosts[to].gain(cost);
             // The slice's own cost is known only after the split.
-            ledger.pin(UnitId::slice_of(key, input.policy.slices), at);
+            loads.pin(UnitId::slice_of(key, input.policy.slices), at);
             *budget -= 1;
             steps.push(PlanStep::Split {
                 key,
@@ -63,32 +63,32 @@
 /// A merge needs the key and its slice at one owner, so a key elsewhere moves there first.
 pub(super) fn plan_merges(
     input: &PlanInput<'_>,
-    ledger: &mut Ledger<'_>,
+    loads: &mut Loads<'_>,
     budget: &mut u64,
 ) -> Vec<PlanStep> {
     let mut steps = Vec::new();
     for key in &input.placement.hot_keys {
         let unit = UnitId::hot_key(*key);
-        let Some(at) = active_owner(input, ledger, unit) else {
+        let Some(at) = active_owner(input, loads, unit) else {
             continue;
         };
-        if !has_cooled(input, ledger, *key, at) {
+        if !has_cooled(input, loads, *key, at) {
             continue;
         }
         let slice = UnitId::slice_of(*key, input.policy.slices);
-        let Some(home) = active_owner(input, ledger, slice) else {
+        let Some(home) = active_owner(input, loads, slice) else {
             continue;
         };
         if home == at {
-            ledger.pin(unit, at);
-            ledger.pin(slice, at);
+            loads.pin(unit, at);
+            loads.pin(slice, at);
             steps.push(PlanStep::Merge { key: *key });
         } else if *budget > 0 {
             *budget -= 1;
             let load = input.unit_loads.get(&unit).copied().unwrap_or(0.0);
-            let cost = ledger.cost_of_load(load);
-            ledger.shift(unit, cost, at, home);
-            ledger.pin(slice, home);
+            let cost = loads.cost_of_load(load);
+            loads.shift(unit, cost, at, home);
+            loads.pin(slice, home);
             steps.push(PlanStep::Move(UnitMove {
                 unit,
                 from: input.upstreams[at].name.clone(),
@@ -101,9 +101,9 @@
 }
 
 /// Returns the load above which a key of the upstream is hot.
-fn split_load(input: &PlanInput<'_>, ledger: &Ledger<'_>, at: usize) -> f64 {
+fn split_load(input: &PlanInput<'_>, loads: &Loads<'_>, at: usize) -> f64 {
     let share = input.policy.hot_key_percent as f64 / 100.0;
-    let least = ledger.hosts[at].capacity() * HOT_LOAD_MIN;
+    let least = loads.hosts[at].capacity() * HOT_LOAD_MIN;
     (input.upstreams[at].load * share).max(least)
 }
 
@@ -116,22 +116,17 @@
 }
 
 /// Returns the least filled host if moving `load` there narrows the gap by the margin.
-fn better_host(
-    input: &PlanInput<'_>,
-    ledger: &Ledger<'_>,
-    from: usize,
-    load: f64,
-) -> Option<usize> {
-    let to = ledger.least_filled(|at| at != from)?;
-    let margin = ledger.mean_ratio() * input.policy.move_margin_percent as f64 / 100.0;
-    let host = &ledger.hosts[to];
-    let after = (host.held + ledger.cost_of_load(load)) / host.weight;
-    (after + margin <= ledger.hosts[from].ratio()).then_some(to)
+fn better_host(input: &PlanInput<'_>, loads: &Loads<'_>, from: usize, load: f64) -> Option<usize> {
+    let to = loads.least_filled(|at| at != from)?;
+    let margin = loads.mean_ratio() * input.policy.move_margin_percent as f64 / 100.0;
+    let host = &loads.hosts[to];
+    let after = (host.held + loads.cost_of_load(load)) / host.weight;
+    (after + margin <= loads.hosts[from].ratio()).then_some(to)
 }
 
-fn has_cooled(input: &PlanInput<'_>, ledger: &Ledger<'_>, key: KeyHash, at: usize) -> bool {
+fn has_cooled(input: &PlanInput<'_>, loads: &Loads<'_>, key: KeyHash, at: usize) -> bool {
     let upstream = &input.upstreams[at];
-    if upstream.load < ledger.hosts[at].capacity() * HOT_LOAD_MIN {
+    if upstream.load < loads.hosts[at].capacity() * HOT_LOAD_MIN {
         // An idle upstream, or one without a sample yet, says nothing about its keys.
         return false;
     }
@@ -141,7 +136,7 @@
     };
     // The new owner's measurement of a key that has just moved is still rising.
     let load = load.max(key_load(input, key).unwrap_or(0.0));
-    load < split_load(input, ledger, at) * MERGE_BELOW
+    load < split_load(input, loads, at) * MERGE_BELOW
 }
 
 /// Returns the load of a heavy key at all upstreams, its former owner included.
@@ -151,10 +146,10 @@
     loads.reduce(|sum, load| sum + load)
 }
 
-fn active_owner(input: &PlanInput<'_>, ledger: &Ledger<'_>, unit: UnitId) -> Option<usize> {
+fn active_owner(input: &PlanInput<'_>, loads: &Loads<'_>, unit: UnitId) -> Option<usize> {
     let Some(UnitOwner::Owned(name)) = input.placement.units.get(&unit) else {
         return None;
     };
-    let at = ledger.find(name)?;
+    let at = loads.find(name)?;
     (input.upstreams[at].status == UpstreamStatus::Active).then_some(at)
 }
--- a/crates/balsam-decide/src/placement/ledger.rs
+++ b/crates/balsam-decide/src/placement/loads.rs
@@ -56,7 +56,7 @@
 
 /// A unit that needs an owner.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct Homeless {
+pub(super) struct Unowned {
     /// The unit.
     pub unit: UnitId,
     /// Its cost.
@@ -67,11 +67,11 @@
 
 /// Costs and holdings of one service.
 #[derive(Debug)]
-pub(super) struct Ledger<'a> {
+pub(super) struct Loads<'a> {
     /// The upstreams in the order of the input.
     pub hosts: Vec<Host<'a>>,
     /// Units that need an owner.
-    pub homeless: Vec<Homeless>,
+    pub unowned: Vec<Unowned>,
     index: Map<&'a UpstreamName, usize>,
     load_factor: f64,
 }
@@ -85,7 +85,7 @@
     moving_to: Option<usize>,
 }
 
-impl<'a> Ledger<'a> {
+impl<'a> Loads<'a> {
     /// Adds up what every upstream holds.
     pub fn new(input: &PlanInput<'a>) -> Self {
         let weights = weights(input);
@@ -102,40 +102,40 @@
                 movable: Vec::new(),
             });
         let index = input.upstreams.iter().enumerate();
-        let mut ledger = Self {
+        let mut loads = Self {
             hosts: hosts.collect(),
-            homeless: Vec::new(),
+            unowned: Vec::new(),
             index: index.map(|(at, upstream)| (&upstream.name, at)).collect(),
             load_factor: 0.0,
         };
-        let owned = ledger.owned_units(input);
+        let owned = loads.owned_units(input);
         let unassigned = unassigned_slices(input);
-        let (guesses, mean) = guess_loads(&ledger.hosts, &owned);
+        let (guesses, mean) = guess_loads(&loads.hosts, &owned);
         let load_of = |unit: &Owned| {
             let guess = guesses[unit.at];
             unit.load.unwrap_or(guess).max(guess)
         };
         let total_load: f64 = owned.iter().map(load_of).sum();
         let count = (owned.len() + unassigned.len()).max(1) as f64;
-        let load_share = ledger.load_share(total_load);
+        let load_share = loads.load_share(total_load);
         let key_cost = (1.0 - load_share) / count * COST_SCALE;
         if total_load > 0.0 {
-            ledger.load_factor = load_share / total_load * COST_SCALE;
+            loads.load_factor = load_share / total_load * COST_SCALE;
         }
         for unit in &owned {
-            let cost = (key_cost + ledger.load_factor * load_of(unit)).round();
-            ledger.enter(unit, cost);
+            let cost = (key_cost + loads.load_factor * load_of(unit)).round();
+            loads.enter(unit, cost);
         }
         for unit in unassigned {
             let load = input.unit_loads.get(&unit).copied().unwrap_or(mean);
-            let cost = (key_cost + ledger.load_factor * load).round();
-            ledger.homeless.push(Homeless {
+            let cost = (key_cost + loads.load_factor * load).round();
+            loads.unowned.push(Unowned {
                 unit,
                 cost,
                 from: None,
             });
         }
-        ledger
+        loads
     }
 
     /// Returns whether any upstream can get units.
@@ -227,7 +227,7 @@
             host.gain(cost);
             host.movable.push((cost, unit.unit));
         } else {
-            self.homeless.push(Homeless {
+            self.unowned.push(Unowned {
                 unit: unit.unit,
                 cost,
                 from: Some(unit.at),
--- a/crates/balsam-decide/src/placement/mod.rs
+++ b/crates/balsam-decide/src/placement/mod.rs
@@ -3,10 +3,10 @@
 //! See [the design page, section 6](../../../../docs/design.md#6-placement).
 
 mod balance;
-mod homes;
 mod hot;
-mod ledger;
+mod loads;
 mod message;
+mod owners;
 mod plan;
 
 pub use message::{PlanInput, PlanStep, PlanUpstream};
--- a/crates/balsam-decide/src/placement/homes.rs
+++ b/crates/balsam-decide/src/placement/owners.rs
@@ -1,6 +1,6 @@
 //! Owners for units that have none or lose theirs.
 
-use super::ledger::{Homeless, Ledger};
+use super::loads::{Loads, Unowned};
 use super::{PlanInput, PlanStep};
 use balsam_types::control::{MoveReason, UnitMove, UpstreamStatus};
 use std::cmp::{Ordering, Reverse};
@@ -29,10 +29,10 @@
 }
 
 /// Gives every unit without an available owner to the least filled upstream, heaviest unit first.
-pub(super) fn plan_homes(input: &PlanInput<'_>, ledger: &mut Ledger<'_>) -> Vec<PlanStep> {
-    let mut homeless = std::mem::take(&mut ledger.homeless);
-    homeless.sort_by(|a, b| b.cost.total_cmp(&a.cost).then(a.unit.cmp(&b.unit)));
-    let mut heap: BinaryHeap<Reverse<Fill>> = ledger
+pub(super) fn plan_owners(input: &PlanInput<'_>, loads: &mut Loads<'_>) -> Vec<PlanStep> {
+    let mut unowned = std::mem::take(&mut loads.unowned);
+    unowned.sort_by(|a, b| b.cost.total_cmp(&a.cost).then(a.unit.cmp(&b.unit)));
+    let mut heap: BinaryHeap<Reverse<Fill>> = loads
         .hosts
         .iter()
         .enumerate()
@@ -42,12 +42,12 @@
             Reverse(Fill { ratio, at })
         })
         .collect();
-    let mut steps = Vec::with_capacity(homeless.len());
-    for unit in homeless {
+    let mut steps = Vec::with_capacity(unowned.len());
+    for unit in unowned {
         let Some(Reverse(Fill { at, .. })) = heap.pop() else {
             return steps;
         };
-        let host = &mut ledger.hosts[at];
+        let host = &mut loads.hosts[at];
         host.gain(unit.cost);
         let ratio = host.ratio();
         heap.push(Reverse(Fill { ratio, at }));
@@ -56,10 +56,10 @@
     steps
 }
 
-fn step(input: &PlanInput<'_>, homeless: Homeless, to: usize) -> PlanStep {
+fn step(input: &PlanInput<'_>, unowned: Unowned, to: usize) -> PlanStep {
     let to = input.upstreams[to].name.clone();
-    let unit = homeless.unit;
-    let Some(from) = homeless.from.map(|from| &input.upstreams[from]) else {
+    let unit = unowned.unit;
+    let Some(from) = unowned.from.map(|from| &input.upstreams[from]) else {
         return PlanStep::Assign { unit, to };
     };
     let reason = match from.status {
--- a/crates/balsam-decide/src/placer/planning.rs
+++ b/crates/balsam-decide/src/placer/planning.rs
@@ -18,7 +18,7 @@
     if placer.homes_planned_at == Some(scene.state.epoch) {
         return None;
     }
-    let mut services = placer.summary.homeless.iter();
+    let mut services = placer.summary.unowned.iter();
     let change = services.find_map(|service| plan_service(placer, scene, service));
     if change.is_none() {
         placer.homes_planned_at = Some(scene.state.epoch);
--- a/crates/balsam-decide/src/placer/summary.rs
+++ b/crates/balsam-decide/src/placer/summary.rs
@@ -14,7 +14,7 @@
     /// Services with units that are on the move.
     pub moving: Vec<ServiceName>,
     /// Services with units that have no available owner and are not on the move.
-    pub homeless: Vec<ServiceName>,
+    pub unowned: Vec<ServiceName>,
 }
 
 impl Summary {
@@ -34,15 +34,15 @@
         *self = Self {
             epoch: state.epoch,
             moving: state.services.keys().filter(has_moving).cloned().collect(),
-            homeless: services
-                .filter(|service| has_homeless(state, service))
+            unowned: services
+                .filter(|service| has_unowned(state, service))
                 .cloned()
                 .collect(),
         };
     }
 }
 
-fn has_homeless(state: &ControlState, service: &ServiceName) -> bool {
+fn has_unowned(state: &ControlState, service: &ServiceName) -> bool {
     let Some(policy) = state.settings.service_policy(service) else {
         return false;
     };
@@ -53,10 +53,10 @@
     let mut units = (0..policy.slices)
         .map(UnitId)
         .chain(hot_keys.map(|key| UnitId::hot_key(*key)));
-    units.any(|unit| is_homeless(state, service, unit))
+    units.any(|unit| is_unowned(state, service, unit))
 }
 
-fn is_homeless(state: &ControlState, service: &ServiceName, unit: UnitId) -> bool {
+fn is_unowned(state: &ControlState, service: &ServiceName, unit: UnitId) -> bool {
     match state.owner_of(service, unit) {
         None => true,
         Some(UnitOwner::Moving { .. }) => false,
