Pulse a peer only when it was not heard from in the last half period

Cause: a daemon without requests took 1.65 % of a core with 10 daemons against a target of 1.2 %, 0.12 % for each further daemon; both daemons of a pair pulsed each other every period. Ruled out: a longer period, because a loss must be noticed within 700 ms. Change: while a recent table read keeps the right alive, a pulse that would tell a peer nothing is left out if the peer was heard from within half a period; one daemon of each pair goes on pulsing.

--- a/crates/balsam-decide/src/node/pulses.rs
+++ b/crates/balsam-decide/src/node/pulses.rs
@@ -7,6 +7,12 @@
 use balsam_types::{Incarnation, Round, TimeMs};
 use std::net::SocketAddr;
 
+/// A peer that was heard from within this time needs no pulse while the table keeps the right.
+///
+/// At half the period exactly one daemon of a pair goes on pulsing the other, so that both still
+/// hear from each other in each period.
+const HEARD_MS: u64 = PULSE_MS / 2;
+
 /// The time after which a fetch without an answer is given up, in milliseconds.
 const FETCH_TIMEOUT_MS: u64 = 300;
 
@@ -21,7 +27,8 @@
             return;
         };
         let round = self.rights.begin_round(now, self.state.epoch, roster);
-        let peers: Vec<DaemonInfo> = self.peers().cloned().collect();
+        let needing = |peer: &&DaemonInfo| self.needs_pulse(now, peer);
+        let peers: Vec<DaemonInfo> = self.peers().filter(needing).cloned().collect();
         for peer in peers {
             self.send_pulse(now, &peer, round, out);
         }
@@ -31,6 +38,18 @@
         }
     }
 
+    /// Returns whether a peer must get a pulse of this round.
+    ///
+    /// Statements are needed only when the table does not keep the right alive; otherwise a pulse
+    /// carries an epoch, reports or a departure, or shows that this daemon lives.
+    fn needs_pulse(&self, now: TimeMs, peer: &DaemonInfo) -> bool {
+        let incarnation = &peer.incarnation;
+        let knows_epoch = self.membership.epoch_of(incarnation) == self.state.epoch;
+        let heard = self.membership.silence_ms(now, incarnation) < HEARD_MS;
+        let reports_to = self.state.placer == Some(*incarnation);
+        !self.table.is_fresh(now) || !knows_epoch || !heard || reports_to || self.is_leaving()
+    }
+
     /// Tells the author of a change and the placer that this daemon has adopted its epoch.
     pub(super) fn announce_epoch(
         &mut self,
--- a/crates/balsam-decide/src/node/table.rs
+++ b/crates/balsam-decide/src/node/table.rs
@@ -3,7 +3,7 @@
 use super::{ChangesBody, Decision, Node, NodeOutput, TableResult};
 use crate::control::ControlState;
 use balsam_types::control::{Change, LogEntry, RemovalReason};
-use balsam_types::timing::{PULSE_MS, SNAPSHOT_EVERY};
+use balsam_types::timing::{PULSE_MS, RIGHT_TTL_MS, SNAPSHOT_EVERY};
 use balsam_types::{Epoch, Incarnation, TimeMs};
 use std::sync::Arc;
 
@@ -13,6 +13,11 @@
 /// is dated from the beginning of its read.
 const READ_TIMEOUT_MS: u64 = 1_000;
 
+/// The age of a confirming table read from which statements are collected as well, in milliseconds.
+///
+/// It leaves two rounds of pulses before a right of [`RIGHT_TTL_MS`] would lapse.
+const FRESH_MS: u64 = RIGHT_TTL_MS / 2;
+
 /// The period of reads of the instance list, in milliseconds.
 const INSTANCES_MS: u64 = 1_000;
 
@@ -23,6 +28,8 @@
     next_at: TimeMs,
     /// Whether the last read succeeded.
     pub(super) ok: bool,
+    /// When the last read began that confirmed the node's epoch.
+    confirmed_at: Option<TimeMs>,
     /// The newest epoch that the table is known to hold.
     pub(super) seen_epoch: Epoch,
 }
@@ -33,10 +40,17 @@
             in_flight_since: None,
             next_at: now,
             ok: false,
+            confirmed_at: None,
             seen_epoch: Epoch(0),
         }
     }
 
+    /// Returns whether the table alone keeps the right alive.
+    pub(super) fn is_fresh(&self, now: TimeMs) -> bool {
+        let age_ms = self.confirmed_at.map(|at| now.since(at));
+        self.ok && age_ms.is_some_and(|age_ms| age_ms < FRESH_MS)
+    }
+
     /// Makes a read due at once.
     pub(super) fn hasten(&mut self, now: TimeMs) {
         self.next_at = self.next_at.min(now);
@@ -101,6 +115,7 @@
         self.due.decide = true;
         if self.state.epoch >= epoch {
             self.rights.table_confirmed(now, started_at);
+            self.table.confirmed_at = self.table.confirmed_at.max(Some(started_at));
         } else {
             self.table.hasten(now);
         }
