Refuse answers that name another order

Cause: an answer's head was compared with the request by key only, so an order could get the outcome of another order on the same key. Found by the new test whole_answers::crossed_orders; the keys of the other crossed cases differ, which the old check detects.

Change: an answer that names another Idempotency-Key than the request is treated as an answer to another key: the outcome is unknown and the connection is closed.

--- a/crates/balsam-daemon/src/request/forward/exchange.rs
+++ b/crates/balsam-daemon/src/request/forward/exchange.rs
@@ -209,9 +209,8 @@
         }
         Err(_) => return Err(Failure::Unknown(UnknownReason::DeadlineAfterSend).into()),
     };
-    let answered_key = field(&parsed.head, headers::KEY);
-    if answered_key.is_some_and(|key| key != head.key.text.as_bytes()) {
-        debug!("the answer belongs to another key");
+    if is_foreign(&parsed.head, head) {
+        debug!("the answer belongs to another request");
         return Err(Failure::Unknown(UnknownReason::UpstreamLost).into());
     }
     let declared = not_run_cause(&parsed.head);
@@ -227,6 +226,17 @@
     }
 }
 
+/// Returns whether an answer names another key or order than the request.
+///
+/// The key alone does not tell apart two orders on one key.
+fn is_foreign(answer: &ResponseHead, request: &RequestHead) -> bool {
+    let key = field(answer, headers::KEY);
+    let order = field(answer, headers::IDEMPOTENCY_KEY);
+    let own_order = request.order_id.as_ref().map(|id| id.as_str().as_bytes());
+    key.is_some_and(|key| key != request.key.text.as_bytes())
+        || order.is_some_and(|order| Some(order) != own_order)
+}
+
 /// Why no head of an answer arrived.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum HeadFailure {
--- a/crates/balsam-standins/tests/whole_answers.rs
+++ b/crates/balsam-standins/tests/whole_answers.rs
@@ -119,3 +119,25 @@
         assert!(during.iter().any(|told| resumed(&told)));
     }
 }
+
+/// Guards against an order that is answered with the outcome of another order on the same key.
+#[actix_rt::test]
+async fn crossed_orders() {
+    let cluster = start(service_plan(3, "ledger", &[])).await;
+    set_faults(&cluster, AnswerFault::Crossed).await;
+    let clients = [caller(&cluster, 0), caller(&cluster, 1)];
+    let send = async |number: usize| {
+        let id = format!("order-{number}");
+        let sent = Sent::post("/ledger/shared", "an order").with_header("idempotency-key", &id);
+        let sent = sent.with_header("balsam-deadline-ms", DEADLINE_MS);
+        Told::new(id, clients[number % 2].send(sent).await)
+    };
+    let told = join_all((0..REQUESTS).map(send)).await;
+    let answered: Vec<&Told> = told.iter().filter(|told| told.is("answered")).collect();
+    for told in &answered {
+        let body: serde_json::Value = serde_json::from_slice(&told.body).expect("JSON");
+        assert_eq!(body["order_id"], told.name.as_str());
+    }
+    println!("{} of {REQUESTS} answered", answered.len());
+    assert!(!answered.is_empty() && answered.len() < REQUESTS);
+}
