Count requests that one upstream loss broke as one crash

An upstream that is lost breaks the connections of all requests that run there. Equal requests, such as lookups of a popular key, each counted as a crash, so three of them at once quarantined the key's lookups for ten minutes although no request was at fault. A crash now counts only if its request was sent after the last counted crash of the same fingerprint.

Ruled out: counting by upstream incarnation, because the dispatcher of an upstream that does not check grants has no incarnation at hand, and because retries at an upstream that restarts must still count.

Not covered: an address that accepts and closes connections after its process is gone still counts each retry, because each is sent after the last crash.

Without the rule the new test equal_requests_at_once fails: its fourth request never reaches the upstream.

--- a/crates/balsam-daemon/src/request/forward/exchange.rs
+++ b/crates/balsam-daemon/src/request/forward/exchange.rs
@@ -5,9 +5,9 @@
 use super::http1::{BodyEncoding, Http1Error, ParsedHead, encode_head, parse_head};
 use super::permit::{Blocked, Permitted, SendPermit};
 use super::write::{FirstWrite, write_first, write_rest};
-use crate::request::clock::instant_at;
+use crate::request::clock::{instant_at, now};
 use crate::request::message::{Attempt, Failure, RequestBody};
-use balsam_types::{NotRunReason, RequestHead, ResponseHead, UnknownReason};
+use balsam_types::{NotRunReason, RequestHead, ResponseHead, TimeMs, UnknownReason};
 use balsam_wire::upstream::{NotRunCause, headers};
 use bytes::{Bytes, BytesMut};
 use log::debug;
@@ -38,10 +38,11 @@
     pub(super) failure: Failure,
     /// The connection, if it can be used again.
     pub(super) connection: Option<UpstreamConnection>,
-    /// Whether the connection broke after the whole request and before the answer's head.
+    /// When the request was sent, if the connection broke after the whole request and before the
+    /// answer's head.
     ///
     /// A request that this daemon left incomplete says nothing of what it does to the upstream.
-    pub(super) crashed: bool,
+    pub(super) crashed: Option<TimeMs>,
 }
 
 impl From<Failure> for Ended {
@@ -49,7 +50,7 @@
         Self {
             failure,
             connection: None,
-            crashed: false,
+            crashed: None,
         }
     }
 }
@@ -196,11 +197,13 @@
     head: &RequestHead,
     permitted: Permitted,
 ) -> Result<Started, Ended> {
+    let sent_at = now();
     let until = instant_at(permitted.deadline);
     let parsed = match timeout_at(until, read_head(&mut exchange, &head.method)).await {
         Ok(Ok(parsed)) => parsed,
         Ok(Err(failure)) => {
             let crashed = failure == HeadFailure::Closed && exchange.writing.is_complete();
+            let crashed = crashed.then_some(sent_at);
             return Err(Ended {
                 failure: failure.into(),
                 connection: None,
@@ -221,7 +224,7 @@
         Some(cause) => Err(Ended {
             failure: Failure::NotRun(cause.into()),
             connection: reading.drain().await,
-            crashed: false,
+            crashed: None,
         }),
         None => Ok(Started { head, reading }),
     }
--- a/crates/balsam-daemon/src/request/forward/mod.rs
+++ b/crates/balsam-daemon/src/request/forward/mod.rs
@@ -86,8 +86,8 @@
                 _ => SlotResult::Failed,
             };
             // The crash is reported first, so that it counts before the request comes again.
-            if crashed {
-                crashes.report(service, fingerprint);
+            if let Some(sent_at) = crashed {
+                crashes.report(service, fingerprint, sent_at);
             }
             // The caller may have gone away.
             drop(reply.send(Err(failure)));
--- a/crates/balsam-daemon/src/request/quarantine/handle.rs
+++ b/crates/balsam-daemon/src/request/quarantine/handle.rs
@@ -1,6 +1,6 @@
 //! The handle through which dispatch tasks report crashes.
 
-use balsam_types::{Fingerprint, ServiceName};
+use balsam_types::{Fingerprint, ServiceName, TimeMs};
 use tokio::sync::mpsc;
 
 /// A request that broke its upstream connection before the answer's head.
@@ -8,6 +8,7 @@
 pub(super) struct Crash {
     pub(super) service: ServiceName,
     pub(super) fingerprint: Fingerprint,
+    pub(super) sent_at: TimeMs,
 }
 
 /// A cheap handle to the task.
@@ -22,10 +23,11 @@
     }
 
     /// Reports a request that broke its upstream connection before the answer's head.
-    pub(crate) fn report(&self, service: ServiceName, fingerprint: Fingerprint) {
+    pub(crate) fn report(&self, service: ServiceName, fingerprint: Fingerprint, sent_at: TimeMs) {
         let crash = Crash {
             service,
             fingerprint,
+            sent_at,
         };
         if self.crashes.try_send(crash).is_err() {
             log::warn!("too many crashed connections to count");
--- a/crates/balsam-daemon/src/request/quarantine/task.rs
+++ b/crates/balsam-daemon/src/request/quarantine/task.rs
@@ -99,12 +99,18 @@
         let Crash {
             service,
             fingerprint,
+            sent_at,
         } = crash;
+        let before = self.own_count(fingerprint);
         self.step(QuarantineInput::Crashed {
             service: service.clone(),
             fingerprint,
+            sent_at,
         });
         let own = self.own_count(fingerprint);
+        if own == before {
+            return;
+        }
         let table = self.table.clone();
         self.exchanges.push(Box::pin(async move {
             let shared = table.count_crash(service.clone(), fingerprint).await?;
--- a/crates/balsam-daemon/tests/crashed_upstreams.rs
+++ b/crates/balsam-daemon/tests/crashed_upstreams.rs
@@ -42,6 +42,35 @@
     assert!(upstream.try_next().is_none(), "the request was sent again");
 }
 
+/// Guards against the loss of one upstream that quarantines a request which ran there several times.
+#[actix_rt::test]
+async fn equal_requests_at_once() {
+    let mut upstream = Upstream::start().await;
+    let cluster = Cluster::start(1, upstream.address).await;
+    let entry = cluster.entry().caller;
+    // As many at once as the upstream has slots, and then one more.
+    for at_once in [2, 1] {
+        let mut callers = Vec::new();
+        let mut running = Vec::new();
+        for _ in 0..at_once {
+            callers.push(open_call(entry, "POST /files/a", "").await);
+            running.push(upstream.next().await);
+        }
+        // The clock counts milliseconds, and all requests must have been sent before the loss.
+        actix_rt::time::sleep(std::time::Duration::from_millis(5)).await;
+        for seen in running {
+            seen.cut_after("").await;
+        }
+        for mut caller in callers {
+            let answer = read_answer(&mut caller).await;
+            assert_eq!(answer.outcome(), ("unknown", "upstream-lost"));
+        }
+    }
+    let mut caller = open_call(entry, "POST /files/a", "").await;
+    upstream.next().await.ok("done").await;
+    assert!(read_answer(&mut caller).await.whole);
+}
+
 /// Guards other requests: a crash counts only against equal ones.
 #[actix_rt::test]
 async fn other_requests() {
--- a/crates/balsam-decide/src/quarantine/machine.rs
+++ b/crates/balsam-decide/src/quarantine/machine.rs
@@ -48,10 +48,12 @@
             QuarantineInput::Crashed {
                 service,
                 fingerprint,
+                sent_at,
             } => {
-                self.count(now, service, fingerprint);
-                outputs.push(QuarantineOutput::ShareCounts);
-                outputs.extend(self.entry_due(now, fingerprint));
+                if self.count(now, service, fingerprint, sent_at) {
+                    outputs.push(QuarantineOutput::ShareCounts);
+                    outputs.extend(self.entry_due(now, fingerprint));
+                }
             }
             QuarantineInput::Row(counts) => {
                 for fingerprint in self.merge(now, counts) {
@@ -89,13 +91,20 @@
         row
     }
 
-    fn count(&mut self, now: TimeMs, service: ServiceName, fingerprint: Fingerprint) {
+    /// Counts a crash and returns whether it is one of its own.
+    fn count(
+        &mut self,
+        now: TimeMs,
+        service: ServiceName,
+        fingerprint: Fingerprint,
+        sent_at: TimeMs,
+    ) -> bool {
         self.make_room(fingerprint);
         let tally = self
             .tallies
             .entry(fingerprint)
             .or_insert_with(|| Tally::new(service));
-        tally.add(now, self.me);
+        tally.add(now, self.me, sent_at)
     }
 
     fn make_room(&mut self, fingerprint: Fingerprint) {
--- a/crates/balsam-decide/src/quarantine/message.rs
+++ b/crates/balsam-decide/src/quarantine/message.rs
@@ -1,7 +1,7 @@
 //! Messages of the quarantine machine.
 
 use balsam_types::control::QuarantineEntry;
-use balsam_types::{Fingerprint, Incarnation, ServiceName};
+use balsam_types::{Fingerprint, Incarnation, ServiceName, TimeMs};
 use std::collections::BTreeMap;
 
 /// The policy of a service.
@@ -36,6 +36,8 @@
         service: ServiceName,
         /// The request.
         fingerprint: Fingerprint,
+        /// When the request was sent.
+        sent_at: TimeMs,
     },
     /// The shared row was read.
     Row(Vec<CrashCount>),
--- a/crates/balsam-decide/src/quarantine/tally.rs
+++ b/crates/balsam-decide/src/quarantine/tally.rs
@@ -34,10 +34,18 @@
         }
     }
 
-    /// Adds a crash that this daemon saw.
-    pub fn add(&mut self, now: TimeMs, me: Incarnation) {
-        let crashes = self.counts.get(&me).map_or(0, |count| count.crashes);
+    /// Adds a crash that this daemon saw; returns whether it counts.
+    ///
+    /// A request that was sent before the last crash was lost with the same upstream. Without this
+    /// rule the loss of one upstream quarantines each request that ran there several times.
+    pub fn add(&mut self, now: TimeMs, me: Incarnation, sent_at: TimeMs) -> bool {
+        let own = self.counts.get(&me);
+        if own.is_some_and(|own| sent_at < own.changed_at) {
+            return false;
+        }
+        let crashes = own.map_or(0, |count| count.crashes);
         self.set(now, me, crashes.saturating_add(1));
+        true
     }
 
     /// Takes over the count of a daemon.
--- a/crates/balsam-decide/tests/crash_quarantine.rs
+++ b/crates/balsam-decide/tests/crash_quarantine.rs
@@ -31,6 +31,7 @@
     let crashed = QuarantineInput::Crashed {
         service: service(),
         fingerprint: POISON,
+        sent_at: TimeMs(now),
     };
     machine.handle(TimeMs(now), crashed)
 }
@@ -156,6 +157,7 @@
         let crashed = QuarantineInput::Crashed {
             service: service(),
             fingerprint: Fingerprint(at),
+            sent_at: TimeMs(at),
         };
         machine.handle(TimeMs(at), crashed);
     }
