--- a/crates/balsam-standins/src/harness/cluster/members.rs
+++ b/crates/balsam-standins/src/harness/cluster/members.rs
@@ -44,6 +44,17 @@
         })
     }
 
+    /// Kills the process and closes its links, so that connections to it are refused.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the process cannot be killed.
+    pub async fn kill(&mut self) -> Result<(), HarnessError> {
+        self.child.kill()?;
+        self.link = FaultProxy::start(None).await?;
+        Ok(())
+    }
+
     /// Returns the upstream's entry of the instance list.
     pub fn instance(&self, state: InstanceStateBody) -> InstanceBody {
         InstanceBody {
--- a/crates/balsam-standins/src/harness/journal_check.rs
+++ b/crates/balsam-standins/src/harness/journal_check.rs
@@ -32,6 +32,17 @@
         /// When the second execution began.
         at_ms: TimeMs,
     },
+    /// A former owner began an execution after another upstream had begun one at a later epoch.
+    StaleOwner {
+        /// The key.
+        key: String,
+        /// The upstream whose execution was the earlier one.
+        before: UpstreamName,
+        /// The upstream that no longer owned the key.
+        stale: UpstreamName,
+        /// When the stale execution began.
+        at_ms: TimeMs,
+    },
     /// An order took effect more than once.
     OrderRepeated {
         /// The order.
@@ -88,8 +99,8 @@
 }
 
 fn key_overlaps(mut executions: Vec<(&UpstreamName, &Execution)>) -> Vec<Violation> {
-    executions.sort_by_key(|(_, execution)| execution.started_at_ms);
-    let mut violations = Vec::new();
+    executions.sort_by_key(|(_, execution)| (execution.started_at_ms, execution.epoch));
+    let mut violations = stale_owners(&executions);
     let mut lasting: BTreeMap<&UpstreamName, TimeMs> = BTreeMap::new();
     for (upstream, execution) in executions {
         let started = execution.started_at_ms;
@@ -110,6 +121,23 @@
     violations
 }
 
+/// Finds executions that follow one of another upstream without a later epoch.
+///
+/// A request carries an epoch at which its upstream owned the key, and each change of the owner is
+/// at a later epoch than all requests to the former owner.
+fn stale_owners(executions: &[(&UpstreamName, &Execution)]) -> Vec<Violation> {
+    let pairs = executions.iter().zip(executions.iter().skip(1));
+    pairs
+        .filter(|((before, earlier), (next, later))| before != next && later.epoch <= earlier.epoch)
+        .map(|((before, _), (stale, execution))| Violation::StaleOwner {
+            key: execution.key.clone(),
+            before: (*before).clone(),
+            stale: (*stale).clone(),
+            at_ms: execution.started_at_ms,
+        })
+        .collect()
+}
+
 fn order_violations(journals: &[JournalResponse], reports: &OrderReports) -> Vec<Violation> {
     let mut effects: BTreeMap<OrderName, usize> = BTreeMap::new();
     let executions = journals.iter().flat_map(|journal| &journal.executions);
--- a/crates/balsam-standins/src/lib.rs
+++ b/crates/balsam-standins/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! See [the design page, section 9](../../../docs/design.md#9-interfaces).
 
-mod clock;
+pub mod clock;
 
 pub mod demo;
 pub mod harness;
--- a/crates/balsam-standins/tests/common/deployment.rs
+++ b/crates/balsam-standins/tests/common/deployment.rs
@@ -134,10 +134,18 @@
 
 /// Checks the journals of each service against the invariants of ownership and orders.
 pub async fn violations(cluster: &Cluster, reports: &OrderReports) -> Vec<Violation> {
-    let journals = cluster.journals().await;
+    violations_in(cluster, &cluster.journals().await, reports)
+}
+
+/// Checks `journals`, which may hold those of upstreams that were killed since.
+pub fn violations_in(
+    cluster: &Cluster,
+    journals: &[JournalResponse],
+    reports: &OrderReports,
+) -> Vec<Violation> {
     let mut found = Vec::new();
     for (service, _, _) in SERVICES {
-        let of_service = journals_of(cluster, &journals, service);
+        let of_service = journals_of(cluster, journals, service);
         let orders = OrderReports::default();
         let reports = if service == "ledger" {
             reports
--- a/crates/balsam-standins/tests/journal_checks.rs
+++ b/crates/balsam-standins/tests/journal_checks.rs
@@ -27,7 +27,7 @@
         key: key.to_owned(),
         key_hash: KeyHash::of(key),
         unit: UnitId(0),
-        epoch: Epoch(1),
+        epoch: Epoch(from),
         order_id: order.map(|id| OrderId::new(id).expect("valid id")),
         rank: None,
         member: None,
@@ -71,6 +71,23 @@
     ));
 }
 
+/// Guards against a checker that overlooks a former owner that runs a request late.
+#[test]
+fn finds_stale_owner() {
+    let mut late = execution("k", None, 70, 80, COMMITTED);
+    late.epoch = Epoch(10);
+    let first = journal("u1", vec![execution("k", None, 10, 20, COMMITTED), late]);
+    let second = journal("u2", vec![execution("k", None, 50, 60, COMMITTED)]);
+    let found = check(&[first, second]);
+    let expected = Violation::StaleOwner {
+        key: "k".to_owned(),
+        before: "u2".parse().expect("valid name"),
+        stale: "u1".parse().expect("valid name"),
+        at_ms: TimeMs(70),
+    };
+    assert_eq!(found, [expected]);
+}
+
 /// Guards against a checker that reports a handover, other keys, or a resumed upstream's late end.
 #[test]
 fn accepts_rightful_owners() {
