--- a/crates/balsam-daemon/src/request/quarantine/task.rs
+++ b/crates/balsam-daemon/src/request/quarantine/task.rs
@@ -117,6 +117,7 @@
         self.step(QuarantineInput::Crashed {
             service: crash.service,
             fingerprint: crash.fingerprint,
+            sent_at: crash.sent_at,
         });
     }
 
