Retry the creation of services and probe with distinct requests

The first edit of a measured deployment was refused because setting link delays kept the machine busy; it is now sent again, as the answer asks. The connections of the plan are set for the service, so that 500 open requests are not bounded by the default of 120. Probes of losses differ in their path: equal ones were quarantined after an upstream was killed, and 9 of 48 keys were then refused for the rest of the run.

--- a/crates/balsam-standins/src/measure/deployment.rs
+++ b/crates/balsam-standins/src/measure/deployment.rs
@@ -7,13 +7,14 @@
 use crate::load::{KeyChoice, LoadStream, WorkKind};
 use balsam_types::settings::{SettingKey, SettingValue};
 use balsam_types::{NameError, ZoneName};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// The longest wait for a step of a start.
 pub(super) const PATIENCE: Duration = Duration::from_mins(2);
 
 /// The log level of measured daemons, which is the default of the settings file.
 const LOG_LEVEL: &str = "info";
+const RETRY_PAUSE: Duration = Duration::from_secs(1);
 const DRAIN_MS: u64 = 5_000;
 
 /// A further rank of a service.
@@ -70,7 +71,7 @@
                     arguments: self.arguments.clone(),
                 });
             }
-            services.push(service.plan()?);
+            services.push(service.plan(self.connections)?);
         }
         let zones: Result<Vec<_>, _> = (0..self.daemons).map(|index| self.zone(index)).collect();
         Ok(ClusterPlan {
@@ -89,7 +90,7 @@
 }
 
 impl ServiceSize {
-    fn plan(&self) -> Result<ServicePlan, NameError> {
+    fn plan(&self, connections: u32) -> Result<ServicePlan, NameError> {
         let number = SettingValue::Number;
         let rank = SettingValue::Text(self.name.into());
         let own = vec![
@@ -109,6 +110,7 @@
             values: vec![
                 (SettingKey::Slices, number(self.slices)),
                 (SettingKey::DefaultRank, rank),
+                (SettingKey::Connections, number(u64::from(connections))),
             ],
             ranks,
         })
@@ -158,8 +160,8 @@
     if size.one_way_ms > 0 {
         delay_zones(&cluster, size.one_way_ms);
     }
-    let begun = std::time::Instant::now();
-    cluster.create_services().await?;
+    let begun = Instant::now();
+    create_services(&cluster).await?;
     for index in 0..size.daemons {
         wait_owned(&cluster, index, size.units()).await?;
     }
@@ -169,6 +171,22 @@
     })
 }
 
+/// Creates the services, again if a daemon could not reach the table and changed nothing.
+///
+/// Finding the process behind each link takes seconds of a busy machine once delays are set, and
+/// the links to the platform are late until then.
+async fn create_services(cluster: &Cluster) -> Result<(), HarnessError> {
+    let until = Instant::now() + PATIENCE;
+    loop {
+        match cluster.create_services().await {
+            Err(HarnessError::Status { status: 503, .. }) if Instant::now() < until => {
+                actix_rt::time::sleep(RETRY_PAUSE).await;
+            }
+            ended => return ended,
+        }
+    }
+}
+
 fn delay_zones(cluster: &Cluster, delay_ms: u64) {
     let faults = LinkFaults {
         delay_ms,
--- a/crates/balsam-standins/src/measure/losses/probe.rs
+++ b/crates/balsam-standins/src/measure/losses/probe.rs
@@ -72,8 +72,12 @@
     let mut running = tokio::task::JoinSet::new();
     // Keys are probed at different moments of the period.
     actix_rt::time::sleep(PERIOD * key as u32 / KEYS as u32).await;
-    while Instant::now() < until {
-        let sent = Sent::get(format!("/{service}/probe-{key}"))
+    for number in 0_u64.. {
+        if Instant::now() >= until {
+            break;
+        }
+        // Equal requests would be quarantined once a killed upstream has broken three of them.
+        let sent = Sent::get(format!("/{service}/probe-{key}/{number}"))
             .with_header(headers::DEADLINE_MS, PROBE_DEADLINE_MS);
         let client = client.clone();
         running.spawn_local(async move {
