--- a/crates/balsam-standins/src/measure/sheet.rs
+++ b/crates/balsam-standins/src/measure/sheet.rs
@@ -109,7 +109,7 @@
 
 fn rounded(value: Value) -> Value {
     match value.as_f64() {
-        Some(number) if value.is_f64() => Value::from((number * DIGITS).round() / DIGITS),
+        Some(number) if value.is_f64() => Value::from((number * DIGITS).round() / DIGITS + 0.0),
         _ => value,
     }
 }
--- a/crates/balsam-standins/tests/proxy_faults.rs
+++ b/crates/balsam-standins/tests/proxy_faults.rs
@@ -122,3 +122,17 @@
     let connected = actix_rt::net::TcpStream::connect(address).await;
     connected.expect_err("nothing listens there");
 }
+
+/// Guards against control traffic that is measured without one of its directions.
+#[actix_rt::test]
+async fn bytes_are_counted() {
+    let link = link().await;
+    assert_eq!(link.proxy.carried_bytes(), 0);
+    let tx = write("a");
+    link.platform.transact(&tx).await.expect("an answer");
+    let sent = serde_json::to_vec(&tx).expect("JSON").len() as u64;
+    let carried = link.proxy.carried_bytes();
+    assert!(carried > sent, "{carried}");
+    assert!(exists(&link.platform, "a").await);
+    assert!(link.proxy.carried_bytes() > carried);
+}
