--- a/crates/balsam-standins/src/measure/flood/result.rs
+++ b/crates/balsam-standins/src/measure/flood/result.rs
@@ -292,7 +292,11 @@
         let work_ms: u64 = ranks
             .map(|(rank, of)| of.all.in_deadline * context.work_ms_of(rank.as_str()))
             .sum();
-        let slot_ms = context.site.slots_of(service) * report.elapsed_ms;
+        // Other services may answer long after this one has nothing left to do.
+        let of_service = streams.iter().filter(|one| one.service.as_str() == service);
+        let ends_ms = of_service.map(|one| one.until_ms + one.deadline_ms);
+        let busy_ms = ends_ms.max().unwrap_or(0).min(report.elapsed_ms);
+        let slot_ms = context.site.slots_of(service) * busy_ms;
         let useful_work = work_ms as f64 / slot_ms.max(1) as f64;
         let flooded = match service {
             "lookup" => phase.floods_lookups() || phase.is_shared(),
