--- a/crates/balsam-standins/src/measure/sheet.rs
+++ b/crates/balsam-standins/src/measure/sheet.rs
@@ -104,8 +104,8 @@
     }
 }
 
-/// Digits behind the point; figures of a loaded machine are not repeatable beyond them.
-const DIGITS: f64 = 10_000.0;
+/// Seven digits behind the point, so that the memory of one slice can be told from 0.
+const DIGITS: f64 = 10_000_000.0;
 
 fn rounded(value: Value) -> Value {
     match value.as_f64() {
