Lose answers before upstreams are killed and pace the not-run test

On a fast machine the 10,200 requests ended after 8 s with one killed upstream, and few requests were at work at the cut, so that the test passed with broken connections reported as not run. Callers now pause between requests, and the answers of an upstream are lost for 300 ms before its links are cut.

--- a/crates/balsam-standins/tests/not_run.rs
+++ b/crates/balsam-standins/tests/not_run.rs
@@ -6,7 +6,9 @@
 mod requests;
 
 use balsam_standins::harness::cluster::Cluster;
-use balsam_standins::harness::{Client, OrderReports, Sent, Violation, check_journals};
+use balsam_standins::harness::{
+    Client, Direction, LinkMode, OrderReports, Sent, Violation, check_journals,
+};
 use balsam_types::KeyHash;
 use balsam_wire::upstream::JournalResponse;
 use deployment::{SERVICES, plan, start};
@@ -26,6 +28,11 @@
 const PATIENCE: Duration = Duration::from_secs(5);
 /// Pause before and after each restart: a loss is detected and its units are moved meanwhile.
 const FAULT_PAUSE: Duration = Duration::from_millis(1_200);
+/// Shorter than the silence of 700 ms after which an upstream counts as lost.
+const ANSWERS_LOST: Duration = Duration::from_millis(300);
+/// Pause of each caller after an answer, in milliseconds, by service; it keeps the run long enough
+/// for several faults on a fast machine too.
+const SPACING_MS: [u64; 3] = [80, 160, 160];
 /// Requests and concurrent callers of each service, in the order of [`SERVICES`].
 const REQUESTS: [(usize, usize); 3] = [(7_200, 24), (1_800, 12), (1_200, 8)];
 
@@ -52,10 +59,7 @@
             .entry(address)
             .or_insert_with(|| Client::new(address, PATIENCE));
         let told = Told::new(key, client.send(sent).await);
-        if told.is("broken") {
-            // A connection to a killed daemon fails at once.
-            actix_rt::time::sleep(Duration::from_millis(20)).await;
-        }
+        actix_rt::time::sleep(Duration::from_millis(SPACING_MS[service])).await;
         all.push(told);
     }
     all
@@ -88,6 +92,11 @@
             targets.send_replace(addresses(cluster));
         } else {
             let upstream = &mut cluster.upstreams[picked - daemons];
+            // Work still takes effect while its answers are lost.
+            upstream.link.set_mode(LinkMode::OneWay {
+                dropped: Direction::ToClient,
+            });
+            actix_rt::time::sleep(ANSWERS_LOST).await;
             lost.push(upstream.kill().await.expect("killed"));
             actix_rt::time::sleep(FAULT_PAUSE).await;
             upstream.restart().await.expect("restarted");
