Begin moves that can wait only while the table is quick

A unit on the move has no owner until the table has taken both commits. A balance move that an outage or a slow table caught left its units without an owner until the table returned. The placer now begins moves for balance and hot keys only while its last table read took less than PULSE_MS and no commit of the last 10 s took longer. Moves off lost or draining upstreams are not held back.

Planning also commits in the order of urgency over all services: units without an available owner, then hot key splits and merges, then balance and filling. Before, the filling of a new upstream delayed hot keys. No test covers this order yet.

Not done: a limit on the units that are in balance or hot key moves at a time. Cutting a planned round to 8 would stretch it to one such batch a minute, because the planner starts a round only a minute after the last move; the rest of a round has to be queued.

--- a/crates/balsam-decide/src/node/commits.rs
+++ b/crates/balsam-decide/src/node/commits.rs
@@ -1,5 +1,6 @@
 //! Commits to the change log, at most one at a time.
 
+use super::table::TableReads;
 use super::{CommitResult, Node, NodeOutput};
 use crate::placer::Scene;
 use balsam_types::control::{Change, LogEntry};
@@ -14,6 +15,7 @@
 #[derive(Debug)]
 struct InFlight {
     entry: LogEntry,
+    began_at: TimeMs,
     give_up_at: TimeMs,
 }
 
@@ -70,11 +72,12 @@
         }
     }
 
-    fn expire(&mut self, now: TimeMs) {
+    fn expire(&mut self, now: TimeMs, table: &mut TableReads) {
         let expired = self
             .in_flight
             .take_if(|commit| now >= commit.give_up_at.after(COMMIT_SLACK_MS));
         if let Some(commit) = expired {
+            table.commit_took(now, commit.began_at);
             self.in_doubt = Some(commit.entry);
         }
     }
@@ -83,7 +86,7 @@
 impl Node {
     /// Begins the next commit, if one is due and none is in flight.
     pub(super) fn begin_commit(&mut self, now: TimeMs, out: &mut Vec<NodeOutput>) {
-        self.commits.expire(now);
+        self.commits.expire(now, &mut self.table);
         let behind = self.table.seen_epoch > self.state.epoch;
         if self.commits.in_flight.is_some() || !self.table.ok || behind {
             return;
@@ -95,6 +98,7 @@
         let give_up_at = now.after(COMMIT_TIMEOUT_MS);
         self.commits.in_flight = Some(InFlight {
             entry: entry.clone(),
+            began_at: now,
             give_up_at,
         });
         out.push(NodeOutput::Commit { entry, give_up_at });
@@ -167,6 +171,7 @@
             me: self.me.incarnation,
             leaving: self.is_leaving(),
             state: &self.state,
+            table_is_quick: self.table.is_quick(now),
             membership: &self.membership,
             adoption: &self.adoption,
         };
@@ -197,6 +202,7 @@
             self.table.hasten(now);
             return;
         };
+        self.table.commit_took(now, commit.began_at);
         match result {
             CommitResult::Committed => {
                 self.placer.log_moves(&commit.entry.change, out);
--- a/crates/balsam-decide/src/node/dispatching.rs
+++ b/crates/balsam-decide/src/node/dispatching.rs
@@ -243,6 +243,7 @@
             me: self.me.incarnation,
             leaving: self.is_leaving(),
             state: &self.state,
+            table_is_quick: self.table.is_quick(now),
             membership: &self.membership,
             adoption: &self.adoption,
         };
--- a/crates/balsam-decide/src/node/table.rs
+++ b/crates/balsam-decide/src/node/table.rs
@@ -13,6 +13,11 @@
 /// is dated from the beginning of its read.
 const READ_TIMEOUT_MS: u64 = 1_000;
 
+/// How long a slow commit counts against the table, in milliseconds.
+///
+/// Without an end, a placer that has nothing else to commit would never balance again.
+const SLOW_COMMIT_MS: u64 = 10_000;
+
 /// The period of reads of the instance list, in milliseconds.
 const INSTANCES_MS: u64 = 1_000;
 
@@ -21,6 +26,10 @@
 pub(super) struct TableReads {
     in_flight_since: Option<TimeMs>,
     next_at: TimeMs,
+    /// How long the last successful read took, in milliseconds.
+    read_ms: u64,
+    /// When a commit last was slow or had no result.
+    slow_commit_at: Option<TimeMs>,
     /// Whether the last read succeeded.
     pub(super) ok: bool,
     /// The newest epoch that the table is known to hold.
@@ -32,11 +41,30 @@
         Self {
             in_flight_since: None,
             next_at: now,
+            read_ms: 0,
+            slow_commit_at: None,
             ok: false,
             seen_epoch: Epoch(0),
         }
     }
 
+    /// Returns whether the last read and the commits of late took less than a pulse period.
+    pub(super) fn is_quick(&self, now: TimeMs) -> bool {
+        let in_flight = self.in_flight_since;
+        let slow_commit = self.slow_commit_at;
+        self.ok
+            && self.read_ms < PULSE_MS
+            && in_flight.is_none_or(|since| now.since(since) < PULSE_MS)
+            && slow_commit.is_none_or(|at| now.since(at) >= SLOW_COMMIT_MS)
+    }
+
+    /// Takes note of how long a commit took that began at `began_at`.
+    pub(super) fn commit_took(&mut self, now: TimeMs, began_at: TimeMs) {
+        if now.since(began_at) >= PULSE_MS {
+            self.slow_commit_at = Some(now);
+        }
+    }
+
     /// Makes a read due at once.
     pub(super) fn hasten(&mut self, now: TimeMs) {
         self.next_at = self.next_at.min(now);
@@ -101,6 +129,7 @@
             }
         };
         self.table.ok = true;
+        self.table.read_ms = now.since(started_at);
         self.table.seen_epoch = self.table.seen_epoch.max(epoch);
         self.adopt_entries(now, entries, out);
         self.due.decide = true;
--- a/crates/balsam-decide/src/placer/planning.rs
+++ b/crates/balsam-decide/src/placer/planning.rs
@@ -19,24 +19,48 @@
         return None;
     }
     let mut services = placer.summary.homeless.iter();
-    let change = services.find_map(|service| plan_service(placer, scene, service));
+    let change = services.find_map(|service| {
+        let planned = plan_service(placer, scene, service)?;
+        (planned.0 == Urgency::Homes).then_some(planned.1)
+    });
     if change.is_none() {
         placer.homes_planned_at = Some(scene.state.epoch);
     }
     change
 }
 
-/// Plans for all services, at most once in [`PLAN_MS`].
+/// Plans for all services, at most once in [`PLAN_MS`], and returns the most urgent change.
+///
+/// A unit on the move has no owner until the table has taken both commits, so moves that can wait
+/// begin only while the table answers quickly.
 pub(super) fn plan_balance(placer: &mut Placer, scene: &Scene<'_>) -> Option<Change> {
     if scene.now < placer.next_plan_at {
         return None;
     }
     placer.next_plan_at = scene.now.after(PLAN_MS);
-    let mut services = scene.state.settings.services();
-    services.find_map(|service| plan_service(placer, scene, service))
+    let services = scene.state.settings.services();
+    let planned = services.filter_map(|service| plan_service(placer, scene, service));
+    let due = planned.filter(|(urgency, _)| *urgency == Urgency::Homes || scene.table_is_quick);
+    due.min_by_key(|(urgency, _)| *urgency)
+        .map(|(_, change)| change)
+}
+
+/// What a change is for, the most urgent first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Urgency {
+    /// Units without an available owner.
+    Homes,
+    /// Hot keys.
+    HotKeys,
+    /// Balance, and the filling of a new upstream.
+    Balance,
 }
 
-fn plan_service(placer: &Placer, scene: &Scene<'_>, service: &ServiceName) -> Option<Change> {
+fn plan_service(
+    placer: &Placer,
+    scene: &Scene<'_>,
+    service: &ServiceName,
+) -> Option<(Urgency, Change)> {
     let policy = scene.state.settings.service_policy(service)?;
     let mut unit_loads = new_map();
     let upstreams = plan_upstreams(placer, scene, service, &mut unit_loads);
@@ -86,45 +110,54 @@
 }
 
 /// Batches the steps of the kind that is most urgent; the others are planned again after it.
-fn change_of(service: &ServiceName, steps: Vec<PlanStep>) -> Option<Change> {
+fn change_of(service: &ServiceName, steps: Vec<PlanStep>) -> Option<(Urgency, Change)> {
     let mut units: Vec<(UnitId, UpstreamName)> = Vec::new();
-    let mut moves: Vec<UnitMove> = Vec::new();
+    let mut urgent: Vec<UnitMove> = Vec::new();
+    let mut balancing: Vec<UnitMove> = Vec::new();
     let mut split = Vec::new();
     let mut merged = Vec::new();
     for step in steps {
         match step {
             PlanStep::Assign { unit, to } => units.push((unit, to)),
-            PlanStep::Move(unit_move) => moves.push(unit_move),
+            PlanStep::Move(unit_move) if is_balancing(&unit_move) => balancing.push(unit_move),
+            PlanStep::Move(unit_move) => urgent.push(unit_move),
             PlanStep::Split { key, to } => split.push((key, to)),
             PlanStep::Merge { key } => merged.push(key),
         }
     }
     let service = service.clone();
     if !units.is_empty() {
-        return Some(Change::UnitsOwned { service, units });
+        return Some((Urgency::Homes, Change::UnitsOwned { service, units }));
     }
-    if !moves.is_empty() {
-        return Some(Change::UnitsMoving { service, moves });
+    if !urgent.is_empty() {
+        let moves = urgent;
+        return Some((Urgency::Homes, Change::UnitsMoving { service, moves }));
     }
     if !split.is_empty() {
         let keys = split;
-        return Some(Change::HotKeysSplit { service, keys });
+        return Some((Urgency::HotKeys, Change::HotKeysSplit { service, keys }));
+    }
+    if !merged.is_empty() {
+        let keys = merged;
+        return Some((Urgency::HotKeys, Change::HotKeysMerged { service, keys }));
+    }
+    let moves = balancing;
+    (!moves.is_empty()).then_some((Urgency::Balance, Change::UnitsMoving { service, moves }))
+}
+
+const fn is_balancing(unit_move: &UnitMove) -> bool {
+    match unit_move.reason {
+        MoveReason::Balance | MoveReason::HotKey => true,
+        MoveReason::OwnerLost | MoveReason::OwnerDraining => false,
     }
-    (!merged.is_empty()).then_some(Change::HotKeysMerged {
-        service,
-        keys: merged,
-    })
 }
 
 /// Counts the balancing moves of an adopted change.
 pub(super) fn count_moves(placer: &mut Placer, now: TimeMs, change: &Change) {
     let (service, count) = match change {
         Change::UnitsMoving { service, moves } => {
-            let balancing = |unit_move: &&UnitMove| match unit_move.reason {
-                MoveReason::Balance | MoveReason::HotKey => true,
-                MoveReason::OwnerLost | MoveReason::OwnerDraining => false,
-            };
-            (service, moves.iter().filter(balancing).count())
+            let balancing = moves.iter().filter(|unit_move| is_balancing(unit_move));
+            (service, balancing.count())
         }
         Change::HotKeysSplit { service, keys } => (service, keys.len()),
         Change::HotKeysMerged { service, keys } => (service, keys.len()),
--- a/crates/balsam-decide/src/placer/scene.rs
+++ b/crates/balsam-decide/src/placer/scene.rs
@@ -17,6 +17,8 @@
     pub leaving: bool,
     /// The control state.
     pub state: &'a ControlState,
+    /// Whether the table has answered quickly of late.
+    pub table_is_quick: bool,
     /// The peers.
     pub membership: &'a Membership,
     /// The epochs that majorities have adopted.
