--- a/crates/balsam-decide/src/node/dispatching.rs
+++ b/crates/balsam-decide/src/node/dispatching.rs
@@ -4,7 +4,7 @@
 use super::{Node, NodeOutput, UpstreamReport, acting_dispatcher};
 use crate::control::ControlState;
 use crate::grants::{Grant, GrantHealth, GrantReply, GrantedUnits, Issuer, UnitsDigest};
-use crate::placer::Scene;
+use crate::placer::PlacerContext;
 use crate::rights::Safeguard;
 use balsam_types::control::UpstreamInfo;
 use balsam_types::timing::{PULSE_MS, SUSPECT_MS};
@@ -259,15 +259,16 @@
         if !self.is_placer() || self.has_withdrawn() {
             return;
         }
-        let scene = Scene {
+        let context = PlacerContext {
             now,
             me: self.me.incarnation,
             leaving: self.is_leaving(),
             state: &self.state,
+            table_is_quick: self.table.is_quick(now),
             membership: &self.membership,
             adoption: &self.adoption,
         };
-        out.extend(self.placer.revoke(&scene));
+        out.extend(self.placer.revoke(&context));
     }
 
     pub(super) fn set_load(&mut self, report: UpstreamReport) {
--- a/crates/balsam-decide/src/node/table.rs
+++ b/crates/balsam-decide/src/node/table.rs
@@ -18,6 +18,11 @@
 /// It leaves two rounds of pulses before a right of [`RIGHT_TTL_MS`] would lapse.
 const FRESH_MS: u64 = RIGHT_TTL_MS / 2;
 
+/// How long a slow commit counts against the table, in milliseconds.
+///
+/// Without an end, a placer that has nothing else to commit would never balance again.
+const SLOW_COMMIT_MS: u64 = 10_000;
+
 /// The period of reads of the instance list, in milliseconds.
 const INSTANCES_MS: u64 = 1_000;
 
@@ -26,6 +31,10 @@
 pub(super) struct TableReads {
     in_flight_since: Option<TimeMs>,
     next_at: TimeMs,
+    /// How long the last successful read took, in milliseconds.
+    read_ms: u64,
+    /// When a commit last was slow or had no result.
+    slow_commit_at: Option<TimeMs>,
     /// Whether the last read succeeded.
     pub(super) ok: bool,
     /// When the last read began that confirmed the node's epoch.
@@ -39,6 +48,8 @@
         Self {
             in_flight_since: None,
             next_at: now,
+            read_ms: 0,
+            slow_commit_at: None,
             ok: false,
             confirmed_at: None,
             seen_epoch: Epoch(0),
@@ -51,6 +62,23 @@
         self.ok && age_ms.is_some_and(|age_ms| age_ms < FRESH_MS)
     }
 
+    /// Returns whether the last read and the commits of late took less than a pulse period.
+    pub(super) fn is_quick(&self, now: TimeMs) -> bool {
+        let in_flight = self.in_flight_since;
+        let slow_commit = self.slow_commit_at;
+        self.ok
+            && self.read_ms < PULSE_MS
+            && in_flight.is_none_or(|since| now.since(since) < PULSE_MS)
+            && slow_commit.is_none_or(|at| now.since(at) >= SLOW_COMMIT_MS)
+    }
+
+    /// Takes note of how long a commit took that began at `began_at`.
+    pub(super) fn commit_took(&mut self, now: TimeMs, began_at: TimeMs) {
+        if now.since(began_at) >= PULSE_MS {
+            self.slow_commit_at = Some(now);
+        }
+    }
+
     /// Makes a read due at once.
     pub(super) fn hasten(&mut self, now: TimeMs) {
         self.next_at = self.next_at.min(now);
@@ -110,6 +138,7 @@
             }
         };
         self.table.ok = true;
+        self.table.read_ms = now.since(started_at);
         self.table.seen_epoch = self.table.seen_epoch.max(epoch);
         self.adopt_entries(now, entries, out);
         self.due.decide = true;
--- a/crates/balsam-decide/src/placer/scene.rs
+++ b/crates/balsam-decide/src/placer/context.rs
@@ -8,7 +8,7 @@
 
 /// The knowledge of the placer's daemon at one moment.
 #[derive(Clone, Copy, Debug)]
-pub struct Scene<'a> {
+pub struct PlacerContext<'a> {
     /// The time on the daemon's clock.
     pub now: TimeMs,
     /// The daemon.
@@ -17,13 +17,15 @@
     pub leaving: bool,
     /// The control state.
     pub state: &'a ControlState,
+    /// Whether the table has answered quickly of late.
+    pub table_is_quick: bool,
     /// The peers.
     pub membership: &'a Membership,
     /// The epochs that majorities have adopted.
     pub adoption: &'a Adoption,
 }
 
-impl Scene<'_> {
+impl PlacerContext<'_> {
     /// Returns whether `daemon` can take tasks: it is neither suspected nor stopping.
     pub fn is_available(&self, daemon: &DaemonInfo) -> bool {
         let incarnation = &daemon.incarnation;
--- a/crates/balsam-decide/src/placer/dispatchers.rs
+++ b/crates/balsam-decide/src/placer/dispatchers.rs
@@ -1,6 +1,6 @@
 //! The assignment of dispatchers to upstreams.
 
-use super::Scene;
+use super::PlacerContext;
 use crate::node::rendezvous_weight;
 use balsam_types::control::{Change, DaemonInfo, UpstreamInfo};
 use balsam_types::{Incarnation, Map, UpstreamName, new_map};
@@ -12,21 +12,21 @@
 type Assignment = (UpstreamName, Option<Incarnation>);
 
 /// Assigns dispatchers where one is missing, suspected, stopping or in another zone.
-pub(super) fn assign(scene: &Scene<'_>) -> Option<Change> {
-    let mut counts = Counts::new(scene);
+pub(super) fn assign(context: &PlacerContext<'_>) -> Option<Change> {
+    let mut counts = Counts::new(context);
     if counts.available.is_empty() {
         return None;
     }
     let mut pairs: Vec<Assignment> = Vec::new();
-    for upstream in scene.state.upstreams.values() {
+    for upstream in context.state.upstreams.values() {
         let assigned = counts.find(upstream.dispatcher);
         if assigned.is_some_and(|daemon| counts.is_well_placed(upstream, daemon)) {
             continue;
         }
-        pairs.extend(next_dispatcher(scene, &mut counts, upstream));
+        pairs.extend(next_dispatcher(context, &mut counts, upstream));
     }
     if pairs.is_empty() {
-        pairs.extend(even_out(scene, &counts));
+        pairs.extend(even_out(context, &counts));
     }
     (!pairs.is_empty()).then_some(Change::DispatchersAssigned { pairs })
 }
@@ -36,7 +36,7 @@
 /// An upstream that does not check grants has no dispatcher until all rights have lapsed under
 /// which its last dispatcher may have sent to it.
 fn next_dispatcher(
-    scene: &Scene<'_>,
+    context: &PlacerContext<'_>,
     counts: &mut Counts<'_>,
     upstream: &UpstreamInfo,
 ) -> Option<Assignment> {
@@ -44,8 +44,8 @@
         if upstream.dispatcher.is_some() {
             return Some((upstream.name.clone(), None));
         }
-        let cleared_at = scene.state.dispatcher_cleared.get(&upstream.name);
-        if cleared_at.is_some_and(|epoch| scene.adoption.lapsed(scene.now) < *epoch) {
+        let cleared_at = context.state.dispatcher_cleared.get(&upstream.name);
+        if cleared_at.is_some_and(|epoch| context.adoption.lapsed(context.now) < *epoch) {
             return None;
         }
     }
@@ -54,8 +54,8 @@
 }
 
 /// Moves one upstream from the busiest dispatcher of a zone to the idlest.
-fn even_out(scene: &Scene<'_>, counts: &Counts<'_>) -> Option<Assignment> {
-    let upstreams = scene.state.upstreams.values();
+fn even_out(context: &PlacerContext<'_>, counts: &Counts<'_>) -> Option<Assignment> {
+    let upstreams = context.state.upstreams.values();
     let movable = upstreams.filter(|upstream| upstream.checks_grants);
     for upstream in movable {
         let Some(from) = counts.find(upstream.dispatcher) else {
@@ -82,13 +82,13 @@
 }
 
 impl<'a> Counts<'a> {
-    fn new(scene: &Scene<'a>) -> Self {
-        let daemons = scene.state.daemons.values();
+    fn new(context: &PlacerContext<'a>) -> Self {
+        let daemons = context.state.daemons.values();
         let available = daemons
-            .filter(|daemon| scene.is_available(daemon))
+            .filter(|daemon| context.is_available(daemon))
             .collect();
         let mut upstreams = new_map();
-        for upstream in scene.state.upstreams.values() {
+        for upstream in context.state.upstreams.values() {
             if let Some(dispatcher) = upstream.dispatcher {
                 *upstreams.entry(dispatcher).or_insert(0) += 1;
             }
--- a/crates/balsam-decide/src/placer/machine.rs
+++ b/crates/balsam-decide/src/placer/machine.rs
@@ -3,7 +3,7 @@
 use super::reports::Reports;
 use super::revocations::Revocations;
 use super::summary::Summary;
-use super::{Scene, dispatchers, moves, planning, roster, statuses};
+use super::{PlacerContext, dispatchers, moves, planning, roster, statuses};
 use crate::control::ControlState;
 use crate::grants::RevokeReply;
 use crate::node::{Decision, NodeOutput, UpstreamReport};
@@ -24,7 +24,7 @@
     pub(super) balance_moves: Vec<(TimeMs, ServiceName, u64)>,
     pub(super) next_plan_at: TimeMs,
     /// The epoch at which units without an available owner could not be placed.
-    pub(super) homes_planned_at: Option<Epoch>,
+    pub(super) unowned_planned_at: Option<Epoch>,
     pub(super) summary: Summary,
     in_office: Option<Incarnation>,
     in_office_since: TimeMs,
@@ -46,7 +46,7 @@
             status_since: new_map(),
             balance_moves: Vec::new(),
             next_plan_at: TimeMs(0),
-            homes_planned_at: None,
+            unowned_planned_at: None,
             summary: Summary::default(),
             in_office: None,
             in_office_since: TimeMs(0),
@@ -63,21 +63,21 @@
     /// Returns the next change to commit while this daemon is the placer.
     ///
     /// Changes that give keys an owner again come first.
-    pub fn next_change(&mut self, scene: &Scene<'_>) -> Option<Change> {
-        self.summary.follow(scene.state);
-        moves::finish(self, scene)
-            .or_else(|| statuses::change(self, scene))
-            .or_else(|| planning::plan_homes(self, scene))
-            .or_else(|| dispatchers::assign(scene))
-            .or_else(|| roster::remove_silent(scene))
-            .or_else(|| roster::close(scene))
-            .or_else(|| statuses::remove(self, scene))
-            .or_else(|| planning::plan_balance(self, scene))
+    pub fn next_change(&mut self, context: &PlacerContext<'_>) -> Option<Change> {
+        self.summary.follow(context.state);
+        moves::finish(self, context)
+            .or_else(|| statuses::change(self, context))
+            .or_else(|| planning::plan_unowned(self, context))
+            .or_else(|| dispatchers::assign(context))
+            .or_else(|| roster::remove_silent(context))
+            .or_else(|| roster::close(context))
+            .or_else(|| statuses::remove(self, context))
+            .or_else(|| planning::plan_balance(self, context))
     }
 
     /// Returns whether this daemon should become the placer.
-    pub fn takes_over(&self, scene: &Scene<'_>) -> bool {
-        roster::takes_over(scene, self.in_office_since)
+    pub fn takes_over(&self, context: &PlacerContext<'_>) -> bool {
+        roster::takes_over(context, self.in_office_since)
     }
 
     /// Takes the reports of a dispatcher; returns whether an upstream's state differs from before.
@@ -108,9 +108,9 @@
     }
 
     /// Returns the revocations that are due.
-    pub fn revoke(&mut self, scene: &Scene<'_>) -> Vec<NodeOutput> {
-        self.summary.follow(scene.state);
-        self.revocations.due(scene, &self.summary.moving)
+    pub fn revoke(&mut self, context: &PlacerContext<'_>) -> Vec<NodeOutput> {
+        self.summary.follow(context.state);
+        self.revocations.due(context, &self.summary.moving)
     }
 
     /// Discards what was learned before a pause of this daemon itself.
--- a/crates/balsam-decide/src/placer/mod.rs
+++ b/crates/balsam-decide/src/placer/mod.rs
@@ -3,6 +3,7 @@
 //! Every decision follows from the control state, so a new placer completes what its predecessor
 //! began. See [the design page, section 5.2](../../../../docs/design.md#52-membership-and-placer).
 
+mod context;
 mod dispatchers;
 mod machine;
 mod moves;
@@ -10,9 +11,8 @@
 mod reports;
 mod revocations;
 mod roster;
-mod scene;
 mod statuses;
 mod summary;
 
+pub use context::PlacerContext;
 pub use machine::Placer;
-pub use scene::Scene;
--- a/crates/balsam-decide/src/placer/moves.rs
+++ b/crates/balsam-decide/src/placer/moves.rs
@@ -1,18 +1,18 @@
 //! The end of moves.
 
 use super::revocations::is_revocable;
-use super::{Placer, Scene};
+use super::{Placer, PlacerContext};
 use balsam_types::control::{Change, UnitOwner, UpstreamStatus};
 use balsam_types::{Epoch, Map, ServiceName, UpstreamName, new_map};
 
 /// Gives every unit its owner whose former owner can no longer run requests on it.
-pub(super) fn finish(placer: &Placer, scene: &Scene<'_>) -> Option<Change> {
-    let lapsed = scene.adoption.lapsed(scene.now);
+pub(super) fn finish(placer: &Placer, context: &PlacerContext<'_>) -> Option<Change> {
+    let lapsed = context.adoption.lapsed(context.now);
     for service in &placer.summary.moving {
-        let Some(placement) = scene.state.services.get(service) else {
+        let Some(placement) = context.state.services.get(service) else {
             continue;
         };
-        let mut targets = Targets::new(scene, service);
+        let mut targets = Targets::new(context, service);
         let mut units = Vec::new();
         for (unit, owner) in &placement.units {
             let UnitOwner::Moving {
@@ -24,7 +24,7 @@
                 continue;
             };
             let free = placer.revocations.is_acknowledged(service, *unit)
-                || has_lapsed(scene, from, *since_epoch, lapsed);
+                || has_lapsed(context, from, *since_epoch, lapsed);
             if free && let Some(to) = targets.choose(to) {
                 units.push((*unit, to));
             }
@@ -43,14 +43,19 @@
 ///
 /// Until an upstream's status changed to lost, grants let its running requests finish, so the
 /// rights of epochs before that change must have lapsed too.
-fn has_lapsed(scene: &Scene<'_>, from: &UpstreamName, since_epoch: Epoch, lapsed: Epoch) -> bool {
-    let Some(upstream) = scene.state.upstreams.get(from) else {
+fn has_lapsed(
+    context: &PlacerContext<'_>,
+    from: &UpstreamName,
+    since_epoch: Epoch,
+    lapsed: Epoch,
+) -> bool {
+    let Some(upstream) = context.state.upstreams.get(from) else {
         return lapsed >= since_epoch;
     };
     if is_revocable(upstream) {
         return false;
     }
-    let status_epoch = scene.state.status_epochs.get(from).copied();
+    let status_epoch = context.state.status_epochs.get(from).copied();
     lapsed >= since_epoch.max(status_epoch.unwrap_or_default())
 }
 
@@ -60,14 +65,14 @@
 }
 
 impl Targets {
-    fn new(scene: &Scene<'_>, service: &ServiceName) -> Self {
+    fn new(context: &PlacerContext<'_>, service: &ServiceName) -> Self {
         let mut owned = new_map();
-        for upstream in scene.state.upstreams.values() {
+        for upstream in context.state.upstreams.values() {
             if upstream.service == *service && upstream.status == UpstreamStatus::Active {
                 owned.insert(upstream.name.clone(), 0);
             }
         }
-        let placement = scene.state.services.get(service);
+        let placement = context.state.services.get(service);
         let owners = placement
             .into_iter()
             .flat_map(|placement| placement.units.values());
--- a/crates/balsam-decide/src/placer/revocations.rs
+++ b/crates/balsam-decide/src/placer/revocations.rs
@@ -1,6 +1,6 @@
 //! Revocations of units that are on planned moves.
 
-use super::Scene;
+use super::PlacerContext;
 use crate::control::ControlState;
 use crate::grants::{Revoke, RevokeReply};
 use crate::node::NodeOutput;
@@ -100,15 +100,15 @@
     /// A revocation is sent only after a majority has adopted the epoch that suspended the unit: if
     /// the former owner restarts after its acknowledgement and forgets its fence, no daemon can
     /// gain a new right under which it would grant the unit again.
-    pub fn due(&mut self, scene: &Scene<'_>, moving: &[ServiceName]) -> Vec<NodeOutput> {
-        self.settle(scene.state);
+    pub fn due(&mut self, context: &PlacerContext<'_>, moving: &[ServiceName]) -> Vec<NodeOutput> {
+        self.settle(context.state);
         let adopted = match self.without {
-            Some(Safeguard::AdoptionBeforeRevoke) => scene.state.epoch,
-            _ => scene.adoption.adopted(),
+            Some(Safeguard::AdoptionBeforeRevoke) => context.state.epoch,
+            _ => context.adoption.adopted(),
         };
         let mut by_upstream: BTreeMap<&UpstreamName, BTreeSet<UnitId>> = BTreeMap::new();
         for service in moving {
-            let placement = scene.state.services.get(service);
+            let placement = context.state.services.get(service);
             for (unit, owner) in placement.into_iter().flat_map(|placement| &placement.units) {
                 if let UnitOwner::Moving {
                     from, since_epoch, ..
@@ -122,16 +122,16 @@
         }
         let mut out = Vec::new();
         for (name, units) in by_upstream {
-            let Some(upstream) = scene.state.upstreams.get(name) else {
+            let Some(upstream) = context.state.upstreams.get(name) else {
                 continue;
             };
             let next_at = self.next_at.get(name).copied().unwrap_or_default();
-            if !is_revocable(upstream) || scene.now < next_at {
+            if !is_revocable(upstream) || context.now < next_at {
                 continue;
             }
             self.next_at
-                .insert(name.clone(), scene.now.after(REPLY_TIMEOUT_MS));
-            let epoch = scene.state.fence_epoch(name);
+                .insert(name.clone(), context.now.after(REPLY_TIMEOUT_MS));
+            let epoch = context.state.fence_epoch(name);
             out.push(NodeOutput::SendRevoke {
                 upstream: name.clone(),
                 address: upstream.address,
--- a/crates/balsam-decide/src/placer/statuses.rs
+++ b/crates/balsam-decide/src/placer/statuses.rs
@@ -1,7 +1,7 @@
 //! Status changes, arrivals and removals of upstreams.
 
 use super::reports::Verdict;
-use super::{Placer, Scene};
+use super::{Placer, PlacerContext};
 use balsam_types::UpstreamName;
 use balsam_types::control::{
     Change, Instance, InstanceKind, InstanceState, UnitOwner, UpstreamInfo, UpstreamStatus,
@@ -11,32 +11,32 @@
 const LOST_REMOVE_MS: u64 = 600_000;
 
 /// Returns the upstreams that join or change.
-pub(super) fn change(placer: &Placer, scene: &Scene<'_>) -> Option<Change> {
-    let known = scene.state.upstreams.values();
+pub(super) fn change(placer: &Placer, context: &PlacerContext<'_>) -> Option<Change> {
+    let known = context.state.upstreams.values();
     let mut upstreams: Vec<UpstreamInfo> = known
-        .map(|upstream| updated(placer, scene, upstream))
-        .filter(|updated| scene.state.upstreams.get(&updated.name) != Some(updated))
+        .map(|upstream| updated(placer, context, upstream))
+        .filter(|updated| context.state.upstreams.get(&updated.name) != Some(updated))
         .collect();
-    upstreams.extend(arrived(placer, scene));
+    upstreams.extend(arrived(placer, context));
     (!upstreams.is_empty()).then_some(Change::UpstreamsChanged { upstreams })
 }
 
 /// Returns upstreams that own nothing and are gone for good.
-pub(super) fn remove(placer: &Placer, scene: &Scene<'_>) -> Option<Change> {
+pub(super) fn remove(placer: &Placer, context: &PlacerContext<'_>) -> Option<Change> {
     placer.instances.as_ref()?;
     let is_gone = |upstream: &&UpstreamInfo| {
         let lost_ms = placer
             .status_since
             .get(&upstream.name)
-            .map_or(0, |(_, since)| scene.now.since(*since));
+            .map_or(0, |(_, since)| context.now.since(*since));
         let ended = match upstream.status {
             UpstreamStatus::Active => false,
             UpstreamStatus::Draining => true,
             UpstreamStatus::Lost => lost_ms >= LOST_REMOVE_MS,
         };
-        ended && listed(placer, &upstream.name).is_none() && !holds_units(scene, upstream)
+        ended && listed(placer, &upstream.name).is_none() && !holds_units(context, upstream)
     };
-    let upstreams = scene.state.upstreams.values();
+    let upstreams = context.state.upstreams.values();
     let names: Vec<UpstreamName> = upstreams
         .filter(is_gone)
         .map(|upstream| upstream.name.clone())
@@ -49,9 +49,9 @@
     instances.find(|instance| instance.kind == InstanceKind::Upstream && instance.name == *name)
 }
 
-fn holds_units(scene: &Scene<'_>, upstream: &UpstreamInfo) -> bool {
+fn holds_units(context: &PlacerContext<'_>, upstream: &UpstreamInfo) -> bool {
     let name = &upstream.name;
-    let Some(placement) = scene.state.services.get(&upstream.service) else {
+    let Some(placement) = context.state.services.get(&upstream.service) else {
         return false;
     };
     placement.units.values().any(|owner| match owner {
@@ -60,14 +60,14 @@
     })
 }
 
-fn updated(placer: &Placer, scene: &Scene<'_>, upstream: &UpstreamInfo) -> UpstreamInfo {
+fn updated(placer: &Placer, context: &PlacerContext<'_>, upstream: &UpstreamInfo) -> UpstreamInfo {
     let instance = listed(placer, &upstream.name);
-    let verdict = placer.reports.verdict(scene.now, &upstream.name);
+    let verdict = placer.reports.verdict(context.now, &upstream.name);
     let mut next = upstream.clone();
     if let Some(instance) = instance {
         next.slots = instance.slots;
         next.connections = instance.connections;
-        if is_replaceable(scene, upstream) {
+        if is_replaceable(context, upstream) {
             next.address = instance.address;
             next.zone = instance.zone.clone();
             next.checks_grants = instance.checks_grants;
@@ -78,10 +78,10 @@
 }
 
 /// Returns whether no process at the upstream's present address can hold a grant any longer.
-fn is_replaceable(scene: &Scene<'_>, upstream: &UpstreamInfo) -> bool {
-    let status_epoch = scene.state.status_epochs.get(&upstream.name).copied();
+fn is_replaceable(context: &PlacerContext<'_>, upstream: &UpstreamInfo) -> bool {
+    let status_epoch = context.state.status_epochs.get(&upstream.name).copied();
     upstream.status == UpstreamStatus::Lost
-        && scene.adoption.lapsed(scene.now) >= status_epoch.unwrap_or_default()
+        && context.adoption.lapsed(context.now) >= status_epoch.unwrap_or_default()
 }
 
 fn next_status(
@@ -105,12 +105,12 @@
 }
 
 /// Returns the live upstreams of the list that are not known yet.
-fn arrived(placer: &Placer, scene: &Scene<'_>) -> Vec<UpstreamInfo> {
+fn arrived(placer: &Placer, context: &PlacerContext<'_>) -> Vec<UpstreamInfo> {
     let instances = placer.instances.iter().flat_map(|list| list.iter());
     instances
         .filter(|instance| instance.kind == InstanceKind::Upstream)
         .filter(|instance| instance.state == InstanceState::Live)
-        .filter(|instance| !scene.state.upstreams.contains_key(&instance.name))
+        .filter(|instance| !context.state.upstreams.contains_key(&instance.name))
         .filter_map(|instance| {
             Some(UpstreamInfo {
                 name: instance.name.clone(),
