--- a/crates/balsam-daemon/src/request/dispatch/task.rs
+++ b/crates/balsam-daemon/src/request/dispatch/task.rs
@@ -10,7 +10,8 @@
 };
 use balsam_decide::node::{Located, UpstreamReport, View};
 use balsam_types::control::UpstreamInfo;
-use balsam_types::{Epoch, Map, NotRunReason, UpstreamName, new_map};
+use balsam_types::timing::RIGHT_TTL_MS;
+use balsam_types::{Epoch, Map, NotRunReason, TimeMs, UpstreamName, new_map};
 use futures_util::StreamExt;
 use futures_util::future::BoxFuture;
 use futures_util::stream::FuturesUnordered;
@@ -44,6 +45,8 @@
     running: Map<Id, Ticket>,
     forwards: JoinSet<ForwardDone>,
     next_ticket: u64,
+    /// When the upstream last answered a request in full.
+    answered_at: TimeMs,
     /// The epoch at which waiting requests were last looked up.
     checked_epoch: Epoch,
 }
@@ -63,6 +66,7 @@
             running: new_map(),
             forwards: JoinSet::new(),
             next_ticket: 0,
+            answered_at: TimeMs(0),
             checked_epoch: Epoch(0),
         }
     }
@@ -188,11 +192,24 @@
             reply,
             permit,
             crashes: self.context.crashes.clone(),
+            alive_at: self.alive_at(),
         };
         let id = self.forwards.spawn(forward::run(job)).id();
         self.running.insert(id, ticket);
     }
 
+    /// Returns when the upstream was last known to run.
+    ///
+    /// A grant that is in force was accepted at most the life of a right ago.
+    fn alive_at(&self) -> TimeMs {
+        let is_granted = self.views.borrow().granted.contains(&self.upstream);
+        let granted_at = TimeMs(now().0.saturating_sub(RIGHT_TTL_MS));
+        if is_granted {
+            return self.answered_at.max(granted_at);
+        }
+        self.answered_at
+    }
+
     /// Takes the connection that was used last, and closes those that cannot be used any more.
     fn take_idle(&mut self) -> Option<UpstreamConnection> {
         let address = self.info()?.address;
@@ -215,6 +232,9 @@
         let mut result = SlotResult::Failed;
         if let Some(done) = done {
             result = done.result;
+            if done.connection.is_some() {
+                self.answered_at = now();
+            }
             self.idle.extend(done.connection);
         }
         self.step(DispatchInput::Finished { ticket, result });
--- a/crates/balsam-daemon/src/request/forward/mod.rs
+++ b/crates/balsam-daemon/src/request/forward/mod.rs
@@ -16,7 +16,7 @@
 use super::message::{Answer, Attempt, AttemptResult, BODY_PARTS, Failure};
 use super::quarantine::Crashes;
 use balsam_decide::dispatch::SlotResult;
-use balsam_types::{NotRunReason, RequestHead, UnknownReason};
+use balsam_types::{NotRunReason, RequestHead, TimeMs, UnknownReason};
 use exchange::{Ended, Started};
 use http::Method;
 use tokio::sync::{mpsc, oneshot};
@@ -34,6 +34,8 @@
     pub(crate) permit: SendPermit,
     /// Where broken connections are reported.
     pub(crate) crashes: Crashes,
+    /// When the upstream was last known to run.
+    pub(crate) alive_at: TimeMs,
 }
 
 /// A request that gives its slot back.
@@ -53,6 +55,7 @@
         connection,
         permit,
         crashes,
+        alive_at,
     } = job;
     let service = attempt.request.head.service.clone();
     let fingerprint = attempt.request.fingerprint;
@@ -94,9 +97,11 @@
                 Failure::NotRun(NotRunReason::Shed) => SlotResult::Shed,
                 _ => SlotResult::Failed,
             };
-            // The crash is reported first, so that it counts before the request comes again.
+            // The crash is reported first, so that it counts before the request comes again. A
+            // process that has not run since the last crash cannot have crashed again: something
+            // else accepts connections at its address and closes them.
             if let Some(sent_at) = crashed {
-                crashes.report(service, fingerprint, sent_at);
+                crashes.report(service, fingerprint, sent_at.min(alive_at));
             }
             // The caller may have gone away.
             drop(reply.send(Err(failure)));
--- a/crates/balsam-decide/src/placer/roster.rs
+++ b/crates/balsam-decide/src/placer/roster.rs
@@ -27,14 +27,14 @@
         .then_some(Change::RostersClosed { through: lapsed })
 }
 
-/// Returns whether this daemon is next in line while the placer is missing or suspected.
+/// Returns whether this daemon is the next candidate while the placer is missing or suspected.
 ///
-/// A new placer is left in office for [`SUSPECT_MS`], so that daemons that cannot reach each other
+/// A new placer is not replaced within [`SUSPECT_MS`], so that daemons that cannot reach each other
 /// but all reach the table do not replace each other at every read.
 pub(super) fn takes_over(context: &PlacerContext<'_>, placer_since: TimeMs) -> bool {
     if let Some(placer) = context.state.placer {
-        let in_office = context.now.since(placer_since) < SUSPECT_MS;
-        if in_office || !context.membership.is_suspected(context.now, &placer) {
+        let is_new = context.now.since(placer_since) < SUSPECT_MS;
+        if is_new || !context.membership.is_suspected(context.now, &placer) {
             return false;
         }
     }
--- a/crates/balsam-types/src/settings/key.rs
+++ b/crates/balsam-types/src/settings/key.rs
@@ -127,7 +127,10 @@
     /// Connections to each upstream.
     Connections = "connections", count(1, 10_000, 120);
     /// The shortest time between two transactions of order claims.
-    OrderGroupMs = "order_group_ms", millis(1, 1_000, 20);
+    ///
+    /// At the default, 11 daemons send at most 275 transactions a second, which leaves room in a
+    /// table that takes several hundred.
+    OrderGroupMs = "order_group_ms", millis(1, 1_000, 40);
     /// Crashed upstream connections after which equal requests are refused.
     QuarantineCrashes = "quarantine_crashes", count(1, 100, 3);
     /// How long equal requests are refused after that.
