Share the loop of exchanges and the walk over rank policies

Cause: two tasks had the same loop and three the same walk. Change: run_exchanges and SettingsTree::rank_policies.

--- a/crates/balsam-daemon/src/control/distribute/mod.rs
+++ b/crates/balsam-daemon/src/control/distribute/mod.rs
@@ -1,5 +1,6 @@
 //! Messages to peers and upstreams.
 
+mod exchanges;
 mod peers;
 mod upstreams;
 
--- a/crates/balsam-daemon/src/control/distribute/peers.rs
+++ b/crates/balsam-daemon/src/control/distribute/peers.rs
@@ -1,12 +1,11 @@
 //! The task that sends pulses and fetches changes.
 
+use super::exchanges::run_exchanges;
 use crate::control::decide::ControlInput;
 use crate::peer::{PeerClient, PeerRequest, PeerResponse};
 use balsam_decide::node::{NodeInput, Pulse, SourcePeer};
 use balsam_types::Epoch;
 use balsam_types::timing::PULSE_MS;
-use futures_util::StreamExt;
-use futures_util::stream::FuturesUnordered;
 use std::time::Duration;
 use tokio::sync::mpsc;
 use tokio::time::Instant;
@@ -62,22 +61,9 @@
     }
 
     /// Runs until all senders of requests are gone.
-    pub async fn run(mut self) {
-        let mut running = FuturesUnordered::new();
-        loop {
-            tokio::select! {
-                Some(exchange) = self.exchanges.recv(), if running.len() < EXCHANGES => {
-                    running.push(exchange_with_peer(self.client.clone(), exchange));
-                }
-                Some(input) = running.next() => {
-                    if let Some(input) = input {
-                        // The control task is gone only while the daemon exits.
-                        let _ = self.inputs.send(ControlInput::Node(input)).await;
-                    }
-                }
-                else => return,
-            }
-        }
+    pub async fn run(self) {
+        let begin = |exchange| exchange_with_peer(self.client.clone(), exchange);
+        run_exchanges(self.exchanges, self.inputs, EXCHANGES, begin).await;
     }
 }
 
--- a/crates/balsam-daemon/src/control/distribute/upstreams.rs
+++ b/crates/balsam-daemon/src/control/distribute/upstreams.rs
@@ -1,13 +1,12 @@
 //! The task that sends grants and revocations.
 
+use super::exchanges::run_exchanges;
 use crate::control::decide::ControlInput;
 use crate::control::edge::{Clock, UpstreamControl};
 use balsam_decide::grants::{Grant, Revoke};
 use balsam_decide::node::NodeInput;
 use balsam_types::timing::SUSPECT_MS;
 use balsam_types::{TimeMs, UpstreamName};
-use futures_util::StreamExt;
-use futures_util::stream::FuturesUnordered;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::sync::mpsc;
@@ -70,23 +69,10 @@
     }
 
     /// Runs until all senders of requests are gone.
-    pub async fn run(mut self) {
-        let mut running = FuturesUnordered::new();
-        loop {
-            tokio::select! {
-                Some(exchange) = self.exchanges.recv(), if running.len() < EXCHANGES => {
-                    let (upstreams, clock) = (self.upstreams.clone(), self.clock.clone());
-                    running.push(exchange_with_upstream(upstreams, clock, exchange));
-                }
-                Some(input) = running.next() => {
-                    if let Some(input) = input {
-                        // The control task is gone only while the daemon exits.
-                        let _ = self.inputs.send(ControlInput::Node(input)).await;
-                    }
-                }
-                else => return,
-            }
-        }
+    pub async fn run(self) {
+        let begin =
+            |exchange| exchange_with_upstream(self.upstreams.clone(), self.clock.clone(), exchange);
+        run_exchanges(self.exchanges, self.inputs, EXCHANGES, begin).await;
     }
 }
 
--- a/crates/balsam-daemon/src/request/admit/task.rs
+++ b/crates/balsam-daemon/src/request/admit/task.rs
@@ -140,16 +140,12 @@
 
 fn limits(settings: &SettingsTree) -> Map<EntryRank, EntryLimits> {
     let mut limits = new_map();
-    for service in settings.services() {
-        for rank in settings.ranks(service) {
-            if let Some(policy) = settings.rank_policy(service, rank) {
-                let rank = EntryRank {
-                    service: service.clone(),
-                    rank: rank.clone(),
-                };
-                limits.insert(rank, EntryLimits::from(&policy));
-            }
-        }
+    for (service, rank, policy) in settings.rank_policies() {
+        let rank = EntryRank {
+            service: service.clone(),
+            rank: rank.clone(),
+        };
+        limits.insert(rank, EntryLimits::from(&policy));
     }
     limits
 }
--- a/crates/balsam-daemon/src/request/orders/task.rs
+++ b/crates/balsam-daemon/src/request/orders/task.rs
@@ -207,11 +207,8 @@
 
 /// Returns the shortest group time of all ranks that take orders.
 fn group_ms(settings: &SettingsTree) -> u64 {
-    let ranks = settings.services().flat_map(|service| {
-        let ranks = settings.ranks(service);
-        ranks.filter_map(|rank| settings.rank_policy(service, rank))
-    });
-    let times = ranks.filter(|policy| policy.orders);
-    let shortest = times.map(|policy| policy.order_group_ms).min();
+    let policies = settings.rank_policies().map(|(_, _, policy)| policy);
+    let taking_orders = policies.filter(|policy| policy.orders);
+    let shortest = taking_orders.map(|policy| policy.order_group_ms).min();
     shortest.unwrap_or_else(|| settings.number(&NodePath::Root, SettingKey::OrderGroupMs))
 }
--- a/crates/balsam-daemon/src/request/retry/mod.rs
+++ b/crates/balsam-daemon/src/request/retry/mod.rs
@@ -83,16 +83,12 @@
 
 fn percents(settings: &SettingsTree) -> Map<EntryRank, u64> {
     let mut percents = new_map();
-    for service in settings.services() {
-        for rank in settings.ranks(service) {
-            if let Some(policy) = settings.rank_policy(service, rank) {
-                let rank = EntryRank {
-                    service: service.clone(),
-                    rank: rank.clone(),
-                };
-                percents.insert(rank, policy.retry_budget_percent);
-            }
-        }
+    for (service, rank, policy) in settings.rank_policies() {
+        let rank = EntryRank {
+            service: service.clone(),
+            rank: rank.clone(),
+        };
+        percents.insert(rank, policy.retry_budget_percent);
     }
     percents
 }
--- a/crates/balsam-decide/src/settings/policy.rs
+++ b/crates/balsam-decide/src/settings/policy.rs
@@ -121,6 +121,16 @@
         })
     }
 
+    /// Returns the policies of all ranks of all services.
+    pub fn rank_policies(&self) -> impl Iterator<Item = (&ServiceName, &RankName, RankPolicy)> {
+        self.nodes().filter_map(|(path, _)| match path {
+            NodePath::Rank(service, rank) => {
+                Some((service, rank, self.rank_policy(service, rank)?))
+            }
+            _ => None,
+        })
+    }
+
     /// Returns the policy of a member; a member without a node inherits from its rank.
     pub fn member_policy(
         &self,
