Test that an oversized header is refused as not run

Cause: no test sent a request head beyond header_bytes. Result: refused with 400 and bad-request; it passed at once, so it guards against a regression only.

--- a/crates/balsam-standins/tests/whole_path.rs
+++ b/crates/balsam-standins/tests/whole_path.rs
@@ -108,6 +108,7 @@
 #[case::unknown_rank(Sent::get("/catalogue/key").with_header("Balsam-Rank", "none"), 404, "unknown-rank")]
 #[case::missing_key(Sent::get("/catalogue"), 400, "bad-request")]
 #[case::missing_order_id(Sent::post("/ledger/key", "body"), 400, "missing-order-id")]
+#[case::oversized_header(Sent::get("/catalogue/key").with_header("X-Large", "x".repeat(40_000)), 400, "bad-request")]
 #[case::bad_deadline(Sent::get("/catalogue/key").with_header("Balsam-Deadline-Ms", "soon"), 400, "bad-request")]
 #[actix_rt::test]
 async fn bad_request_is_refused(
