Send assignments to the other daemons by datagrams

Ruled out: fewer commits, which would leave busy ranges where they are longer. Change: the giver pushes what a commit changed to the daemons it hears from, and its signs of life name the versions; a daemon that is behind reads the store. Rows of daemons are gone: they greet the giver whose address is in its row.

--- /dev/null
+++ b/crates/balsam-decide/src/keys/delta.rs
@@ -0,0 +1,37 @@
+//! The difference between two versions of a service's assignments.
+
+use balsam_types::{Assignment, ServiceRanges};
+
+/// Returns the assignments of `new` that `old` does not have.
+pub fn delta(old: &ServiceRanges, new: &ServiceRanges) -> ServiceRanges {
+    let is_new = |found: &&Assignment| {
+        let at = old
+            .assignments
+            .partition_point(|other| other.range < found.range);
+        old.assignments.get(at) != Some(*found)
+    };
+    ServiceRanges {
+        service: new.service.clone(),
+        next_fence: new.next_fence,
+        assignments: new.assignments.iter().filter(is_new).cloned().collect(),
+    }
+}
+
+/// Returns the assignments that differ from `old` by `delta`, or `None` if they do not fit.
+pub fn apply_delta(old: &ServiceRanges, delta: &ServiceRanges) -> Option<ServiceRanges> {
+    let is_replaced = |found: &Assignment| {
+        delta
+            .assignments
+            .iter()
+            .any(|new| new.range.first <= found.range.last && found.range.first <= new.range.last)
+    };
+    let kept = old.assignments.iter().filter(|found| !is_replaced(found));
+    let mut assignments: Vec<Assignment> = kept.chain(&delta.assignments).cloned().collect();
+    assignments.sort_by_key(|found| found.range);
+    let new = ServiceRanges {
+        service: delta.service.clone(),
+        next_fence: delta.next_fence,
+        assignments,
+    };
+    (old.service == delta.service && new.is_sound()).then_some(new)
+}
--- a/crates/balsam-decide/src/keys/giver.rs
+++ b/crates/balsam-decide/src/keys/giver.rs
@@ -91,7 +91,7 @@
             sent: new_map(),
             last_order: 0,
             pending: None,
-            reload_at: None,
+            reload_at: Some(now),
             is_reloading: false,
             confirm_at: now,
         }
@@ -111,6 +111,15 @@
         }
     }
 
+    /// Returns the version of the row of the giver, as far as this daemon knows.
+    pub const fn lead_version(&self) -> RowVersion {
+        match &self.lead {
+            Lead::Unread => RowVersion(0),
+            Lead::Other(stored) => stored.version,
+            Lead::Mine { version, .. } => *version,
+        }
+    }
+
     /// Returns the stored assignments of a service and their version.
     pub fn stored(&self, service: &ServiceName) -> Option<&StoredRanges> {
         self.services.get(service).map(ServiceState::stored)
@@ -134,6 +143,11 @@
             }
             GiverInput::Confirmed { asked_at, version } => self.confirmed(now, asked_at, version),
             GiverInput::Heard(incarnation) => self.heard(now, incarnation),
+            GiverInput::Behind => {
+                if self.reload_at.is_none() {
+                    self.reload_at = Some(now.after(RELOAD_RETRY_MS));
+                }
+            }
             GiverInput::World { upstreams, keyed } => {
                 self.upstreams = upstreams;
                 self.keyed = keyed;
--- a/crates/balsam-decide/src/keys/message.rs
+++ b/crates/balsam-decide/src/keys/message.rs
@@ -5,6 +5,7 @@
     DaemonName, Fence, Incarnation, KeyRange, Owner, ServiceName, ServiceRanges, ShardKey, TimeMs,
 };
 use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 /// The version of a row in the store; 0 stands for a row that does not exist.
@@ -18,6 +19,8 @@
     pub daemon: DaemonName,
     /// Its life.
     pub incarnation: Incarnation,
+    /// Where it takes datagrams of other daemons.
+    pub address: SocketAddr,
 }
 
 /// The row that names the giver.
@@ -156,6 +159,8 @@
     },
     /// The giver with this life was heard.
     Heard(Incarnation),
+    /// The giver has committed assignments that this daemon does not know.
+    Behind,
     /// The upstreams and the services that are divided by key.
     World {
         /// The upstreams.
--- a/crates/balsam-decide/src/keys/mod.rs
+++ b/crates/balsam-decide/src/keys/mod.rs
@@ -3,6 +3,7 @@
 //! See [the platform page](../../../../docs/platform.md#ownership-of-keys) for why no two upstreams
 //! hold a key at once.
 
+mod delta;
 mod giver;
 mod holds;
 mod load;
@@ -14,6 +15,7 @@
 mod service;
 mod timing;
 
+pub use delta::{apply_delta, delta};
 pub use giver::Giver;
 pub use load::KeyLoad;
 pub use message::{
--- a/crates/balsam-edge/src/assembly.rs
+++ b/crates/balsam-edge/src/assembly.rs
@@ -8,7 +8,7 @@
 use crate::probe::{self, Probe};
 use crate::request::{Chain, HeaderNames, Phase, Recorder, run_listener};
 use crate::settings::Settings;
-use crate::store::{DaemonRow, OwnKey, StoreRequest};
+use crate::store::StoreRequest;
 use crate::view::View;
 use balsam_decide::keys::{KeyTiming, Leader};
 use balsam_decide::pool::PoolSettings;
@@ -21,9 +21,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpListener;
-use tokio::sync::{mpsc, oneshot, watch};
+use tokio::sync::{mpsc, watch};
 use tokio::task::JoinHandle;
-use tokio::time::{sleep, timeout};
+use tokio::time::sleep;
 
 /// Messages that wait for a task.
 const CHANNEL_MESSAGES: usize = 256;
@@ -37,9 +37,6 @@
 /// The part of the grace time that is left for the end of the process.
 const EXIT_RESERVE: Duration = Duration::from_millis(500);
 
-/// How long the removal of the daemon's own row is awaited.
-const UNREGISTER_TIME: Duration = Duration::from_millis(300);
-
 /// What the adapter to the platform provides.
 #[derive(Debug)]
 pub struct Adapter {
@@ -77,8 +74,6 @@
 pub struct Edge {
     phase: watch::Sender<Phase>,
     listener: JoinHandle<()>,
-    store: mpsc::Sender<StoreRequest>,
-    row: Arc<str>,
     grace: Duration,
 }
 
@@ -113,14 +108,10 @@
         let me = Leader {
             daemon: settings.daemon.clone(),
             incarnation: Incarnation(rand::random()),
+            address,
         };
         let timing = KeyTiming::new(settings.bounds.hold_max_ms());
         let stagger_ms = rand::random_range(0..timing.silent_ms / 2);
-        let row = DaemonRow {
-            incarnation: me.incarnation,
-            address,
-        };
-        let key = OwnKey::Daemon(settings.daemon.clone()).text();
         let links = ControlLinks {
             store: adapter.store.clone(),
             orders: adapter.orders,
@@ -129,7 +120,7 @@
             views: publisher,
             metrics: metrics.clone(),
         };
-        let task = ControlTask::new(me, row, timing, stagger_ms, links);
+        let task = ControlTask::new(me, timing, stagger_ms, links);
         actix_rt::spawn(control::run(task, inputs));
 
         let pool = PoolSettings {
@@ -164,8 +155,6 @@
         Ok(Self {
             phase,
             listener: actix_rt::spawn(listener),
-            store: adapter.store,
-            row: key,
             grace,
         })
     }
@@ -174,17 +163,6 @@
     /// flight and ends within the grace time.
     pub async fn stop(self) {
         self.phase.send_replace(Phase::Leaving);
-        let (reply, answer) = oneshot::channel();
-        let removal = StoreRequest::Write {
-            expected: Vec::new(),
-            rows: Vec::new(),
-            removed: vec![self.row],
-            reply,
-        };
-        // The row is replaced when the daemon starts again; without the store it stays.
-        if self.store.send(removal).await.is_ok() {
-            drop(timeout(UNREGISTER_TIME, answer).await);
-        }
         sleep(LEAVE_TIME.min(self.grace)).await;
         self.phase.send_replace(Phase::Closing);
         // The listener ends by itself within the rest of the grace time.
--- a/crates/balsam-edge/src/control/message.rs
+++ b/crates/balsam-edge/src/control/message.rs
@@ -1,8 +1,10 @@
 //! What the control task is told.
 
+use crate::peer::PeerMessage;
 use crate::store::{Page, StoreError, StoreTable};
 use balsam_decide::keys::{CommitResult, OrderId, OrderResult, RowVersion};
-use balsam_types::{Incarnation, ServiceName, ShardKey, TimeMs};
+use balsam_types::{ServiceName, ShardKey, TimeMs};
+use std::net::SocketAddr;
 
 /// News of a table.
 #[derive(Debug)]
@@ -31,18 +33,16 @@
     Reloaded(Result<Page, StoreError>),
     /// An order has ended.
     Ordered { id: OrderId, result: OrderResult },
-    /// The giver was heard.
-    Heard(Incarnation),
+    /// Another daemon has sent a message.
+    Peer {
+        from: SocketAddr,
+        message: PeerMessage,
+    },
     /// Requests were made on keys at this daemon.
     Sampled {
         service: ServiceName,
         keys: Vec<ShardKey>,
     },
-    /// Requests were made on keys at another daemon.
-    PeerSampled {
-        service: ServiceName,
-        keys: Vec<ShardKey>,
-    },
     /// An upstream does not hold a key that it should.
     NotHeld { service: ServiceName, key: ShardKey },
 }
--- a/crates/balsam-edge/src/control/mod.rs
+++ b/crates/balsam-edge/src/control/mod.rs
@@ -4,6 +4,8 @@
 mod follow;
 mod lines;
 mod message;
+mod peers;
+mod tables;
 mod task;
 
 pub(crate) use message::{ControlInput, Followed};
--- /dev/null
+++ b/crates/balsam-edge/src/control/peers.rs
@@ -0,0 +1,143 @@
+//! What the control task hears from other daemons and tells them.
+
+use super::task::ControlTask;
+use crate::clock::now;
+use crate::peer::{Beacon, PeerMessage, PeerOutput, RangesDelta};
+use balsam_decide::keys::{GiverInput, RowVersion, StoredLead, StoredRanges, apply_delta, delta};
+use balsam_types::{Map, ServiceName, ServiceRanges, ShardKey, TimeMs};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// The time between two signs of life of the giver, in milliseconds; several fit into the time
+/// after which it counts as silent.
+const BEACON_MS: u64 = 250;
+
+/// The time between two greetings to the giver, in milliseconds.
+const HELLO_MS: u64 = 1_000;
+
+impl ControlTask {
+    /// Sends the signs of life that are due.
+    pub(super) fn keep_in_touch(&mut self, now: TimeMs) {
+        let peers = self.book.peers(now, self.me.address);
+        if self.giver.is_leading() {
+            if now >= self.beacon_at {
+                self.beacon_at = now.after(BEACON_MS);
+                self.daemons = peers.len() as u32 + 1;
+                self.publish_ranges();
+                let beacon = self.beacon(peers.clone());
+                self.send(peers, PeerMessage::Lead(beacon));
+            }
+        } else if now >= self.hello_at
+            && let Some(leader) = self.giver.leader()
+        {
+            self.hello_at = now.after(HELLO_MS);
+            self.send(vec![leader.address], PeerMessage::Hello);
+        }
+    }
+
+    fn beacon(&self, peers: Vec<SocketAddr>) -> Beacon {
+        let keyed = self.view.ranges.keys();
+        let ranges = keyed.filter_map(|service| {
+            let stored = self.giver.stored(service)?;
+            Some((service.clone(), stored.version.0))
+        });
+        Beacon {
+            leader: self.me.clone(),
+            version: self.giver.lead_version().0,
+            ranges: ranges.collect(),
+            peers,
+        }
+    }
+
+    /// Takes a message of another daemon.
+    pub(super) fn hear(&mut self, from: SocketAddr, message: PeerMessage) {
+        self.book.heard(now(), from);
+        match message {
+            PeerMessage::Hello => {}
+            PeerMessage::Lead(beacon) => self.hear_beacon(beacon),
+            PeerMessage::Ranges(delta) => self.hear_delta(&delta),
+            PeerMessage::Sample { service, keys } => {
+                self.give(GiverInput::Sampled { service, keys });
+            }
+        }
+    }
+
+    fn hear_beacon(&mut self, beacon: Beacon) {
+        let incarnation = beacon.leader.incarnation;
+        let version = RowVersion(beacon.version);
+        if version < self.giver.lead_version() {
+            return;
+        }
+        self.give(GiverInput::Lead(StoredLead {
+            version,
+            leader: Some(beacon.leader),
+        }));
+        self.give(GiverInput::Heard(incarnation));
+        for peer in &beacon.peers {
+            self.book.heard(now(), *peer);
+        }
+        self.daemons = beacon.peers.len() as u32 + 1;
+        let is_behind = beacon.ranges.iter().any(|(service, version)| {
+            let known = self.giver.stored(service);
+            known.is_none_or(|known| known.version.0 < *version)
+        });
+        if is_behind {
+            self.give(GiverInput::Behind);
+        }
+        self.publish_ranges();
+    }
+
+    fn hear_delta(&mut self, delta: &RangesDelta) {
+        let known = self.giver.stored(&delta.changed.service);
+        let known = known.filter(|known| known.version.0 == delta.base);
+        // What does not fit is read from the store once a sign of life names the version.
+        if let Some(ranges) = known.and_then(|known| apply_delta(&known.ranges, &delta.changed)) {
+            let version = RowVersion(delta.version);
+            let ranges = Arc::new(ranges);
+            self.give(GiverInput::Ranges(StoredRanges { version, ranges }));
+            self.publish_ranges();
+        }
+    }
+
+    /// Tells the other daemons what a commit of this one has changed.
+    pub(super) fn push_ranges(&mut self, before: &Map<ServiceName, (u64, Arc<ServiceRanges>)>) {
+        if !self.giver.is_leading() {
+            return;
+        }
+        let peers = self.book.peers(now(), self.me.address);
+        let mut deltas = Vec::new();
+        for (service, new) in &self.view.ranges {
+            let (Some((base, old)), Some(stored)) =
+                (before.get(service), self.giver.stored(service))
+            else {
+                continue;
+            };
+            if !Arc::ptr_eq(old, new) {
+                let version = stored.version.0;
+                deltas.push(RangesDelta {
+                    base: *base,
+                    version,
+                    changed: delta(old, new),
+                });
+            }
+        }
+        for delta in deltas {
+            self.send(peers.clone(), PeerMessage::Ranges(delta));
+        }
+    }
+
+    /// Passes the keys of this daemon's requests on to the giver.
+    pub(super) fn sampled(&mut self, service: ServiceName, keys: Vec<ShardKey>) {
+        if self.giver.is_leading() {
+            return self.give(GiverInput::Sampled { service, keys });
+        }
+        if let Some(target) = self.giver.leader().map(|leader| leader.address) {
+            self.send(vec![target], PeerMessage::Sample { service, keys });
+        }
+    }
+
+    fn send(&self, targets: Vec<SocketAddr>, message: PeerMessage) {
+        // Whatever is lost here is repeated or read from the store.
+        drop(self.peers.try_send(PeerOutput { targets, message }));
+    }
+}
--- a/crates/balsam-edge/src/peer/book.rs
+++ b/crates/balsam-edge/src/peer/book.rs
@@ -1,41 +1,35 @@
 //! The addresses of the other daemons.
 
-use crate::store::DaemonRow;
-use balsam_decide::keys::Leader;
-use balsam_types::{DaemonName, Map};
+use balsam_types::{Map, TimeMs, new_map};
 use std::net::SocketAddr;
 
-/// The daemons that the store names.
-#[derive(Debug, Default)]
+/// How long a daemon that was not heard is still counted, in milliseconds; a daemon that is
+/// restarted is back well within it.
+const HEARD_MS: u64 = 10_000;
+
+/// The daemons that this one has heard of.
+#[derive(Debug)]
 pub(crate) struct PeerBook {
-    rows: Map<DaemonName, DaemonRow>,
+    heard: Map<SocketAddr, TimeMs>,
 }
 
 impl PeerBook {
-    /// Adds a daemon or its new life.
-    pub(crate) fn put(&mut self, daemon: DaemonName, row: DaemonRow) {
-        self.rows.insert(daemon, row);
-    }
-
-    /// Removes a daemon.
-    pub(crate) fn remove(&mut self, daemon: &DaemonName) {
-        self.rows.remove(daemon);
-    }
-
-    /// Returns the address of the giver, if it is known in this life.
-    pub(crate) fn find(&self, leader: &Leader) -> Option<SocketAddr> {
-        let row = self.rows.get(&leader.daemon)?;
-        (row.incarnation == leader.incarnation).then_some(row.address)
+    /// Makes an empty book.
+    pub(crate) fn new() -> Self {
+        Self { heard: new_map() }
     }
 
-    /// Returns the addresses of all daemons but one.
-    pub(crate) fn others(&self, me: &DaemonName) -> Vec<SocketAddr> {
-        let others = self.rows.iter().filter(|(daemon, _)| *daemon != me);
-        others.map(|(_, row)| row.address).collect()
+    /// Notes that a daemon was heard, or heard of from the giver.
+    pub(crate) fn heard(&mut self, now: TimeMs, address: SocketAddr) {
+        self.heard.insert(address, now);
     }
 
-    /// Returns the number of daemons.
-    pub(crate) fn len(&self) -> usize {
-        self.rows.len()
+    /// Returns the other daemons that run, as far as this one knows.
+    pub(crate) fn peers(&mut self, now: TimeMs, me: SocketAddr) -> Vec<SocketAddr> {
+        self.heard.retain(|_, at| now.since(*at) <= HEARD_MS);
+        let mut peers: Vec<SocketAddr> = self.heard.keys().copied().collect();
+        peers.retain(|address| *address != me);
+        peers.sort_unstable();
+        peers
     }
 }
--- a/crates/balsam-edge/src/peer/message.rs
+++ b/crates/balsam-edge/src/peer/message.rs
@@ -1,6 +1,7 @@
 //! Messages between daemons and their encoding.
 
-use balsam_types::{Incarnation, ServiceName, ShardKey};
+use balsam_decide::keys::Leader;
+use balsam_types::{ServiceName, ServiceRanges, ShardKey};
 use bincode::config::{Configuration, Fixint, Limit, LittleEndian, standard};
 use bincode::error::{DecodeError, EncodeError};
 use serde::{Deserialize, Serialize};
@@ -9,11 +10,39 @@
 /// The greatest datagram in bytes; longer ones are neither sent nor read.
 pub(super) const DATAGRAM_MAX_BYTES: usize = 8 << 10;
 
+/// What the giver says of itself several times a second.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Beacon {
+    /// The giver.
+    pub(crate) leader: Leader,
+    /// The version of its row.
+    pub(crate) version: u64,
+    /// The versions of the assignments by service.
+    pub(crate) ranges: Vec<(ServiceName, u64)>,
+    /// The other daemons that it knows of, one of which may follow it.
+    pub(crate) peers: Vec<SocketAddr>,
+}
+
+/// What a commit has changed.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct RangesDelta {
+    /// The version before.
+    pub(crate) base: u64,
+    /// The version after.
+    pub(crate) version: u64,
+    /// The assignments that are new.
+    pub(crate) changed: ServiceRanges,
+}
+
 /// What one daemon tells another.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) enum PeerMessage {
+    /// The sender runs and wants to hear of the giver.
+    Hello,
     /// The sender is the giver.
-    Lead(Incarnation),
+    Lead(Beacon),
+    /// The sender has committed assignments.
+    Ranges(RangesDelta),
     /// Requests were made on keys at the sender.
     Sample {
         service: ServiceName,
--- a/crates/balsam-edge/src/peer/mod.rs
+++ b/crates/balsam-edge/src/peer/mod.rs
@@ -1,11 +1,12 @@
-//! Datagrams between daemons: signs of life of the giver, and samples of busy keys.
+//! Datagrams between daemons: signs of life of the giver, its assignments, and samples of busy
+//! keys.
 //!
-//! Both are repeated, so that a lost datagram needs no answer.
+//! Whatever a lost datagram had said is repeated or read from the store.
 
 mod book;
 mod message;
 mod task;
 
 pub(crate) use book::PeerBook;
-pub(crate) use message::{PeerMessage, PeerOutput};
+pub(crate) use message::{Beacon, PeerMessage, PeerOutput, RangesDelta};
 pub(crate) use task::PeerTask;
--- a/crates/balsam-edge/src/peer/task.rs
+++ b/crates/balsam-edge/src/peer/task.rs
@@ -1,7 +1,7 @@
 //! The task that owns the socket between daemons.
 
+use super::PeerOutput;
 use super::message::{DATAGRAM_MAX_BYTES, decode, encode};
-use super::{PeerMessage, PeerOutput};
 use crate::control::ControlInput;
 use balsam_types::KeyHash;
 use log::{debug, warn};
@@ -63,14 +63,12 @@
     }
 
     fn receive(&self, bytes: &[u8], from: SocketAddr) {
-        let input = match decode(self.credential, bytes) {
-            Ok(Some(PeerMessage::Lead(incarnation))) => ControlInput::Heard(incarnation),
-            Ok(Some(PeerMessage::Sample { service, keys })) => {
-                ControlInput::PeerSampled { service, keys }
-            }
+        let message = match decode(self.credential, bytes) {
+            Ok(Some(message)) => message,
             Ok(None) => return warn!("datagram from {from} dropped: wrong credential"),
             Err(error) => return warn!("datagram from {from} dropped: {error}"),
         };
+        let input = ControlInput::Peer { from, message };
         // Messages between daemons are repeated; a busy control task misses one.
         drop(self.control.try_send(input));
     }
--- a/crates/balsam-edge/src/store/mod.rs
+++ b/crates/balsam-edge/src/store/mod.rs
@@ -4,4 +4,4 @@
 mod rows;
 
 pub use message::{Page, StoreChange, StoreError, StoreRequest, StoreTable, Written};
-pub use rows::{DaemonRow, OwnKey, RowError, decode_row, encode_row};
+pub use rows::{OwnKey, RowError, decode_row, encode_row};
--- a/crates/balsam-edge/src/store/rows.rs
+++ b/crates/balsam-edge/src/store/rows.rs
@@ -1,11 +1,10 @@
 //! The daemons' own rows in the store.
 
-use balsam_types::{DaemonName, Incarnation, ServiceName};
+use balsam_types::ServiceName;
 use bytes::Bytes;
+use serde::Serialize;
 use serde::de::DeserializeOwned;
-use serde::{Deserialize, Serialize};
 use snafu::{ResultExt, Snafu};
-use std::net::SocketAddr;
 use std::sync::Arc;
 
 /// A row that cannot be encoded or understood.
@@ -23,22 +22,10 @@
     Lead,
     /// The assignments of a service.
     Ranges(ServiceName),
-    /// A daemon.
-    Daemon(DaemonName),
-}
-
-/// How a daemon is reached by its peers.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct DaemonRow {
-    /// The daemon's life.
-    pub incarnation: Incarnation,
-    /// Its address for datagrams.
-    pub address: SocketAddr,
 }
 
 const LEAD: &str = "lead";
 const RANGES: &str = "ranges/";
-const DAEMON: &str = "daemon/";
 
 impl OwnKey {
     /// Returns the row's key.
@@ -46,7 +33,6 @@
         match self {
             Self::Lead => Arc::from(LEAD),
             Self::Ranges(service) => Arc::from(format!("{RANGES}{service}")),
-            Self::Daemon(daemon) => Arc::from(format!("{DAEMON}{daemon}")),
         }
     }
 
@@ -55,11 +41,8 @@
         if text == LEAD {
             return Some(Self::Lead);
         }
-        if let Some(service) = text.strip_prefix(RANGES) {
-            return ServiceName::new(service).ok().map(Self::Ranges);
-        }
-        let daemon = text.strip_prefix(DAEMON)?;
-        DaemonName::new(daemon).ok().map(Self::Daemon)
+        let service = text.strip_prefix(RANGES)?;
+        ServiceName::new(service).ok().map(Self::Ranges)
     }
 }
 
--- a/crates/balsam-types/src/ranges.rs
+++ b/crates/balsam-types/src/ranges.rs
@@ -86,7 +86,6 @@
     /// The owner.
     pub owner: Owner,
     /// Former owners that may still hold keys of the range; the owner gets it once there are none.
-    #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub former: Vec<Owner>,
 }
 
