--- a/crates/balsam-decide/src/directory/machine.rs
+++ b/crates/balsam-decide/src/directory/machine.rs
@@ -8,7 +8,7 @@
 /// milliseconds.
 ///
 /// Entries that lapse while the store is away are back about two seconds after its return.
-pub const LAPSE_GRACE_MS: u64 = 2_300;
+pub const LAPSE_GRACE_MS: u64 = 2_100;
 
 /// What the directory is told.
 #[derive(Clone, Debug)]
@@ -29,7 +29,9 @@
 #[derive(Debug)]
 pub struct Directory {
     upstreams: Map<UpstreamName, Arc<Believed>>,
+    /// Vanished entries and until when they are kept.
     lapsing: Map<UpstreamName, TimeMs>,
+    /// When a call to the store failed last.
     failed_at: Option<TimeMs>,
 }
 
--- a/crates/balsam-edge/src/control/follow.rs
+++ b/crates/balsam-edge/src/control/follow.rs
@@ -12,11 +12,16 @@
 const FOLLOW_WAIT_MS: u64 = 25_000;
 
 /// The pause after the first failed call in milliseconds; it doubles up to the greatest.
-const PAUSE_MS: u64 = 150;
+const PAUSE_MS: u64 = 100;
 
-/// The greatest pause between failed calls in milliseconds; it bounds how much later than the
-/// store a daemon is back.
-const PAUSE_MAX_MS: u64 = 800;
+/// The greatest pause between calls that the store refuses, in milliseconds; each is priced.
+const REFUSED_PAUSE_MAX_MS: u64 = 500;
+
+/// The pause between calls that do not reach the store, in milliseconds.
+///
+/// A daemon must know what it missed within three seconds of the end of a partition, two of which
+/// entries that lapsed are kept.
+const UNREACHED_PAUSE_MS: u64 = 100;
 
 /// Follows `table` until the control task ends.
 pub(super) async fn run(
@@ -26,10 +31,15 @@
 ) {
     let mut version = None;
     let mut pause_ms = PAUSE_MS;
+    let mut is_lost = false;
     loop {
+        // After a failure the store's return must be known before the next change is.
+        let wait_ms = if is_lost { 0 } else { FOLLOW_WAIT_MS };
         let news = match version {
             None => read(table, &store).await.map(Followed::Listed),
-            Some(after) => follow(table, after, &store).await.map(Followed::Changed),
+            Some(after) => follow(table, after, wait_ms, &store)
+                .await
+                .map(Followed::Changed),
         };
         let news = match news {
             Ok(Followed::Listed(page) | Followed::Changed(page)) if page.version == 0 => {
@@ -48,15 +58,19 @@
             Err(error) => {
                 if error == StoreError::HistoryLost {
                     version = None;
+                } else if matches!(error, StoreError::Unreachable) {
+                    sleep(Duration::from_millis(UNREACHED_PAUSE_MS)).await;
                 } else {
                     sleep(Duration::from_millis(pause_ms)).await;
-                    pause_ms = (pause_ms * 2).min(PAUSE_MAX_MS);
+                    pause_ms = (pause_ms * 2).min(REFUSED_PAUSE_MAX_MS);
                 }
                 Followed::Failed(error)
             }
         };
         let is_quiet = matches!(&news, Followed::Changed(page) if page.changes.is_empty());
-        if !is_quiet
+        let was_lost = std::mem::replace(&mut is_lost, matches!(news, Followed::Failed(_)));
+        let is_told = was_lost || !is_quiet;
+        if is_told
             && control
                 .send(ControlInput::Store(table, news))
                 .await
@@ -74,9 +88,9 @@
 async fn follow(
     table: StoreTable,
     after: u64,
+    wait_ms: u64,
     store: &mpsc::Sender<StoreRequest>,
 ) -> Result<Page, StoreError> {
-    let wait_ms = FOLLOW_WAIT_MS;
     call(store, |reply| StoreRequest::Follow {
         table,
         after,
--- a/crates/balsam-edge/src/control/tables.rs
+++ b/crates/balsam-edge/src/control/tables.rs
@@ -21,6 +21,8 @@
             Followed::Changed(page) => (page, false),
         };
         if let Some(lost_at) = self.lost.remove(&table) {
+            // The giver knows whether the store was lost to others as well.
+            self.hello_at = now();
             // What vanishes right after the store's return may only have lapsed meanwhile.
             self.directory.handle(now(), DirectoryInput::StoreFailed);
             let lost_ms = now().since(lost_at);
--- a/crates/balsam-edge/src/peer/book.rs
+++ b/crates/balsam-edge/src/peer/book.rs
@@ -3,9 +3,9 @@
 use balsam_types::{Map, TimeMs, new_map};
 use std::net::SocketAddr;
 
-/// How long a daemon that was not heard is still counted, in milliseconds; a daemon that is
-/// restarted is back well within it.
-const HEARD_MS: u64 = 10_000;
+/// How long a daemon that was not heard is still counted, in milliseconds; it covers restarts and
+/// most partitions.
+const HEARD_MS: u64 = 30_000;
 
 /// The daemons that this one has heard of.
 #[derive(Debug)]
