Keep the assignments of hundreds of upstreams in one row and gather changes

Change: owners are listed once in the row, changes are gathered for 250 ms, keys are assigned for the first time once the upstreams stay the same, and steps of balance grow with the upstreams.

--- a/crates/balsam-decide/src/keys/plan.rs
+++ b/crates/balsam-decide/src/keys/plan.rs
@@ -8,11 +8,14 @@
 /// Busy keys lie close to one another; several narrow ranges spread them before any load is known.
 const FIRST_RANGES: usize = 3;
 
-/// Ranges that are moved for balance in one step.
-const BALANCE_MOVES_MAX: usize = 4;
+/// Ranges that are moved for balance in one step, at least.
+const BALANCE_MOVES_MIN: usize = 4;
 
-/// Ranges that may be on their way before balance waits.
-const MOVING_MAX: usize = 8;
+/// Upstreams for which one more range is moved in a step.
+const UPSTREAMS_PER_MOVE: usize = 8;
+
+/// Steps whose ranges may be on their way before balance waits.
+const MOVING_STEPS_MAX: usize = 2;
 
 /// An upstream is relieved when its load is this much above the mean, in percent.
 const RELIEVE_PERCENT: f64 = 130.0;
@@ -166,7 +169,8 @@
     fn balance(&mut self) -> bool {
         let mut moved = 0;
         let mut tried = vec![false; self.candidates.len()];
-        while moved < BALANCE_MOVES_MAX && self.moving() < MOVING_MAX {
+        let moves_max = BALANCE_MOVES_MIN.max(self.candidates.len() / UPSTREAMS_PER_MOVE);
+        while moved < moves_max && self.moving() < moves_max * MOVING_STEPS_MAX {
             let mean = self.mean();
             let open = (0..self.candidates.len()).filter(|at| !tried[*at]);
             let Some(hot) = open.max_by(|a, b| self.relative(*a).total_cmp(&self.relative(*b)))
--- a/crates/balsam-decide/src/keys/service.rs
+++ b/crates/balsam-decide/src/keys/service.rs
@@ -14,6 +14,10 @@
 /// The time between two plans, in milliseconds.
 const PLAN_MS: u64 = 250;
 
+/// How long the upstreams must stay the same before keys are assigned for the first time, in
+/// milliseconds; they start one after the other.
+const FIRST_WAIT_MS: u64 = 800;
+
 /// The time between two attempts of a grant that was not acknowledged, in milliseconds.
 const GRANT_RETRY_MS: u64 = 150;
 
@@ -50,6 +54,8 @@
     load: KeyLoad,
     tenures: Tenures,
     planned_at: TimeMs,
+    /// The number of candidates and since when it is the same.
+    candidates: (usize, TimeMs),
 }
 
 impl ServiceState {
@@ -63,6 +69,7 @@
             load: KeyLoad::new(),
             tenures: Tenures::new(),
             planned_at: TimeMs(0),
+            candidates: (0, TimeMs(0)),
         }
     }
 
@@ -230,6 +237,12 @@
         let mut draft = ServiceRanges::clone(&self.stored.ranges);
         let mut changed = self.settle(&mut draft);
         let candidates = candidates(now, &draft.service, upstreams, reach);
+        if self.candidates.0 != candidates.len() {
+            self.candidates = (candidates.len(), now);
+        }
+        if draft.assignments.is_empty() && now.since(self.candidates.1) < FIRST_WAIT_MS {
+            return None;
+        }
         let lacks_owner = draft.assignments.is_empty()
             || draft.assignments.iter().any(|found| {
                 !candidates
--- a/crates/balsam-edge/src/control/act.rs
+++ b/crates/balsam-edge/src/control/act.rs
@@ -5,7 +5,8 @@
 use crate::clock::now;
 use crate::order::OrderRequest;
 use crate::store::{
-    OwnKey, Page, RowError, StoreChange, StoreError, StoreRequest, StoreTable, Written, encode_row,
+    OwnKey, Page, RangesRow, RowError, StoreChange, StoreError, StoreRequest, StoreTable, Written,
+    encode_row,
 };
 use balsam_decide::keys::{Commit, CommitResult, Order, OrderResult, RowVersion};
 use log::error;
@@ -115,7 +116,7 @@
             ranges,
         } => {
             let key = OwnKey::Ranges(ranges.service.clone()).text();
-            let value = encode_row(&key, ranges.as_ref())?;
+            let value = encode_row(&key, &RangesRow::from(ranges.as_ref()))?;
             let conditions = vec![
                 (lead_key, lead.0),
                 (std::sync::Arc::clone(&key), expected.0),
--- a/crates/balsam-edge/src/control/follow.rs
+++ b/crates/balsam-edge/src/control/follow.rs
@@ -11,6 +11,12 @@
 /// Each answer is a priced call; a dead connection is noticed by its keep-alive probes sooner.
 const FOLLOW_WAIT_MS: u64 = 25_000;
 
+/// How long further changes are gathered after one, in milliseconds.
+///
+/// Changes come in bursts, and each answer is a priced call of every daemon. Leaving upstreams must
+/// be known within two seconds.
+const GATHER_MS: u64 = 250;
+
 /// The pause after the first failed call in milliseconds; it doubles up to the greatest.
 const PAUSE_MS: u64 = 100;
 
@@ -32,7 +38,11 @@
     let mut version = None;
     let mut pause_ms = PAUSE_MS;
     let mut is_lost = false;
+    let mut is_busy = false;
     loop {
+        if std::mem::take(&mut is_busy) {
+            sleep(Duration::from_millis(GATHER_MS)).await;
+        }
         // After a failure the store's return must be known before the next change is.
         let wait_ms = if is_lost { 0 } else { FOLLOW_WAIT_MS };
         let news = match version {
@@ -49,6 +59,7 @@
             }
             Ok(news) => {
                 pause_ms = PAUSE_MS;
+                is_busy = matches!(&news, Followed::Changed(page) if !page.changes.is_empty());
                 if let Followed::Listed(page) | Followed::Changed(page) = &news {
                     version = Some(page.version);
                 }
--- a/crates/balsam-edge/src/control/tables.rs
+++ b/crates/balsam-edge/src/control/tables.rs
@@ -4,7 +4,9 @@
 use super::lines::ControlLine;
 use super::task::ControlTask;
 use crate::clock::now;
-use crate::store::{OwnKey, Page, RowError, StoreChange, StoreError, StoreTable, decode_row};
+use crate::store::{
+    OwnKey, Page, RowError, StoreChange, StoreError, StoreTable, decode_ranges, decode_row,
+};
 use balsam_decide::directory::{DirectoryInput, Upstreams};
 use balsam_decide::keys::{GiverInput, RowVersion, StoredLead, StoredRanges};
 use balsam_decide::routing::RouteTable;
@@ -194,7 +196,7 @@
                 self.give(GiverInput::Lead(StoredLead { version, leader }));
             }
             (Some(OwnKey::Ranges(_)), Some(value)) => {
-                let ranges = Arc::new(decode_row(key, value)?);
+                let ranges = Arc::new(decode_ranges(key, value)?);
                 self.give(GiverInput::Ranges(StoredRanges { version, ranges }));
             }
             (_, None) | (None, _) => {}
