Do not take a refused connection for the end of an upstream

Ruled out: two refusals in a row as proof; seven in 26 ms came from a running upstream. Change: a refused connection is an order that did not arrive. Only a newer life in the list or another upstream at the address shows the end of the former one; else its hold is waited out.

--- a/crates/balsam-decide/src/keys/giver.rs
+++ b/crates/balsam-decide/src/keys/giver.rs
@@ -302,6 +302,7 @@
                 OrderResult::Ended
                 | OrderResult::Fenced
                 | OrderResult::Refused { .. }
+                | OrderResult::Unreached
                 | OrderResult::NotSent => self.holds.forget(id),
             }
         }
--- a/crates/balsam-decide/src/keys/message.rs
+++ b/crates/balsam-decide/src/keys/message.rs
@@ -92,8 +92,12 @@
     },
     /// The upstream has seen a higher token on one of the keys.
     Fenced,
-    /// The upstream's process has ended: nothing listens at its address, or another upstream does.
+    /// The upstream's process has ended: another upstream answers at its address.
     Ended,
+    /// No connection could be opened, so that the order did not arrive.
+    ///
+    /// This does not show that the upstream has ended: a busy one refuses connections as well.
+    Unreached,
     /// The upstream refused the order for another reason.
     Refused {
         /// The status of its answer.
--- a/crates/balsam-decide/src/keys/reach.rs
+++ b/crates/balsam-decide/src/keys/reach.rs
@@ -32,7 +32,7 @@
     pub(super) fn note(&mut self, now: TimeMs, owner: &Owner, result: &OrderResult) {
         match result {
             OrderResult::NotSent => {}
-            OrderResult::NoAnswer => {
+            OrderResult::NoAnswer | OrderResult::Unreached => {
                 let record = self.records.entry(owner.clone()).or_default();
                 record.unanswered += 1;
                 if record.unanswered >= UNANSWERED_MAX {
--- a/crates/balsam-edge/src/control/lines.rs
+++ b/crates/balsam-edge/src/control/lines.rs
@@ -119,6 +119,7 @@
         OrderResult::Released { .. } => "released",
         OrderResult::Fenced => "fenced",
         OrderResult::Ended => "ended",
+        OrderResult::Unreached => "unreached",
         OrderResult::Refused { .. } => "refused",
         OrderResult::NotSent => "not-sent",
         OrderResult::NoAnswer => "no-answer",
--- a/crates/balsam-edge/src/http/error.rs
+++ b/crates/balsam-edge/src/http/error.rs
@@ -39,10 +39,3 @@
     #[snafu(display("no answer in time"))]
     TimedOut,
 }
-
-impl ExchangeError {
-    /// Returns whether the peer's machine said that nothing listens at the address.
-    pub fn is_refused(&self) -> bool {
-        matches!(self, Self::Connect { source } if source.kind() == io::ErrorKind::ConnectionRefused)
-    }
-}
