--- a/crates/balsam-decide/src/pool/lane.rs
+++ b/crates/balsam-decide/src/pool/lane.rs
@@ -79,8 +79,10 @@
     }
 
     /// Returns how long a further request takes here, relative to an idle upstream.
+    ///
+    /// The limit does not count: it starts low, and an upstream that joined would get nothing.
     pub(super) fn cost(&self) -> f64 {
-        f64::from(self.in_flight + 1) / self.limit.max(1.0) * self.slowness
+        f64::from(self.in_flight + 1) * self.slowness
     }
 
     /// Returns the mean time of answers in milliseconds.
