Shorten the wait after a giver that has ended

Change: a giver that stops resigns; a daemon's new life shows that its former one has ended. Either shortens the wait to the run of its last grant, if it had waited for its own predecessors. Tests: the random schedules now have both messages.

--- a/crates/balsam-decide/src/keys/giver.rs
+++ b/crates/balsam-decide/src/keys/giver.rs
@@ -23,6 +23,8 @@
 enum Lead {
     /// The row was not read yet.
     Unread,
+    /// This daemon stops and takes no part any more.
+    Stopped,
     /// Another daemon is, or nobody.
     Other(StoredLead),
     /// This daemon is.
@@ -36,6 +38,15 @@
     },
 }
 
+/// What a daemon knows of the giver that it follows, or followed last.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+struct Followed {
+    /// Whether it has waited for the grants of earlier givers.
+    is_settled: bool,
+    /// Whether it gives no more orders.
+    has_ended: bool,
+}
+
 /// What the commit that is under way will write.
 #[derive(Clone, Debug)]
 enum Pending {
@@ -56,7 +67,10 @@
     timing: KeyTiming,
     stagger_ms: u64,
     lead: Lead,
-    heard_at: TimeMs,
+    /// What is known of the giver that this daemon follows.
+    followed: Followed,
+    /// The giver before this one, while its orders may still be under way.
+    predecessor: Option<Leader>,
     take_at: TimeMs,
     services: Map<ServiceName, ServiceState>,
     keyed: Vec<ServiceName>,
@@ -81,7 +95,8 @@
             timing,
             stagger_ms,
             lead: Lead::Unread,
-            heard_at: now,
+            followed: Followed::default(),
+            predecessor: None,
             take_at: now.after(stagger_ms),
             services: new_map(),
             keyed: Vec::new(),
@@ -105,7 +120,7 @@
     /// Returns the giver that this daemon knows of.
     pub fn leader(&self) -> Option<&Leader> {
         match &self.lead {
-            Lead::Unread => None,
+            Lead::Unread | Lead::Stopped => None,
             Lead::Other(stored) => stored.leader.as_ref(),
             Lead::Mine { .. } => Some(&self.me),
         }
@@ -114,7 +129,7 @@
     /// Returns the version of the row of the giver, as far as this daemon knows.
     pub const fn lead_version(&self) -> RowVersion {
         match &self.lead {
-            Lead::Unread => RowVersion(0),
+            Lead::Unread | Lead::Stopped => RowVersion(0),
             Lead::Other(stored) => stored.version,
             Lead::Mine { version, .. } => *version,
         }
@@ -142,7 +157,20 @@
                 self.reload_at = Some(now.after(RELOAD_RETRY_MS));
             }
             GiverInput::Confirmed { asked_at, version } => self.confirmed(now, asked_at, version),
-            GiverInput::Heard(incarnation) => self.heard(now, incarnation),
+            GiverInput::Heard {
+                incarnation,
+                is_settled,
+            } => self.heard(now, incarnation, is_settled),
+            GiverInput::Alive(daemon) => self.see_alive(now, &daemon),
+            GiverInput::Resigned(incarnation) => {
+                if self
+                    .leader()
+                    .is_some_and(|leader| leader.incarnation == incarnation)
+                {
+                    self.leader_ended(now);
+                }
+            }
+            GiverInput::Stop => self.lead = Lead::Stopped,
             GiverInput::Behind => {
                 if self.reload_at.is_none() {
                     self.reload_at = Some(now.after(RELOAD_RETRY_MS));
@@ -175,6 +203,7 @@
         match &self.lead {
             Lead::Mine { version, .. } if stored.version <= *version => return,
             Lead::Other(known) if stored.version <= known.version => return,
+            Lead::Stopped => return,
             Lead::Unread | Lead::Other(_) | Lead::Mine { .. } => {}
         }
         // A lost answer to this daemon's own commit is settled here.
@@ -189,7 +218,10 @@
             .as_ref()
             .is_some_and(|leader| leader.daemon == self.me.daemon);
         let is_free = is_mine || stored.leader.is_none();
-        self.heard_at = now;
+        self.followed = Followed {
+            is_settled: false,
+            has_ended: is_mine,
+        };
         let wait_ms = if is_free { 0 } else { self.timing.silent_ms };
         self.take_at = now.after(wait_ms + self.stagger_ms);
         self.lead = Lead::Other(stored);
@@ -202,12 +234,16 @@
         confirmed_at: TimeMs,
         inherited_until: TimeMs,
     ) {
+        self.predecessor = self.leader().cloned();
         self.lead = Lead::Mine {
             version,
             confirmed_at,
             inherited_until,
             is_loaded: false,
         };
+        if self.followed.has_ended {
+            self.predecessor_ended(now);
+        }
         self.confirm_at = now.after(self.timing.confirm_ms);
         for service in self.services.values_mut() {
             service.start_over();
@@ -221,16 +257,54 @@
         self.service(&service).store(stored);
     }
 
-    fn heard(&mut self, now: TimeMs, incarnation: Incarnation) {
+    fn heard(&mut self, now: TimeMs, incarnation: Incarnation, is_settled: bool) {
         if self
             .leader()
             .is_some_and(|leader| leader.incarnation == incarnation)
         {
-            self.heard_at = now;
+            self.followed.is_settled = is_settled;
             self.take_at = now.after(self.timing.silent_ms + self.stagger_ms);
         }
     }
 
+    /// Learns from a daemon's new life that its former one has ended.
+    fn see_alive(&mut self, now: TimeMs, alive: &Leader) {
+        let is_former = |leader: &Leader| {
+            leader.daemon == alive.daemon && leader.incarnation != alive.incarnation
+        };
+        if !self.is_leading() && self.leader().is_some_and(is_former) {
+            self.leader_ended(now);
+        }
+        if self.is_leading() && self.predecessor.as_ref().is_some_and(is_former) {
+            self.predecessor_ended(now);
+        }
+    }
+
+    /// Makes ready to follow a giver that gives no more orders.
+    fn leader_ended(&mut self, now: TimeMs) {
+        self.followed.has_ended = true;
+        self.take_at = self.take_at.min(now.after(self.stagger_ms));
+    }
+
+    /// Shortens the wait for grants of a predecessor that has ended.
+    ///
+    /// Earlier givers may still give orders unless the predecessor had waited for them.
+    fn predecessor_ended(&mut self, now: TimeMs) {
+        if let Lead::Mine {
+            inherited_until, ..
+        } = &mut self.lead
+            && self.followed.is_settled
+        {
+            self.predecessor = None;
+            *inherited_until = now.after(self.timing.ended_ms()).min(*inherited_until);
+        }
+    }
+
+    /// Returns whether no grant of an earlier giver can hold any more.
+    pub fn is_settled(&self, now: TimeMs) -> bool {
+        self.is_leading() && now >= self.inherited_until()
+    }
+
     fn confirmed(&mut self, now: TimeMs, asked_at: TimeMs, read: Option<RowVersion>) {
         let Lead::Mine {
             version,
@@ -242,12 +316,10 @@
         };
         match read {
             Some(read) if read == *version => *confirmed_at = asked_at.max(*confirmed_at),
-            Some(read) => {
-                self.lead = Lead::Other(StoredLead {
-                    version: read,
-                    leader: None,
-                });
-                self.take_at = now.after(self.timing.silent_ms + self.stagger_ms);
+            Some(_) => {
+                // The row is read again to learn who follows.
+                self.lead = Lead::Unread;
+                self.followed = Followed::default();
                 self.reload_at = Some(now);
             }
             None => self.confirm_at = now.after(self.timing.confirm_ms / 4),
@@ -325,7 +397,7 @@
             Lead::Mine {
                 inherited_until, ..
             } => inherited_until,
-            Lead::Unread | Lead::Other(_) => TimeMs(u64::MAX),
+            Lead::Unread | Lead::Stopped | Lead::Other(_) => TimeMs(u64::MAX),
         }
     }
 
@@ -336,7 +408,7 @@
             outputs.push(GiverOutput::Reload);
         }
         match self.lead.clone() {
-            Lead::Unread => {}
+            Lead::Unread | Lead::Stopped => {}
             Lead::Other(stored) => outputs.extend(self.take_lead(now, &stored)),
             Lead::Mine {
                 version,
--- a/crates/balsam-decide/src/keys/message.rs
+++ b/crates/balsam-decide/src/keys/message.rs
@@ -162,7 +162,18 @@
         version: Option<RowVersion>,
     },
     /// The giver with this life was heard.
-    Heard(Incarnation),
+    Heard {
+        /// Its life.
+        incarnation: Incarnation,
+        /// Whether no grant of an earlier giver can hold any more.
+        is_settled: bool,
+    },
+    /// A daemon runs in this life; its former life has ended.
+    Alive(Leader),
+    /// The giver with this life has sent its last order.
+    Resigned(Incarnation),
+    /// This daemon stops and sends no further order.
+    Stop,
     /// The giver has committed assignments that this daemon does not know.
     Behind,
     /// The upstreams and the services that are divided by key.
--- a/crates/balsam-decide/src/keys/timing.rs
+++ b/crates/balsam-decide/src/keys/timing.rs
@@ -54,8 +54,13 @@
         self.hold_ms + self.hold_ms * SLOW_CLOCK_PERMILLE / 1_000 + MARGIN_MS
     }
 
+    /// Returns how long grants of a giver may hold after it has ended.
+    pub const fn ended_ms(&self) -> u64 {
+        self.grant_timeout_ms + self.lapse_ms()
+    }
+
     /// Returns how long grants of an earlier giver may hold after another daemon took its place.
     pub const fn inherited_ms(&self) -> u64 {
-        self.trust_ms + self.grant_timeout_ms + self.lapse_ms()
+        self.trust_ms + self.ended_ms()
     }
 }
--- a/crates/balsam-decide/tests/key_world/upstream.rs
+++ b/crates/balsam-decide/tests/key_world/upstream.rs
@@ -19,8 +19,6 @@
     pub is_draining: bool,
     seen: [u64; KEYS.len()],
     held_until: [TimeMs; KEYS.len()],
-    /// Whether it forgets the tokens of releases, as a flaw.
-    pub forgets_releases: bool,
     /// How much slower its clock runs beyond what is allowed, in percent.
     pub slower_percent: u64,
 }
@@ -35,7 +33,6 @@
             is_draining: false,
             seen: [0; KEYS.len()],
             held_until: [TimeMs(0); KEYS.len()],
-            forgets_releases: false,
             slower_percent: 0,
         }
     }
@@ -53,8 +50,8 @@
         self.is_up && now < self.held_until[at]
     }
 
-    /// Carries out an order that arrived at a time.
-    pub fn apply(&mut self, arrived_at: TimeMs, order: &Order) -> OrderResult {
+    /// Carries out an order that arrived at a time; as a flaw, it forgets the tokens of releases.
+    pub fn apply(&mut self, arrived_at: TimeMs, order: &Order, keeps_tokens: bool) -> OrderResult {
         let keys = (0..KEYS.len()).filter(|at| order.range.contains(ShardKey(KEYS[*at])));
         let keys: Vec<usize> = keys.collect();
         match &order.kind {
@@ -71,7 +68,7 @@
             }
             OrderKind::Release => {
                 for at in keys {
-                    if !self.forgets_releases {
+                    if keeps_tokens {
                         self.seen[at] = self.seen[at].max(order.fence.0);
                     }
                     self.held_until[at] = TimeMs(0);
--- a/crates/balsam-decide/tests/key_world/world.rs
+++ b/crates/balsam-decide/tests/key_world/world.rs
@@ -89,12 +89,12 @@
 }
 
 fn name(at: usize) -> UpstreamName {
-    UpstreamName::new(format!("u{at}")).unwrap()
+    UpstreamName::new(format!("u{at}")).expect("a valid name")
 }
 
 fn leader(at: usize, incarnation: u64) -> Leader {
     Leader {
-        daemon: DaemonName::new(format!("d{at}")).unwrap(),
+        daemon: DaemonName::new(format!("d{at}")).expect("a valid name"),
         incarnation: Incarnation(incarnation),
         address: SocketAddr::from(([127, 0, 0, 1], 7_000 + at as u16)),
     }
@@ -102,7 +102,7 @@
 
 impl World {
     pub fn new(seed: u64, flaw: Flaw, restart: Restart) -> Self {
-        let service = ServiceName::new("keyed").unwrap();
+        let service = ServiceName::new("keyed").expect("a valid name");
         let mut world = Self {
             rng: StdRng::seed_from_u64(seed),
             now: TimeMs(100_000),
@@ -119,7 +119,6 @@
             next_born: 100,
         };
         for upstream in &mut world.upstreams {
-            upstream.forgets_releases = flaw == Flaw::ReleaseWithoutFence;
             upstream.slower_percent = if flaw == Flaw::HoldNotWaitedFor {
                 60
             } else {
@@ -223,6 +222,7 @@
 
     fn carry_out_late(&mut self) {
         let now = self.now;
+        let keeps_tokens = self.flaw != Flaw::ReleaseWithoutFence;
         let due: Vec<_> = self
             .late_orders
             .extract_if(.., |late| late.0 <= now)
@@ -230,7 +230,7 @@
         for (_, arrived_at, to, born, order) in due {
             let upstream = &mut self.upstreams[to];
             if upstream.is_up && upstream.born == born {
-                upstream.apply(arrived_at, &order);
+                upstream.apply(arrived_at, &order, keeps_tokens);
             }
         }
         let due: Vec<_> = self
@@ -252,13 +252,18 @@
         let others: Vec<usize> = (0..GIVERS).filter(|other| *other != at).collect();
         for other in others {
             let daemon = &self.daemons[other];
-            if daemon.giver.is_leading() && self.now >= daemon.frozen_until {
-                let heard = Incarnation(daemon.incarnation);
-                let lead = daemon.giver.lead_version();
-                if lead >= self.daemons[at].giver.lead_version() {
-                    self.daemons[at].waiting.push_back(GiverInput::Heard(heard));
-                }
+            if self.now < daemon.frozen_until {
+                continue;
+            }
+            let mut said = vec![GiverInput::Alive(leader(other, daemon.incarnation))];
+            let lead = daemon.giver.lead_version();
+            if daemon.giver.is_leading() && lead >= self.daemons[at].giver.lead_version() {
+                said.push(GiverInput::Heard {
+                    incarnation: Incarnation(daemon.incarnation),
+                    is_settled: daemon.giver.is_settled(self.now),
+                });
             }
+            self.daemons[at].waiting.extend(said);
         }
         let world = self.believed();
         self.daemons[at].waiting.push_back(world);
@@ -284,7 +289,7 @@
                     name: name(at),
                     born: Born(upstream.born),
                     service: self.service.clone(),
-                    zone: ZoneName::new("z").unwrap(),
+                    zone: ZoneName::new("z").expect("a valid name"),
                     address: SocketAddr::from(([127, 0, 0, 1], 9_000 + at as u16)),
                     slots: 3,
                     state: if upstream.is_draining {
@@ -382,7 +387,7 @@
         }
         let to = (0..UPSTREAMS)
             .find(|to| name(*to) == order.to.upstream)
-            .unwrap();
+            .expect("a known upstream");
         let is_cut = self.now < self.daemons[at].upstream_cut_until[to];
         let is_grant = matches!(order.kind, OrderKind::Grant { .. });
         let result = if is_cut || !self.upstreams[to].is_up {
@@ -404,7 +409,8 @@
             }
         } else {
             let now = self.now;
-            self.upstreams[to].apply(now, &order)
+            let keeps_tokens = self.flaw != Flaw::ReleaseWithoutFence;
+            self.upstreams[to].apply(now, &order, keeps_tokens)
         };
         self.answer(at, GiverInput::Ordered { id, result });
     }
--- a/crates/balsam-edge/src/assembly.rs
+++ b/crates/balsam-edge/src/assembly.rs
@@ -1,6 +1,6 @@
 //! Puts the tasks of a daemon together.
 
-use crate::control::{self, ControlLinks, ControlTask};
+use crate::control::{self, ControlInput, ControlLinks, ControlTask};
 use crate::metrics::EdgeMetrics;
 use crate::order::OrderRequest;
 use crate::peer::PeerTask;
@@ -74,6 +74,7 @@
 pub struct Edge {
     phase: watch::Sender<Phase>,
     listener: JoinHandle<()>,
+    control: mpsc::Sender<ControlInput>,
     grace: Duration,
 }
 
@@ -133,7 +134,7 @@
             names: adapter.names,
             views: views.clone(),
             pool: PoolClient::new(messages),
-            control,
+            control: control.clone(),
             recorder: Recorder::new(metrics.clone()),
         };
         let phase_probe = phases.clone();
@@ -155,6 +156,7 @@
         Ok(Self {
             phase,
             listener: actix_rt::spawn(listener),
+            control,
             grace,
         })
     }
@@ -163,6 +165,8 @@
     /// flight and ends within the grace time.
     pub async fn stop(self) {
         self.phase.send_replace(Phase::Leaving);
+        // A control task that has ended has nothing to hand over.
+        drop(self.control.send(ControlInput::Stop).await);
         sleep(LEAVE_TIME.min(self.grace)).await;
         self.phase.send_replace(Phase::Closing);
         // The listener ends by itself within the rest of the grace time.
--- a/crates/balsam-edge/src/control/message.rs
+++ b/crates/balsam-edge/src/control/message.rs
@@ -43,6 +43,8 @@
         service: ServiceName,
         keys: Vec<ShardKey>,
     },
+    /// The daemon stops.
+    Stop,
     /// An upstream does not hold a key that it should.
     NotHeld { service: ServiceName, key: ShardKey },
 }
--- a/crates/balsam-edge/src/control/peers.rs
+++ b/crates/balsam-edge/src/control/peers.rs
@@ -31,7 +31,7 @@
             && let Some(leader) = self.giver.leader()
         {
             self.hello_at = now.after(HELLO_MS);
-            self.send(vec![leader.address], PeerMessage::Hello);
+            self.send(vec![leader.address], PeerMessage::Hello(self.me.clone()));
         }
     }
 
@@ -45,15 +45,27 @@
             leader: self.me.clone(),
             version: self.giver.lead_version().0,
             ranges: ranges.collect(),
+            is_settled: self.giver.is_settled(now()),
             peers,
         }
     }
 
+    /// Sends no further order, and lets another daemon follow at once.
+    pub(super) fn resign(&mut self) {
+        let was_leading = self.giver.is_leading();
+        self.give(GiverInput::Stop);
+        if was_leading {
+            let peers = self.book.peers(now(), self.me.address);
+            self.send(peers, PeerMessage::Resign(self.me.incarnation));
+        }
+    }
+
     /// Takes a message of another daemon.
     pub(super) fn hear(&mut self, from: SocketAddr, message: PeerMessage) {
         self.book.heard(now(), from);
         match message {
-            PeerMessage::Hello => {}
+            PeerMessage::Hello(daemon) => self.give(GiverInput::Alive(daemon)),
+            PeerMessage::Resign(incarnation) => self.give(GiverInput::Resigned(incarnation)),
             PeerMessage::Lead(beacon) => self.hear_beacon(beacon),
             PeerMessage::Ranges(delta) => self.hear_delta(&delta),
             PeerMessage::Sample { service, keys } => {
@@ -72,7 +84,10 @@
             version,
             leader: Some(beacon.leader),
         }));
-        self.give(GiverInput::Heard(incarnation));
+        self.give(GiverInput::Heard {
+            incarnation,
+            is_settled: beacon.is_settled,
+        });
         for peer in &beacon.peers {
             self.book.heard(now(), *peer);
         }
--- a/crates/balsam-edge/src/control/task.rs
+++ b/crates/balsam-edge/src/control/task.rs
@@ -125,6 +125,7 @@
             }
             ControlInput::Peer { from, message } => self.hear(from, message),
             ControlInput::Sampled { service, keys } => self.sampled(service, keys),
+            ControlInput::Stop => self.resign(),
             ControlInput::NotHeld { service, key } => {
                 self.give(GiverInput::NotHeld { service, key });
             }
--- a/crates/balsam-edge/src/peer/message.rs
+++ b/crates/balsam-edge/src/peer/message.rs
@@ -1,7 +1,7 @@
 //! Messages between daemons and their encoding.
 
 use balsam_decide::keys::Leader;
-use balsam_types::{ServiceName, ServiceRanges, ShardKey};
+use balsam_types::{Incarnation, ServiceName, ServiceRanges, ShardKey};
 use bincode::config::{Configuration, Fixint, Limit, LittleEndian, standard};
 use bincode::error::{DecodeError, EncodeError};
 use serde::{Deserialize, Serialize};
@@ -19,6 +19,8 @@
     pub(crate) version: u64,
     /// The versions of the assignments by service.
     pub(crate) ranges: Vec<(ServiceName, u64)>,
+    /// Whether no grant of an earlier giver can hold any more.
+    pub(crate) is_settled: bool,
     /// The other daemons that it knows of, one of which may follow it.
     pub(crate) peers: Vec<SocketAddr>,
 }
@@ -37,8 +39,10 @@
 /// What one daemon tells another.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) enum PeerMessage {
-    /// The sender runs and wants to hear of the giver.
-    Hello,
+    /// The sender runs in this life and wants to hear of the giver.
+    Hello(Leader),
+    /// The sender was the giver and has sent its last order.
+    Resign(Incarnation),
     /// The sender is the giver.
     Lead(Beacon),
     /// The sender has committed assignments.
