Test rows, settings, heads, plans and callers' requests of the entry daemon

Change: tests that run without the bench for what was built and for each fault found so far; listeners are named one by one in the settings, so that tests choose no port; what nothing reads is gone; the giver's succession is a file of its own.

--- a/crates/balsam-daemon/src/request/forward/http1/response.rs
+++ b/crates/balsam-daemon/src/request/forward/http1/response.rs
@@ -1,7 +1,7 @@
 //! Reads the heads of answers.
 
 use balsam_http1::{BadHeadSnafu, HeadTooLongSnafu, UnprovenEndSnafu};
-use balsam_http1::{BodyDecoder, Http1Error};
+use balsam_http1::{BodyDecoder, Http1Error, is_hop_by_hop};
 use balsam_types::{HeaderField, ResponseHead};
 use bytes::{Buf, BytesMut};
 use http::{HeaderName, HeaderValue};
@@ -11,19 +11,6 @@
 /// The greatest length of an answer's head in bytes; it must fit into a head frame of a relay.
 const HEAD_MAX_BYTES: usize = 64 << 10;
 
-/// Fields that concern one connection and are not passed on.
-const HOP_BY_HOP: [&str; 9] = [
-    "connection",
-    "keep-alive",
-    "proxy-authenticate",
-    "proxy-authorization",
-    "proxy-connection",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-];
-
 /// The head of an answer with what it says of the connection and the body.
 #[derive(Debug)]
 pub(in crate::request) struct ParsedHead {
@@ -157,7 +144,7 @@
                 self.named.extend(names);
                 self.close = self.named.iter().any(|name| name == "close");
             }
-            _ => return Ok(HOP_BY_HOP.contains(&name)),
+            _ => return Ok(is_hop_by_hop(name.as_bytes())),
         }
         Ok(true)
     }
--- a/crates/balsam-decide/src/keys/giver.rs
+++ b/crates/balsam-decide/src/keys/giver.rs
@@ -9,7 +9,7 @@
     OrderResult, RowVersion, StoredLead, StoredRanges,
 };
 use crate::directory::Upstreams;
-use balsam_types::{Incarnation, Map, ServiceName, ServiceRanges, TimeMs, new_map};
+use balsam_types::{Map, ServiceName, ServiceRanges, TimeMs, new_map};
 use std::sync::Arc;
 
 /// The time between two attempts to take the lead, in milliseconds.
@@ -20,7 +20,7 @@
 
 /// Whether this daemon is the giver.
 #[derive(Clone, Debug, PartialEq, Eq)]
-enum Lead {
+pub(super) enum Lead {
     /// The row was not read yet.
     Unread,
     /// This daemon stops and takes no part any more.
@@ -40,16 +40,16 @@
 
 /// What a daemon knows of the giver that it follows, or followed last.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-struct Followed {
+pub(super) struct Followed {
     /// Whether it has waited for the grants of earlier givers.
-    is_settled: bool,
+    pub(super) is_settled: bool,
     /// Whether it gives no more orders.
-    has_ended: bool,
+    pub(super) has_ended: bool,
 }
 
 /// What the commit that is under way will write.
 #[derive(Clone, Debug)]
-enum Pending {
+pub(super) enum Pending {
     Lead {
         sent_at: TimeMs,
         is_first: bool,
@@ -63,26 +63,26 @@
 /// The giver, or a daemon that stands by to become it.
 #[derive(Debug)]
 pub struct Giver {
-    me: Leader,
-    timing: KeyTiming,
-    stagger_ms: u64,
-    lead: Lead,
+    pub(super) me: Leader,
+    pub(super) timing: KeyTiming,
+    pub(super) stagger_ms: u64,
+    pub(super) lead: Lead,
     /// What is known of the giver that this daemon follows.
-    followed: Followed,
+    pub(super) followed: Followed,
     /// The giver before this one, while its orders may still be under way.
-    predecessor: Option<Leader>,
-    take_at: TimeMs,
-    services: Map<ServiceName, ServiceState>,
-    keyed: Vec<ServiceName>,
-    upstreams: Arc<Upstreams>,
-    holds: Holds,
-    reach: Reach,
-    sent: Map<OrderId, Sent>,
-    last_order: u64,
-    pending: Option<Pending>,
-    reload_at: Option<TimeMs>,
-    is_reloading: bool,
-    confirm_at: TimeMs,
+    pub(super) predecessor: Option<Leader>,
+    pub(super) take_at: TimeMs,
+    pub(super) services: Map<ServiceName, ServiceState>,
+    pub(super) keyed: Vec<ServiceName>,
+    pub(super) upstreams: Arc<Upstreams>,
+    pub(super) holds: Holds,
+    pub(super) reach: Reach,
+    pub(super) sent: Map<OrderId, Sent>,
+    pub(super) last_order: u64,
+    pub(super) pending: Option<Pending>,
+    pub(super) reload_at: Option<TimeMs>,
+    pub(super) is_reloading: bool,
+    pub(super) confirm_at: TimeMs,
 }
 
 impl Giver {
@@ -199,133 +199,16 @@
         state.or_insert_with(|| ServiceState::new(name.clone()))
     }
 
-    fn see_lead(&mut self, now: TimeMs, stored: StoredLead) {
-        match &self.lead {
-            Lead::Mine { version, .. } if stored.version <= *version => return,
-            Lead::Other(known) if stored.version <= known.version => return,
-            Lead::Stopped => return,
-            Lead::Unread | Lead::Other(_) | Lead::Mine { .. } => {}
-        }
-        // A lost answer to this daemon's own commit is settled here.
-        if stored.leader.as_ref() == Some(&self.me) {
-            let inherited_until = now.after(self.timing.inherited_ms());
-            self.lead_taken(now, stored.version, now, inherited_until);
-            return;
-        }
-        // An earlier life of this daemon cannot come back.
-        let is_mine = stored
-            .leader
-            .as_ref()
-            .is_some_and(|leader| leader.daemon == self.me.daemon);
-        let is_free = is_mine || stored.leader.is_none();
-        self.followed = Followed {
-            is_settled: false,
-            has_ended: is_mine,
-        };
-        let wait_ms = if is_free { 0 } else { self.timing.silent_ms };
-        self.take_at = now.after(wait_ms + self.stagger_ms);
-        self.lead = Lead::Other(stored);
-    }
-
-    fn lead_taken(
-        &mut self,
-        now: TimeMs,
-        version: RowVersion,
-        confirmed_at: TimeMs,
-        inherited_until: TimeMs,
-    ) {
-        self.predecessor = self.leader().cloned();
-        self.lead = Lead::Mine {
-            version,
-            confirmed_at,
-            inherited_until,
-            is_loaded: false,
-        };
-        if self.followed.has_ended {
-            self.predecessor_ended(now);
-        }
-        self.confirm_at = now.after(self.timing.confirm_ms);
-        for service in self.services.values_mut() {
-            service.start_over();
-        }
-        // The assignments are read once more: what the former giver wrote last must be known.
-        self.reload_at = Some(now);
-    }
-
     fn see_ranges(&mut self, stored: StoredRanges) {
         let service = stored.ranges.service.clone();
         self.service(&service).store(stored);
     }
 
-    fn heard(&mut self, now: TimeMs, incarnation: Incarnation, is_settled: bool) {
-        if self
-            .leader()
-            .is_some_and(|leader| leader.incarnation == incarnation)
-        {
-            self.followed.is_settled = is_settled;
-            self.take_at = now.after(self.timing.silent_ms + self.stagger_ms);
-        }
-    }
-
-    /// Learns from a daemon's new life that its former one has ended.
-    fn see_alive(&mut self, now: TimeMs, alive: &Leader) {
-        let is_former = |leader: &Leader| {
-            leader.daemon == alive.daemon && leader.incarnation != alive.incarnation
-        };
-        if !self.is_leading() && self.leader().is_some_and(is_former) {
-            self.leader_ended(now);
-        }
-        if self.is_leading() && self.predecessor.as_ref().is_some_and(is_former) {
-            self.predecessor_ended(now);
-        }
-    }
-
-    /// Makes ready to follow a giver that gives no more orders.
-    fn leader_ended(&mut self, now: TimeMs) {
-        self.followed.has_ended = true;
-        self.take_at = self.take_at.min(now.after(self.stagger_ms));
-    }
-
-    /// Shortens the wait for grants of a predecessor that has ended.
-    ///
-    /// Earlier givers may still give orders unless the predecessor had waited for them.
-    fn predecessor_ended(&mut self, now: TimeMs) {
-        if let Lead::Mine {
-            inherited_until, ..
-        } = &mut self.lead
-            && self.followed.is_settled
-        {
-            self.predecessor = None;
-            *inherited_until = now.after(self.timing.ended_ms()).min(*inherited_until);
-        }
-    }
-
     /// Returns whether no grant of an earlier giver can hold any more.
     pub fn is_settled(&self, now: TimeMs) -> bool {
         self.is_leading() && now >= self.inherited_until()
     }
 
-    fn confirmed(&mut self, now: TimeMs, asked_at: TimeMs, read: Option<RowVersion>) {
-        let Lead::Mine {
-            version,
-            confirmed_at,
-            ..
-        } = &mut self.lead
-        else {
-            return;
-        };
-        match read {
-            Some(read) if read == *version => *confirmed_at = asked_at.max(*confirmed_at),
-            Some(_) => {
-                // The row is read again to learn who follows.
-                self.lead = Lead::Unread;
-                self.followed = Followed::default();
-                self.reload_at = Some(now);
-            }
-            None => self.confirm_at = now.after(self.timing.confirm_ms / 4),
-        }
-    }
-
     fn committed(&mut self, now: TimeMs, result: CommitResult) {
         let Some(pending) = self.pending.take() else {
             return;
@@ -391,16 +274,6 @@
         }
     }
 
-    /// Returns when no grant of an earlier giver can hold any more.
-    fn inherited_until(&self) -> TimeMs {
-        match self.lead {
-            Lead::Mine {
-                inherited_until, ..
-            } => inherited_until,
-            Lead::Unread | Lead::Stopped | Lead::Other(_) => TimeMs(u64::MAX),
-        }
-    }
-
     fn act(&mut self, now: TimeMs) -> Vec<GiverOutput> {
         let mut outputs = Vec::new();
         if !self.is_reloading && self.reload_at.is_some_and(|at| at <= now) {
@@ -433,22 +306,6 @@
         outputs
     }
 
-    fn take_lead(&mut self, now: TimeMs, stored: &StoredLead) -> Option<GiverOutput> {
-        let waits = now < self.take_at || self.pending.is_some() || self.reload_at.is_some();
-        if waits || self.keyed.is_empty() {
-            return None;
-        }
-        let is_first = stored.version == RowVersion(0);
-        self.pending = Some(Pending::Lead {
-            sent_at: now,
-            is_first,
-        });
-        Some(GiverOutput::Commit(Commit::TakeLead {
-            expected: stored.version,
-            leader: self.me.clone(),
-        }))
-    }
-
     fn commit_ranges(&mut self, now: TimeMs, lead: RowVersion) -> Option<GiverOutput> {
         if self.pending.is_some() {
             return None;
--- a/crates/balsam-decide/src/keys/mod.rs
+++ b/crates/balsam-decide/src/keys/mod.rs
@@ -13,6 +13,7 @@
 mod plan;
 mod reach;
 mod service;
+mod succession;
 mod timing;
 
 pub use delta::{apply_delta, delta};
--- /dev/null
+++ b/crates/balsam-decide/src/keys/succession.rs
@@ -0,0 +1,150 @@
+//! How a daemon becomes the giver, and how long it waits for what its predecessors may still order.
+
+use super::giver::{Followed, Giver, Lead, Pending};
+use super::{Commit, GiverOutput, Leader, RowVersion, StoredLead};
+use balsam_types::{Incarnation, TimeMs};
+
+impl Giver {
+    pub(super) fn see_lead(&mut self, now: TimeMs, stored: StoredLead) {
+        match &self.lead {
+            Lead::Mine { version, .. } if stored.version <= *version => return,
+            Lead::Other(known) if stored.version <= known.version => return,
+            Lead::Stopped => return,
+            Lead::Unread | Lead::Other(_) | Lead::Mine { .. } => {}
+        }
+        // A lost answer to this daemon's own commit is settled here.
+        if stored.leader.as_ref() == Some(&self.me) {
+            let inherited_until = now.after(self.timing.inherited_ms());
+            self.lead_taken(now, stored.version, now, inherited_until);
+            return;
+        }
+        // An earlier life of this daemon cannot come back.
+        let is_mine = stored
+            .leader
+            .as_ref()
+            .is_some_and(|leader| leader.daemon == self.me.daemon);
+        let is_free = is_mine || stored.leader.is_none();
+        self.followed = Followed {
+            is_settled: false,
+            has_ended: is_mine,
+        };
+        let wait_ms = if is_free { 0 } else { self.timing.silent_ms };
+        self.take_at = now.after(wait_ms + self.stagger_ms);
+        self.lead = Lead::Other(stored);
+    }
+
+    pub(super) fn lead_taken(
+        &mut self,
+        now: TimeMs,
+        version: RowVersion,
+        confirmed_at: TimeMs,
+        inherited_until: TimeMs,
+    ) {
+        self.predecessor = self.leader().cloned();
+        self.lead = Lead::Mine {
+            version,
+            confirmed_at,
+            inherited_until,
+            is_loaded: false,
+        };
+        if self.followed.has_ended {
+            self.predecessor_ended(now);
+        }
+        self.confirm_at = now.after(self.timing.confirm_ms);
+        for service in self.services.values_mut() {
+            service.start_over();
+        }
+        // The assignments are read once more: what the former giver wrote last must be known.
+        self.reload_at = Some(now);
+    }
+
+    pub(super) fn heard(&mut self, now: TimeMs, incarnation: Incarnation, is_settled: bool) {
+        if self
+            .leader()
+            .is_some_and(|leader| leader.incarnation == incarnation)
+        {
+            self.followed.is_settled = is_settled;
+            self.take_at = now.after(self.timing.silent_ms + self.stagger_ms);
+        }
+    }
+
+    /// Learns from a daemon's new life that its former one has ended.
+    pub(super) fn see_alive(&mut self, now: TimeMs, alive: &Leader) {
+        let is_former = |leader: &Leader| {
+            leader.daemon == alive.daemon && leader.incarnation != alive.incarnation
+        };
+        if !self.is_leading() && self.leader().is_some_and(is_former) {
+            self.leader_ended(now);
+        }
+        if self.is_leading() && self.predecessor.as_ref().is_some_and(is_former) {
+            self.predecessor_ended(now);
+        }
+    }
+
+    /// Makes ready to follow a giver that gives no more orders.
+    pub(super) fn leader_ended(&mut self, now: TimeMs) {
+        self.followed.has_ended = true;
+        self.take_at = self.take_at.min(now.after(self.stagger_ms));
+    }
+
+    /// Shortens the wait for grants of a predecessor that has ended.
+    ///
+    /// Earlier givers may still give orders unless the predecessor had waited for them.
+    pub(super) fn predecessor_ended(&mut self, now: TimeMs) {
+        if let Lead::Mine {
+            inherited_until, ..
+        } = &mut self.lead
+            && self.followed.is_settled
+        {
+            self.predecessor = None;
+            *inherited_until = now.after(self.timing.ended_ms()).min(*inherited_until);
+        }
+    }
+
+    pub(super) fn confirmed(&mut self, now: TimeMs, asked_at: TimeMs, read: Option<RowVersion>) {
+        let Lead::Mine {
+            version,
+            confirmed_at,
+            ..
+        } = &mut self.lead
+        else {
+            return;
+        };
+        match read {
+            Some(read) if read == *version => *confirmed_at = asked_at.max(*confirmed_at),
+            Some(_) => {
+                // The row is read again to learn who follows.
+                self.lead = Lead::Unread;
+                self.followed = Followed::default();
+                self.reload_at = Some(now);
+            }
+            None => self.confirm_at = now.after(self.timing.confirm_ms / 4),
+        }
+    }
+
+    /// Returns when no grant of an earlier giver can hold any more.
+    pub(super) fn inherited_until(&self) -> TimeMs {
+        match self.lead {
+            Lead::Mine {
+                inherited_until, ..
+            } => inherited_until,
+            Lead::Unread | Lead::Stopped | Lead::Other(_) => TimeMs(u64::MAX),
+        }
+    }
+
+    pub(super) fn take_lead(&mut self, now: TimeMs, stored: &StoredLead) -> Option<GiverOutput> {
+        let waits = now < self.take_at || self.pending.is_some() || self.reload_at.is_some();
+        if waits || self.keyed.is_empty() {
+            return None;
+        }
+        let is_first = stored.version == RowVersion(0);
+        self.pending = Some(Pending::Lead {
+            sent_at: now,
+            is_first,
+        });
+        Some(GiverOutput::Commit(Commit::TakeLead {
+            expected: stored.version,
+            leader: self.me.clone(),
+        }))
+    }
+}
--- a/crates/balsam-decide/src/pool/machine.rs
+++ b/crates/balsam-decide/src/pool/machine.rs
@@ -87,11 +87,6 @@
         Some(next.min(now.after(LOOK_MS)))
     }
 
-    /// Returns the number of requests that wait.
-    pub fn waiting(&self) -> usize {
-        self.queues.values().map(Queue::len).sum()
-    }
-
     fn ask(&mut self, now: TimeMs, ask: Ask, outputs: &mut Vec<PoolOutput>) {
         let id = ask.id;
         let service = ask
--- a/crates/balsam-decide/src/pool/message.rs
+++ b/crates/balsam-decide/src/pool/message.rs
@@ -147,6 +147,4 @@
     pub zone: ZoneName,
     /// The budget for repeats.
     pub budget: BudgetTerms,
-    /// How long an upstream that left may still be sent requests for its keys, in milliseconds.
-    pub drain_ms: u64,
 }
--- /dev/null
+++ b/crates/balsam-decide/tests/key_planning.rs
@@ -0,0 +1,135 @@
+//! Guards the plans for ranges of keys and their spread to other daemons.
+
+use balsam_decide::keys::{Candidate, apply_delta, delta, plan};
+use balsam_types::{Born, Owner, ServiceName, ServiceRanges, ShardKey, UpstreamName};
+use std::net::SocketAddr;
+
+fn owner(at: u16) -> Owner {
+    Owner {
+        upstream: UpstreamName::new(format!("u{at}")).expect("a valid name"),
+        born: Born(1),
+        address: SocketAddr::from(([127, 0, 0, 1], 9_000 + at)),
+    }
+}
+
+fn candidates(count: u16) -> Vec<Candidate> {
+    (0..count)
+        .map(|at| Candidate {
+            owner: owner(at),
+            weight: 3.0,
+        })
+        .collect()
+}
+
+fn first(count: u16) -> ServiceRanges {
+    let none = ServiceRanges::new(ServiceName::new("keyed").expect("a valid name"));
+    plan(&none, &candidates(count), &[]).expect("a first plan")
+}
+
+fn settle(mut ranges: ServiceRanges) -> ServiceRanges {
+    for assignment in &mut ranges.assignments {
+        assignment.former.clear();
+    }
+    ranges
+}
+
+/// Plans until nothing changes any more; fails if that takes too long.
+fn plan_out(
+    mut ranges: ServiceRanges,
+    candidates: &[Candidate],
+    keys: &[ShardKey],
+) -> ServiceRanges {
+    for _ in 0..200 {
+        match plan(&ranges, candidates, keys) {
+            Some(next) => {
+                assert!(next.is_sound(), "{next:?}");
+                ranges = settle(next);
+            }
+            None => return ranges,
+        }
+    }
+    panic!("the plans do not come to rest");
+}
+
+fn load(ranges: &ServiceRanges, keys: &[ShardKey], of: &Owner) -> usize {
+    let owned = |key: &&ShardKey| ranges.find(**key).is_some_and(|found| found.owner == *of);
+    keys.iter().filter(owned).count()
+}
+
+/// Guards that the first plan gives every key an owner and every upstream some keys.
+#[test]
+fn first_plan() {
+    let ranges = first(7);
+    assert!(ranges.is_sound());
+    for candidate in candidates(7) {
+        assert!(
+            ranges
+                .assignments
+                .iter()
+                .any(|found| found.owner == candidate.owner)
+        );
+    }
+}
+
+/// Guards that busy keys beside one another are spread over the upstreams.
+#[test]
+fn busy_neighbours() {
+    let keys: Vec<ShardKey> = (0..400).map(|at| ShardKey(30_000 + at / 2)).collect();
+    let ranges = plan_out(first(10), &candidates(10), &keys);
+    let most = (0..10).map(|at| load(&ranges, &keys, &owner(at))).max();
+    assert!(
+        most <= Some(60),
+        "{most:?} of 400 requests at one upstream of ten"
+    );
+}
+
+/// Guards that one key that is busier than all others does not make plans go on for ever.
+#[test]
+fn single_busy_key() {
+    let keys = vec![ShardKey(30_000); 400];
+    let ranges = plan_out(first(10), &candidates(10), &keys);
+    assert!(ranges.is_sound());
+}
+
+/// Guards that the ranges of an upstream that left go to others with the former owner noted, and
+/// that one that joined gets keys.
+#[test]
+fn left_and_joined() {
+    let ranges = first(4);
+    let mut now = candidates(4);
+    now.remove(0);
+    now.push(Candidate {
+        owner: owner(9),
+        weight: 3.0,
+    });
+    let next = plan(&ranges, &now, &[]).expect("a plan");
+    for (old, new) in ranges.assignments.iter().zip(&next.assignments) {
+        if old.owner == owner(0) && old.range == new.range {
+            assert_eq!(new.former, [owner(0)]);
+            assert!(new.fence > old.fence);
+        }
+    }
+    let settled = plan_out(settle(next), &now, &[]);
+    assert!(
+        settled
+            .assignments
+            .iter()
+            .any(|found| found.owner == owner(9))
+    );
+}
+
+/// Guards that another daemon arrives at the same assignments by the difference alone, and refuses
+/// a difference that does not fit.
+#[test]
+fn delta_fits() {
+    let old = first(5);
+    let keys: Vec<ShardKey> = (0..300).map(|at| ShardKey(at / 4)).collect();
+    let new = plan(&old, &candidates(5), &keys).expect("a plan");
+    let difference = delta(&old, &new);
+    assert!(difference.assignments.len() < new.assignments.len());
+    assert_eq!(apply_delta(&old, &difference), Some(new));
+    assert_eq!(
+        apply_delta(&first(3), &difference).filter(|found| !found.is_sound()),
+        None
+    );
+}
--- /dev/null
+++ b/crates/balsam-decide/tests/repeat_budget.rs
@@ -0,0 +1,77 @@
+//! Guards the budget for repeats and what may be repeated.
+
+use balsam_decide::attempts::{Ending, Ledger, Step};
+use balsam_decide::budget::{Budget, BudgetTerms};
+use balsam_decide::pool::Verdict;
+use balsam_types::{RouteKind, ServiceName, TimeMs};
+use rstest::rstest;
+
+const TERMS: BudgetTerms = BudgetTerms {
+    ratio: 0.2,
+    window_ms: 10_000,
+    slack: 60.0,
+    daemons: 10,
+};
+
+/// Guards that the repeats of all daemons together stay within the budget in any window, also when
+/// a window starts between two parts.
+#[test]
+fn any_window() {
+    let service = ServiceName::new("files").expect("a valid name");
+    let mut budget = Budget::new(TERMS);
+    let mut taken: Vec<u64> = Vec::new();
+    let mut requests: Vec<u64> = Vec::new();
+    for ms in (0..60_000).step_by(7) {
+        if ms % 21 == 0 && !(20_000..40_000).contains(&ms) {
+            budget.count_request(TimeMs(ms), &service);
+            requests.push(ms);
+        }
+        if budget.take(TimeMs(ms), &service) {
+            taken.push(ms);
+        }
+    }
+    for start in (0..50_000).step_by(130) {
+        let within = |at: &&u64| (start..start + 10_000).contains(*at);
+        let earlier = |at: &&u64| (start.saturating_sub(10_000)..start).contains(*at);
+        let now = requests.iter().filter(within).count();
+        let before = requests.iter().filter(earlier).count();
+        let allowed = 0.2 * now.max(before) as f64 + 60.0 / 10.0;
+        let repeats = taken.iter().filter(within).count();
+        assert!(
+            repeats as f64 <= allowed,
+            "{repeats} of {allowed} from {start} ms"
+        );
+    }
+}
+
+/// Guards that an order is sent again only if it was not run, and that only a request that was
+/// never run is said not to have run.
+#[rstest]
+#[case::shed(RouteKind::Order, Verdict::Shed, Step::Again)]
+#[case::not_held(RouteKind::Order, Verdict::NotHeld, Step::Again)]
+#[case::unreachable(RouteKind::Order, Verdict::Unreachable, Step::Again)]
+#[case::broken(RouteKind::Order, Verdict::Broken, Step::End(Ending::Unknown))]
+#[case::failed(RouteKind::Order, Verdict::Failed, Step::Deliver)]
+#[case::late(RouteKind::Order, Verdict::TimedOut, Step::End(Ending::Late))]
+#[case::dropped(RouteKind::Order, Verdict::Dropped, Step::End(Ending::NotRun))]
+#[case::read_broken(RouteKind::Idempotent, Verdict::Broken, Step::Again)]
+#[case::read_failed(RouteKind::Download, Verdict::Failed, Step::AgainOrDeliver)]
+fn first_attempt(#[case] kind: RouteKind, #[case] verdict: Verdict, #[case] expected: Step) {
+    assert_eq!(Ledger::new(kind, 2).note(verdict), expected);
+}
+
+/// Guards that a refusal after an attempt that may have run does not hide that attempt.
+#[test]
+fn refused_after_break() {
+    let mut ledger = Ledger::new(RouteKind::Idempotent, 2);
+    assert_eq!(ledger.note(Verdict::Broken), Step::Again);
+    assert_eq!(ledger.note(Verdict::Shed), Step::End(Ending::Unknown));
+}
+
+/// Guards the greatest number of attempts.
+#[test]
+fn attempts_max() {
+    let mut ledger = Ledger::new(RouteKind::Order, 2);
+    assert_eq!(ledger.note(Verdict::Shed), Step::Again);
+    assert_eq!(ledger.note(Verdict::Shed), Step::End(Ending::NotRun));
+}
--- /dev/null
+++ b/crates/balsam-decide/tests/upstream_list.rs
@@ -0,0 +1,96 @@
+//! Guards what a daemon believes of upstreams around outages of the store.
+
+use balsam_decide::directory::{Directory, DirectoryInput, LAPSE_GRACE_MS, Upstreams};
+use balsam_types::{
+    Born, ServiceName, TimeMs, UpstreamEntry, UpstreamName, UpstreamState, ZoneName,
+};
+use std::net::SocketAddr;
+
+fn entry(name: &str, born: u64, state: UpstreamState) -> UpstreamEntry {
+    UpstreamEntry {
+        name: UpstreamName::new(name).expect("a valid name"),
+        born: Born(born),
+        service: ServiceName::new("files").expect("a valid name"),
+        zone: ZoneName::new("a").expect("a valid name"),
+        address: SocketAddr::from(([127, 0, 0, 1], 8_000)),
+        slots: 3,
+        state,
+        warmup_left_ms: 0,
+    }
+}
+
+fn ready(name: &str) -> UpstreamEntry {
+    entry(name, 1, UpstreamState::Ready)
+}
+
+fn count(list: Option<Upstreams>) -> Option<usize> {
+    list.map(|list| list.len())
+}
+
+fn removed(name: &str) -> DirectoryInput {
+    DirectoryInput::Removed(UpstreamName::new(name).expect("a valid name"))
+}
+
+/// Guards that a removal in calm times holds at once.
+#[test]
+fn calm_removal() {
+    let mut directory = Directory::new();
+    let listed = DirectoryInput::Listed(vec![ready("a"), ready("b")]);
+    assert_eq!(count(directory.handle(TimeMs(0), listed)), Some(2));
+    assert_eq!(count(directory.handle(TimeMs(10), removed("a"))), Some(1));
+}
+
+/// Guards that entries that lapsed in an outage are kept until they can be back, and no longer.
+#[test]
+fn lapsed_entry() {
+    let mut directory = Directory::new();
+    let listed = DirectoryInput::Listed(vec![ready("a"), ready("b")]);
+    directory.handle(TimeMs(0), listed);
+    directory.handle(TimeMs(1_000), DirectoryInput::StoreFailed);
+    let listed = DirectoryInput::Listed(vec![ready("b")]);
+    assert_eq!(count(directory.handle(TimeMs(1_100), listed)), None);
+    let before = TimeMs(1_100 + LAPSE_GRACE_MS - 1);
+    assert_eq!(count(directory.handle(before, DirectoryInput::Tick)), None);
+    let after = TimeMs(1_100 + LAPSE_GRACE_MS);
+    assert_eq!(
+        count(directory.handle(after, DirectoryInput::Tick)),
+        Some(1)
+    );
+}
+
+/// Guards that an entry that is back in time is not dropped later.
+#[test]
+fn returned_entry() {
+    let mut directory = Directory::new();
+    directory.handle(TimeMs(0), DirectoryInput::Listed(vec![ready("a")]));
+    directory.handle(TimeMs(1_000), DirectoryInput::StoreFailed);
+    directory.handle(TimeMs(1_100), removed("a"));
+    directory.handle(TimeMs(1_500), DirectoryInput::Changed(ready("a")));
+    assert_eq!(
+        count(directory.handle(TimeMs(9_000), DirectoryInput::Tick)),
+        None
+    );
+}
+
+/// Guards that an upstream that announced its leaving is not kept in an outage.
+#[test]
+fn left_entry() {
+    let mut directory = Directory::new();
+    let leaving = entry("a", 1, UpstreamState::Draining);
+    directory.handle(TimeMs(0), DirectoryInput::Listed(vec![leaving]));
+    directory.handle(TimeMs(1_000), DirectoryInput::StoreFailed);
+    assert_eq!(
+        count(directory.handle(TimeMs(1_100), removed("a"))),
+        Some(0)
+    );
+}
+
+/// Guards that a row of a former life does not replace the newer one.
+#[test]
+fn former_life() {
+    let mut directory = Directory::new();
+    let newer = entry("a", 9, UpstreamState::Ready);
+    directory.handle(TimeMs(0), DirectoryInput::Changed(newer));
+    let older = DirectoryInput::Changed(entry("a", 5, UpstreamState::Draining));
+    assert_eq!(count(directory.handle(TimeMs(1), older)), None);
+}
--- a/crates/balsam-edge/src/assembly.rs
+++ b/crates/balsam-edge/src/assembly.rs
@@ -69,6 +69,17 @@
     },
 }
 
+/// Where a running daemon listens; the ports may have been chosen by the system.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Addresses {
+    /// For callers.
+    pub callers: SocketAddr,
+    /// For readiness checks.
+    pub readiness: SocketAddr,
+    /// For readers of metrics.
+    pub metrics: SocketAddr,
+}
+
 /// A running daemon.
 #[derive(Debug)]
 pub struct Edge {
@@ -76,6 +87,7 @@
     listener: JoinHandle<()>,
     control: mpsc::Sender<ControlInput>,
     grace: Duration,
+    addresses: Addresses,
 }
 
 impl Edge {
@@ -92,8 +104,15 @@
         };
         let callers = bind(settings.listen.callers).await?;
         let readiness = bind(settings.listen.readiness).await?;
-        let metrics_port = settings.peer_ports.first + 1;
-        let exports = bind(SocketAddr::new(settings.ip, metrics_port)).await?;
+        let exports = bind(settings.listen.metrics).await?;
+        let local = |listener: &TcpListener, address| {
+            listener.local_addr().context(ListenSnafu { address })
+        };
+        let addresses = Addresses {
+            callers: local(&callers, settings.listen.callers)?,
+            readiness: local(&readiness, settings.listen.readiness)?,
+            metrics: local(&exports, settings.listen.metrics)?,
+        };
         let (meter, text) = balsam_metrics::start().context(MetricsSnafu)?;
         let metrics = EdgeMetrics::new(&meter);
         let (control, inputs) = mpsc::channel(CHANNEL_MESSAGES);
@@ -101,9 +120,9 @@
         let (messages, wanted) = mpsc::channel(CHANNEL_MESSAGES);
         let (publisher, views) = watch::channel(Arc::new(View::default()));
         let (phase, phases) = watch::channel(Phase::Running);
-        let address = SocketAddr::new(settings.ip, settings.peer_ports.first);
+        let address = settings.listen.peers;
         let peer = PeerTask::bind(address, &settings.peer_credential, control.clone());
-        let peer = peer.await.context(ListenSnafu { address })?;
+        let (peer, address) = peer.await.context(ListenSnafu { address })?;
         actix_rt::spawn(peer.run(outputs));
 
         let me = Leader {
@@ -127,7 +146,6 @@
         let pool = PoolSettings {
             zone: settings.zone.clone(),
             budget: settings.bounds.budget(),
-            drain_ms: settings.bounds.drain_ms(),
         };
         actix_rt::spawn(PoolTask::run(pool, wanted, views.clone(), control.clone()));
         let chain = Chain {
@@ -158,9 +176,15 @@
             listener: actix_rt::spawn(listener),
             control,
             grace,
+            addresses,
         })
     }
 
+    /// Returns where the daemon listens.
+    pub const fn addresses(&self) -> Addresses {
+        self.addresses
+    }
+
     /// Stops the daemon in order: it leaves the platform's rotation, finishes the requests in
     /// flight and ends within the grace time.
     pub async fn stop(self) {
--- a/crates/balsam-edge/src/peer/task.rs
+++ b/crates/balsam-edge/src/peer/task.rs
@@ -19,18 +19,20 @@
 }
 
 impl PeerTask {
-    /// Binds the socket.
+    /// Binds the socket; returns its address as well, whose port the system may have chosen.
     pub(crate) async fn bind(
         address: SocketAddr,
         credential: &str,
         control: mpsc::Sender<ControlInput>,
-    ) -> io::Result<Self> {
+    ) -> io::Result<(Self, SocketAddr)> {
         let socket = UdpSocket::bind(address).await?;
-        Ok(Self {
+        let address = socket.local_addr()?;
+        let task = Self {
             socket,
             credential: KeyHash::of(credential).0,
             control,
-        })
+        };
+        Ok((task, address))
     }
 
     /// Runs until the control task ends.
--- a/crates/balsam-edge/src/settings/file.rs
+++ b/crates/balsam-edge/src/settings/file.rs
@@ -7,7 +7,7 @@
 use log::LevelFilter;
 use serde::Deserialize;
 use snafu::{ResultExt, ensure};
-use std::net::{IpAddr, SocketAddr};
+use std::net::SocketAddr;
 use std::path::Path;
 
 /// The settings of one daemon.
@@ -18,12 +18,8 @@
     pub daemon: DaemonName,
     /// The machine's zone.
     pub zone: ZoneName,
-    /// The machine's address, on which peers reach it.
-    pub ip: IpAddr,
-    /// Where callers and the platform connect.
+    /// Where callers, the platform and other daemons connect.
     pub listen: Listen,
-    /// Ports for traffic between daemons and for metrics.
-    pub peer_ports: PeerPorts,
     /// A word that all daemons of a deployment share; datagrams without it are dropped.
     pub peer_credential: String,
     /// The address of the platform's store.
@@ -43,24 +39,16 @@
     pub callers: SocketAddr,
     /// For the platform's readiness checks.
     pub readiness: SocketAddr,
-}
-
-/// A range of ports, both ends included.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct PeerPorts {
-    /// The first port, for datagrams and streams between daemons.
-    pub first: u16,
-    /// The last port; metrics are served on the one behind the first.
-    pub last: u16,
+    /// For datagrams of other daemons.
+    pub peers: SocketAddr,
+    /// For readers of metrics.
+    pub metrics: SocketAddr,
 }
 
 /// What the deployment promises; times are in seconds.
 #[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Bounds {
-    /// How long an upstream that announced its leaving still takes requests.
-    pub drain_s: f64,
     /// The time between a request to stop and the kill.
     pub grace_s: f64,
     /// Arrivals beyond the first of each request, for one request.
@@ -93,15 +81,6 @@
     }
 
     fn check(&self) -> Result<(), SettingsError> {
-        let ports = self.peer_ports;
-        ensure!(
-            ports.first > 0 && ports.first < ports.last,
-            OutOfRangeSnafu {
-                field: "peer_ports",
-                value: format!("{}-{}", ports.first, ports.last),
-                accepted: "two ports or more, from first to last",
-            }
-        );
         ensure!(
             !self.peer_credential.is_empty(),
             OutOfRangeSnafu {
@@ -119,7 +98,6 @@
         let seconds = "0.05 to 3600 seconds";
         let within = |value: f64| (0.05..=3_600.0).contains(&value);
         let times = [
-            ("bounds.drain_s", self.drain_s),
             ("bounds.grace_s", self.grace_s),
             ("bounds.budget_window_s", self.budget_window_s),
             ("bounds.hold_max_s", self.hold_max_s),
@@ -162,11 +140,6 @@
         }
     }
 
-    /// Returns the drain time in milliseconds.
-    pub fn drain_ms(&self) -> u64 {
-        to_ms(self.drain_s)
-    }
-
     /// Returns the grace time in milliseconds.
     pub fn grace_ms(&self) -> u64 {
         to_ms(self.grace_s)
--- /dev/null
+++ b/crates/balsam-edge/tests/settings_check.rs
@@ -0,0 +1,60 @@
+//! Guards the settings file: a bad value names its field and what is accepted.
+
+use balsam_edge::settings::{Settings, SettingsError};
+use rstest::rstest;
+use serde_json::{Value, json};
+
+fn settings() -> Value {
+    json!({
+        "daemon": "d1", "zone": "a",
+        "listen": {
+            "callers": "127.0.0.1:1", "readiness": "127.0.0.1:2", "peers": "127.0.0.1:3",
+            "metrics": "127.0.0.1:4"
+        },
+        "peer_credential": "word", "store": "127.0.0.1:5",
+        "bounds": {
+            "grace_s": 6, "retry_budget_ratio": 0.2, "budget_window_s": 10,
+            "budget_slack": 60, "hold_max_s": 10
+        },
+        "log_level": "info"
+    })
+}
+
+fn read(settings: &Value) -> Result<Settings, SettingsError> {
+    let file = tempfile::NamedTempFile::new().expect("a file");
+    std::fs::write(file.path(), settings.to_string()).expect("a written file");
+    Settings::read(file.path())
+}
+
+/// Guards that good settings are taken, in milliseconds.
+#[test]
+fn good_settings() {
+    let settings = read(&settings()).expect("settings");
+    assert_eq!(
+        (settings.bounds.hold_max_ms(), settings.bounds.grace_ms()),
+        (10_000, 6_000)
+    );
+}
+
+/// Guards that a bad value is refused with its field.
+#[rstest]
+#[case::credential("/peer_credential", json!(""), "peer_credential")]
+#[case::time("/bounds/grace_s", json!(-1), "bounds.grace_s")]
+#[case::hold("/bounds/hold_max_s", json!(99999), "bounds.hold_max_s")]
+#[case::ratio("/bounds/retry_budget_ratio", json!(-0.1), "bounds.retry_budget_ratio")]
+#[case::name("/daemon", json!("a b"), "daemon")]
+#[case::address("/store", json!("nowhere"), "socket address")]
+fn bad_value(#[case] field: &str, #[case] value: Value, #[case] named: &str) {
+    let mut settings = settings();
+    *settings.pointer_mut(field).expect("the field") = value;
+    let error = read(&settings).expect_err("a refusal").to_string();
+    assert!(error.contains(named), "{error}");
+}
+
+/// Guards that a misspelt field is not ignored.
+#[test]
+fn unknown_field() {
+    let mut settings = settings();
+    settings["lgo_level"] = json!("info");
+    assert!(read(&settings).is_err());
+}
--- /dev/null
+++ b/crates/balsam-edge/tests/support/caller.rs
@@ -0,0 +1,75 @@
+//! A caller that sees the bytes of its connection.
+
+use balsam_http1::{AnswerHead, BodyStep, parse_answer};
+use bytes::{Bytes, BytesMut};
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+/// How long an answer is awaited.
+const PATIENCE: Duration = Duration::from_secs(10);
+
+pub struct Caller {
+    stream: TcpStream,
+    buffer: BytesMut,
+}
+
+impl Caller {
+    pub async fn open(address: SocketAddr) -> Self {
+        let stream = TcpStream::connect(address).await.expect("a connection");
+        Self {
+            stream,
+            buffer: BytesMut::new(),
+        }
+    }
+
+    pub async fn send(&mut self, text: &str) {
+        self.stream
+            .write_all(text.as_bytes())
+            .await
+            .expect("a sent request");
+    }
+
+    /// Sends a request without a body.
+    pub async fn request(&mut self, method: &str, path: &str, id: &str) {
+        let head = format!("{method} {path} HTTP/1.1\r\nHost: h.example\r\nTest-Id: {id}\r\n\r\n");
+        self.send(&head).await;
+    }
+
+    /// Reads an answer with its whole body.
+    pub async fn answer(&mut self) -> (u16, AnswerHead, Bytes) {
+        let mut head = loop {
+            if let Some(head) = parse_answer(&mut self.buffer, false).expect("an answer") {
+                break head;
+            }
+            assert!(
+                self.fill().await > 0,
+                "the connection ended without an answer"
+            );
+        };
+        let mut body = BytesMut::new();
+        loop {
+            match head.body.step(&mut self.buffer).expect("a body") {
+                BodyStep::Chunk(bytes) => body.extend_from_slice(&bytes),
+                BodyStep::End => return (head.status, head, body.freeze()),
+                BodyStep::Need => assert!(self.fill().await > 0, "the body was cut short"),
+            }
+        }
+    }
+
+    /// Waits for the end of the connection; returns the bytes that came before it.
+    pub async fn end(mut self) -> Bytes {
+        while self.fill().await > 0 {}
+        self.buffer.freeze()
+    }
+
+    async fn fill(&mut self) -> usize {
+        let read = self.stream.read_buf(&mut self.buffer);
+        timeout(PATIENCE, read)
+            .await
+            .expect("bytes in time")
+            .unwrap_or(0)
+    }
+}
--- /dev/null
+++ b/crates/balsam-edge/tests/support/upstream.rs
@@ -0,0 +1,133 @@
+//! An upstream whose answers follow a script.
+
+use super::NAMES;
+use balsam_http1::{RequestHead, parse_request};
+use bytes::BytesMut;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc;
+use tokio::time::{sleep, timeout};
+
+/// What an upstream does with its next request; the last act is repeated.
+#[derive(Clone, Copy, Debug)]
+pub enum Act {
+    /// Answers.
+    Answer,
+    /// Answers, and sends an answer to another request behind it.
+    AnswerTwice,
+    /// Closes the connection after it has read the request.
+    Close,
+    /// Closes the connection in the middle of the answer.
+    CutShort,
+    /// Says that it did not run the request.
+    Refuse,
+    /// Answers after a while.
+    Slow(Duration),
+}
+
+pub struct Upstream {
+    pub name: String,
+    pub address: SocketAddr,
+    seen: mpsc::UnboundedReceiver<String>,
+}
+
+impl Upstream {
+    pub async fn start(name: &str, acts: &[Act]) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
+        let address = listener.local_addr().expect("an address");
+        let (seen, received) = mpsc::unbounded_channel();
+        let acts = acts.to_vec();
+        let own = name.to_owned();
+        actix_rt::spawn(async move {
+            let (take, mut taken) = mpsc::unbounded_channel();
+            for act in &acts {
+                take.send(*act).expect("an open channel");
+            }
+            let last = *acts.last().expect("an act");
+            loop {
+                let (stream, _) = listener.accept().await.expect("a connection");
+                // One connection at a time keeps the script in order.
+                serve(stream, &own, &mut taken, last, &seen).await;
+            }
+        });
+        Self {
+            name: name.to_owned(),
+            address,
+            seen: received,
+        }
+    }
+
+    /// Returns the ids of the requests that arrived, and what ended without them.
+    pub fn seen(&mut self) -> Vec<String> {
+        std::iter::from_fn(|| self.seen.try_recv().ok()).collect()
+    }
+
+    /// Waits for the next event.
+    pub async fn next(&mut self) -> String {
+        let event = timeout(Duration::from_secs(10), self.seen.recv());
+        event
+            .await
+            .expect("an event in time")
+            .expect("a running upstream")
+    }
+}
+
+async fn serve(
+    mut stream: TcpStream,
+    name: &str,
+    acts: &mut mpsc::UnboundedReceiver<Act>,
+    last: Act,
+    seen: &mpsc::UnboundedSender<String>,
+) {
+    let mut buffer = BytesMut::new();
+    loop {
+        let head: RequestHead = loop {
+            if let Some(head) = parse_request(&mut buffer, 1 << 14).expect("a request") {
+                break head;
+            }
+            if !matches!(stream.read_buf(&mut buffer).await, Ok(read) if read > 0) {
+                return;
+            }
+        };
+        let id = head
+            .fields
+            .text(NAMES.attempt_id)
+            .unwrap_or_default()
+            .to_owned();
+        assert_eq!(head.fields.text(NAMES.expected_upstream), Some(name));
+        assert!(head.fields.get(NAMES.deadline_ms).is_some());
+        seen.send(id.clone()).expect("a listening test");
+        let act = acts.try_recv().unwrap_or(last);
+        let answer = |id: &str| {
+            format!(
+                "HTTP/1.1 200 OK\r\nTest-Id: {id}\r\nTest-Signature: s-{id}\r\n\
+                 Content-Length: {}\r\n\r\nbody of {id}",
+                8 + id.len()
+            )
+        };
+        let text = match act {
+            Act::Answer => answer(&id),
+            Act::AnswerTwice => answer(&id) + &answer("another"),
+            Act::Close => return,
+            Act::CutShort => answer(&id)[..answer(&id).len() - 3].to_owned(),
+            Act::Refuse => {
+                "HTTP/1.1 503 Full\r\nTest-Not-Run: 1\r\nContent-Length: 0\r\n\r\n".to_owned()
+            }
+            Act::Slow(pause) => {
+                let mut rest = BytesMut::new();
+                tokio::select! {
+                    () = sleep(pause) => answer(&id),
+                    _ = stream.read_buf(&mut rest) => {
+                        seen.send(format!("{id} cancelled")).expect("a listening test");
+                        return;
+                    }
+                }
+            }
+        };
+        if stream.write_all(text.as_bytes()).await.is_err() || matches!(act, Act::CutShort) {
+            return;
+        }
+    }
+}
--- a/crates/balsam-log/src/lossy.rs
+++ b/crates/balsam-log/src/lossy.rs
@@ -12,14 +12,14 @@
 #[derive(Debug)]
 pub struct LogGuard(#[expect(dead_code, reason = "its drop writes the waiting lines")] WorkerGuard);
 
-/// Counts the lines that were dropped; cheap to clone.
-#[derive(Clone, Debug)]
-pub struct LostLines(ErrorCounter);
+/// Counts the lines that were dropped; cheap to clone. Without a lossy logger none are.
+#[derive(Clone, Debug, Default)]
+pub struct LostLines(Option<ErrorCounter>);
 
 impl LostLines {
     /// Returns the number of lines that were dropped since the start.
     pub fn count(&self) -> usize {
-        self.0.dropped_lines()
+        self.0.as_ref().map_or(0, ErrorCounter::dropped_lines)
     }
 }
 
@@ -37,5 +37,5 @@
     let mut builder = builder(level);
     builder.target(Target::Pipe(Box::new(writer)));
     InitError::check(builder.try_init())?;
-    Ok((LogGuard(guard), LostLines(lost)))
+    Ok((LogGuard(guard), LostLines(Some(lost))))
 }
--- a/crates/balsam-types/src/routing.rs
+++ b/crates/balsam-types/src/routing.rs
@@ -81,14 +81,8 @@
 /// What an operator says of a service.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ServicePolicy {
-    /// The path of health checks.
-    pub health_path: Arc<str>,
-    /// Connections that one upstream accepts from all daemons together.
-    pub connections_max: u32,
     /// Whether each key has one owning upstream.
     pub is_keyed: bool,
-    /// How long a key is slow that arrives without a handover, in milliseconds.
-    pub warm_ms: u64,
 }
 
 /// What callers may send and how long they may take.
