--- a/crates/balsam-edge/tests/settings_check.rs
+++ b/crates/balsam-edge/tests/settings_check.rs
@@ -56,5 +56,5 @@
 fn unknown_field() {
     let mut settings = settings();
     settings["lgo_level"] = json!("info");
-    assert!(read(&settings).is_err());
+    read(&settings).unwrap_err();
 }
