Follow the store's tables at the giver, which passes changes on

A giver that the store turned away stayed the giver beyond its trust in itself, because its signs of life kept others from taking the lead, so that keys lost their owners.

A daemon that misses something, or for which the giver is silent or out of date, follows the store itself. A daemon that the store answers replaces a giver that it has not answered for 3 s. A former giver tells its successor when its last order has ended, which shortens the wait for its grants.

--- a/crates/balsam-daemon/src/request/chain/attempts.rs
+++ b/crates/balsam-daemon/src/request/chain/attempts.rs
@@ -194,11 +194,7 @@
 const fn is_declared(failure: Failure) -> bool {
     matches!(
         failure,
-        Failure::NotRun(
-            NotRunReason::Fenced
-                | NotRunReason::Shed
-                | NotRunReason::Starting
-        )
+        Failure::NotRun(NotRunReason::Fenced | NotRunReason::Shed | NotRunReason::Starting)
     )
 }
 
--- a/crates/balsam-decide/src/directory/machine.rs
+++ b/crates/balsam-decide/src/directory/machine.rs
@@ -67,6 +67,12 @@
         (changed || expired).then(|| Upstreams::new(self.upstreams.values().cloned()))
     }
 
+    /// Returns whether entries that vanish may be back soon.
+    pub fn in_outage(&self, now: TimeMs) -> bool {
+        self.failed_at
+            .is_some_and(|at| now.since(at) <= LAPSE_GRACE_MS)
+    }
+
     /// Returns when the next entry lapses.
     pub fn next_lapse(&self) -> Option<TimeMs> {
         self.lapsing.values().min().copied()
@@ -108,10 +114,7 @@
         };
         // An upstream that announced its leaving is not coming back.
         let may_return = known.entry.is_ready();
-        let in_outage = self
-            .failed_at
-            .is_some_and(|at| now.since(at) <= LAPSE_GRACE_MS);
-        if may_return && in_outage {
+        if may_return && self.in_outage(now) {
             let until = now.after(LAPSE_GRACE_MS);
             self.lapsing.entry(name.clone()).or_insert(until);
             return false;
--- /dev/null
+++ b/crates/balsam-decide/src/feed/machine.rs
@@ -0,0 +1,153 @@
+//! Chooses the source of each table.
+
+use super::{FeedSource, FeedState, FeedTable, TableState};
+use balsam_types::TimeMs;
+
+/// How long another daemon that follows the store lets it wait for a change, in milliseconds.
+pub const FOLLOW_ASIDE_MS: u64 = 2_000;
+
+/// How long the giver's signs of life may be missing, in milliseconds: three of them.
+const SILENT_MS: u64 = 750;
+
+/// How long the store may be silent to the giver before another daemon replaces it, in
+/// milliseconds; shorter than a giver's trust in itself, so that keys keep their owners.
+const REPLACE_MS: u64 = 3_000;
+
+/// How long ago the store must have answered a daemon that replaces the giver, in milliseconds.
+const REACHED_MS: u64 = FOLLOW_ASIDE_MS + 500;
+
+/// Age of a table for which the store has not answered yet, in milliseconds.
+const UNKNOWN_AGE_MS: u64 = 3_600_000;
+
+/// What this daemon knows of one table.
+#[derive(Clone, Copy, Debug, Default)]
+struct Known {
+    /// Versions, once the table was read.
+    state: Option<TableState>,
+    /// When the store last answered, unless a call has failed since.
+    answered_at: Option<TimeMs>,
+}
+
+/// Decides from where each table is followed.
+///
+/// A daemon relies on the giver only while it hears from it, while the store answers the giver, and
+/// while it knows all changes that the giver has announced. Otherwise it follows the store itself,
+/// so that a change is known in time whatever becomes of the giver.
+#[derive(Debug, Default)]
+pub struct Feed {
+    config: Known,
+    upstreams: Known,
+    heard: Option<(TimeMs, FeedState)>,
+}
+
+impl Feed {
+    /// Makes the feed of a daemon that knows nothing.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    const fn known(&self, table: FeedTable) -> &Known {
+        match table {
+            FeedTable::Config => &self.config,
+            FeedTable::Upstreams => &self.upstreams,
+        }
+    }
+
+    const fn known_mut(&mut self, table: FeedTable) -> &mut Known {
+        match table {
+            FeedTable::Config => &mut self.config,
+            FeedTable::Upstreams => &mut self.upstreams,
+        }
+    }
+
+    /// Notes an answer of the store; `version` is its newest version.
+    pub fn answered(&mut self, now: TimeMs, table: FeedTable, version: u64, has_changes: bool) {
+        let known = self.known_mut(table);
+        known.answered_at = Some(now);
+        let state = known.state.get_or_insert_default();
+        if has_changes {
+            state.changed = state.changed.max(version);
+        }
+        state.seen = state.seen.max(version);
+    }
+
+    /// Notes that a call to the store has failed.
+    pub const fn failed(&mut self, table: FeedTable) {
+        self.known_mut(table).answered_at = None;
+    }
+
+    /// Takes changes that the giver passes on, after `base` and up to `version`; returns whether
+    /// they are new and follow without a gap.
+    pub fn relayed(&mut self, table: FeedTable, base: u64, version: u64) -> bool {
+        let Some(state) = &mut self.known_mut(table).state else {
+            return false;
+        };
+        let fits = base <= state.seen && state.seen < version;
+        if fits {
+            *state = TableState {
+                changed: version,
+                seen: version,
+            };
+        }
+        fits
+    }
+
+    /// Notes what a sign of life of the giver says.
+    pub fn heard(&mut self, now: TimeMs, said: FeedState) {
+        self.heard = Some((now, said));
+        for table in FeedTable::ALL {
+            let theirs = said.of(table);
+            // Without a change in between, the giver's newer version holds here as well.
+            if let Some(mine) = &mut self.known_mut(table).state
+                && mine.seen >= theirs.changed
+            {
+                mine.seen = mine.seen.max(theirs.seen);
+            }
+        }
+    }
+
+    /// Returns the version up to which a table is known, once it was read.
+    pub fn seen(&self, table: FeedTable) -> Option<u64> {
+        self.known(table).state.map(|state| state.seen)
+    }
+
+    /// Returns what this daemon says of the tables as the giver.
+    pub fn state(&self, now: TimeMs) -> FeedState {
+        let state = |known: &Known| known.state.unwrap_or_default();
+        FeedState {
+            config: state(&self.config),
+            upstreams: state(&self.upstreams),
+            age_ms: self.age_ms(now),
+        }
+    }
+
+    /// Returns how long the store has been silent, for the table for which it has been longest.
+    fn age_ms(&self, now: TimeMs) -> u64 {
+        let age = |known: &Known| known.answered_at.map_or(UNKNOWN_AGE_MS, |at| now.since(at));
+        age(&self.config).max(age(&self.upstreams))
+    }
+
+    /// Returns from where a daemon that is not the giver learns of a table's changes.
+    pub fn source(&self, now: TimeMs, table: FeedTable) -> FeedSource {
+        let Some((heard_at, said)) = &self.heard else {
+            return FeedSource::Store;
+        };
+        let is_fresh = now.since(*heard_at) <= SILENT_MS && said.is_fresh();
+        let is_whole = self
+            .seen(table)
+            .is_some_and(|seen| seen >= said.of(table).changed);
+        if is_fresh && is_whole {
+            FeedSource::Giver
+        } else {
+            FeedSource::Store
+        }
+    }
+
+    /// Returns whether the store answers this daemon and has not answered the giver for long.
+    pub fn should_replace(&self, now: TimeMs) -> bool {
+        let is_lost = |(heard_at, said): &(TimeMs, FeedState)| {
+            now.since(*heard_at) <= SILENT_MS && said.age_ms > REPLACE_MS
+        };
+        self.heard.as_ref().is_some_and(is_lost) && self.age_ms(now) <= REACHED_MS
+    }
+}
--- a/crates/balsam-decide/src/keys/giver.rs
+++ b/crates/balsam-decide/src/keys/giver.rs
@@ -160,16 +160,10 @@
             GiverInput::Heard {
                 incarnation,
                 is_settled,
-            } => self.heard(now, incarnation, is_settled),
+                should_replace,
+            } => self.heard(now, incarnation, is_settled, should_replace),
             GiverInput::Alive(daemon) => self.see_alive(now, &daemon),
-            GiverInput::Resigned(incarnation) => {
-                if self
-                    .leader()
-                    .is_some_and(|leader| leader.incarnation == incarnation)
-                {
-                    self.leader_ended(now);
-                }
-            }
+            GiverInput::Resigned(incarnation) => self.resigned(now, incarnation),
             GiverInput::Stop => self.lead = Lead::Stopped,
             GiverInput::Behind => {
                 if self.reload_at.is_none() {
--- a/crates/balsam-decide/src/keys/message.rs
+++ b/crates/balsam-decide/src/keys/message.rs
@@ -167,10 +167,12 @@
         incarnation: Incarnation,
         /// Whether no grant of an earlier giver can hold any more.
         is_settled: bool,
+        /// Whether the store answers this daemon and has not answered the giver for long.
+        should_replace: bool,
     },
     /// A daemon runs in this life; its former life has ended.
     Alive(Leader),
-    /// The giver with this life has sent its last order.
+    /// The present or the former giver with this life has sent its last order.
     Resigned(Incarnation),
     /// This daemon stops and sends no further order.
     Stop,
--- a/crates/balsam-decide/src/keys/succession.rs
+++ b/crates/balsam-decide/src/keys/succession.rs
@@ -58,13 +58,41 @@
         self.reload_at = Some(now);
     }
 
-    pub(super) fn heard(&mut self, now: TimeMs, incarnation: Incarnation, is_settled: bool) {
-        if self
-            .leader()
-            .is_some_and(|leader| leader.incarnation == incarnation)
-        {
-            self.followed.is_settled = is_settled;
-            self.take_at = now.after(self.timing.silent_ms + self.stagger_ms);
+    pub(super) fn heard(
+        &mut self,
+        now: TimeMs,
+        incarnation: Incarnation,
+        is_settled: bool,
+        should_replace: bool,
+    ) {
+        if !self.follows(incarnation) {
+            return;
+        }
+        self.followed.is_settled = is_settled;
+        self.take_at = if should_replace {
+            self.take_at.min(now.after(self.stagger_ms))
+        } else {
+            now.after(self.timing.silent_ms + self.stagger_ms)
+        };
+    }
+
+    fn follows(&self, incarnation: Incarnation) -> bool {
+        !self.is_leading()
+            && self
+                .leader()
+                .is_some_and(|leader| leader.incarnation == incarnation)
+    }
+
+    /// Learns that a daemon has sent its last order.
+    pub(super) fn resigned(&mut self, now: TimeMs, incarnation: Incarnation) {
+        let is_predecessor = self
+            .predecessor
+            .as_ref()
+            .is_some_and(|leader| leader.incarnation == incarnation);
+        if self.follows(incarnation) {
+            self.leader_ended(now);
+        } else if self.is_leading() && is_predecessor {
+            self.predecessor_ended(now);
         }
     }
 
--- a/crates/balsam-decide/src/lib.rs
+++ b/crates/balsam-decide/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod directory;
 pub mod dispatch;
 pub mod entry;
+pub mod feed;
 pub mod grants;
 pub mod hotkeys;
 pub mod keys;
--- a/crates/balsam-decide/tests/key_world/world.rs
+++ b/crates/balsam-decide/tests/key_world/world.rs
@@ -268,11 +268,17 @@
             }
             let mut said = vec![GiverInput::Alive(leader(other, daemon.incarnation))];
             let lead = daemon.giver.lead_version();
-            if daemon.giver.is_leading() && lead >= self.daemons[at].giver.lead_version() {
+            let incarnation = Incarnation(daemon.incarnation);
+            let mine = &self.daemons[at];
+            if daemon.giver.is_leading() && lead >= mine.giver.lead_version() {
                 said.push(GiverInput::Heard {
-                    incarnation: Incarnation(daemon.incarnation),
+                    incarnation,
                     is_settled: daemon.giver.is_settled(self.now),
+                    should_replace: self.now < daemon.store_cut_until
+                        && self.now >= mine.store_cut_until,
                 });
+            } else if daemon.unsent.is_empty() && lead == mine.giver.lead_version() {
+                said.push(GiverInput::Resigned(incarnation));
             }
             self.daemons[at].waiting.extend(said);
         }
--- a/crates/balsam-edge/src/control/follow.rs
+++ b/crates/balsam-edge/src/control/follow.rs
@@ -1,20 +1,16 @@
-//! Follows one table of the store.
+//! Follows one table of the store while the control task wants it.
 
 use super::{ControlInput, Followed};
 use crate::store::{Page, StoreError, StoreRequest, StoreTable};
+use balsam_decide::feed::{FOLLOW_ASIDE_MS, FeedSource, FeedTable};
 use std::time::Duration;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::sleep;
 
-/// How long the store holds back its answer while nothing changes, in milliseconds.
-///
-/// Each answer is a priced call; a dead connection is noticed by its keep-alive probes sooner.
-const FOLLOW_WAIT_MS: u64 = 25_000;
-
 /// How long further changes are gathered after one, in milliseconds.
 ///
-/// Changes come in bursts, and each answer is a priced call of every daemon. Leaving upstreams must
-/// be known within two seconds.
+/// Changes come in bursts, and each answer is a priced call. Leaving upstreams must be known within
+/// two seconds.
 const GATHER_MS: u64 = 250;
 
 /// The pause after the first failed call in milliseconds; it doubles up to the greatest.
@@ -29,86 +25,138 @@
 /// entries that lapsed are kept.
 const UNREACHED_PAUSE_MS: u64 = 100;
 
-/// Follows `table` until the control task ends.
-pub(super) async fn run(
-    table: StoreTable,
+/// Whether a table is to be followed, and from where on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct FollowOrder {
+    pub(super) source: FeedSource,
+    /// The version up to which the table is known, once it was read.
+    pub(super) seen: Option<u64>,
+    /// How long the store holds back its answer while nothing changes, in milliseconds.
+    pub(super) wait_ms: u64,
+}
+
+impl Default for FollowOrder {
+    fn default() -> Self {
+        Self {
+            source: FeedSource::Store,
+            seen: None,
+            wait_ms: FOLLOW_ASIDE_MS,
+        }
+    }
+}
+
+/// Follows a table until the control task ends.
+#[derive(Debug)]
+pub(super) struct Follower {
+    table: FeedTable,
     store: mpsc::Sender<StoreRequest>,
-    control: mpsc::Sender<ControlInput>,
-) {
-    let mut version = None;
-    let mut pause_ms = PAUSE_MS;
-    let mut is_lost = false;
-    let mut is_busy = false;
-    loop {
-        if std::mem::take(&mut is_busy) {
+    orders: watch::Receiver<FollowOrder>,
+    version: Option<u64>,
+    pause_ms: u64,
+    is_lost: bool,
+    /// Whether the last answer brought changes.
+    is_busy: bool,
+}
+
+impl Follower {
+    /// Makes a follower that has read nothing.
+    pub(super) const fn new(
+        table: FeedTable,
+        store: mpsc::Sender<StoreRequest>,
+        orders: watch::Receiver<FollowOrder>,
+    ) -> Self {
+        Self {
+            table,
+            store,
+            orders,
+            version: None,
+            pause_ms: PAUSE_MS,
+            is_lost: false,
+            is_busy: false,
+        }
+    }
+
+    /// Runs until the control task ends.
+    pub(super) async fn run(mut self, control: mpsc::Sender<ControlInput>) {
+        while let Some(news) = self.next().await {
+            self.is_lost = matches!(news, Followed::Failed(_));
+            let told = control.send(ControlInput::Store(self.table, news)).await;
+            if told.is_err() {
+                return;
+            }
+        }
+    }
+
+    /// Waits for news of the table; `None` once nobody wants them any more.
+    async fn next(&mut self) -> Option<Followed> {
+        if std::mem::take(&mut self.is_busy) {
             sleep(Duration::from_millis(GATHER_MS)).await;
         }
+        let order = self.wanted().await?;
+        let after = self
+            .version
+            .map(|known| order.seen.map_or(known, |seen| seen.max(known)));
         // After a failure the store's return must be known before the next change is.
-        let wait_ms = if is_lost { 0 } else { FOLLOW_WAIT_MS };
-        let news = match version {
-            None => read(table, &store).await.map(Followed::Listed),
-            Some(after) => follow(table, after, wait_ms, &store)
-                .await
-                .map(Followed::Changed),
+        let wait_ms = if self.is_lost { 0 } else { order.wait_ms };
+        let news = match after {
+            None => self.read().await.map(Followed::Listed),
+            Some(after) => self.follow(after, wait_ms).await.map(Followed::Changed),
         };
-        let news = match news {
-            Ok(Followed::Listed(page) | Followed::Changed(page)) if page.version == 0 => {
+        match news {
+            Ok(Followed::Listed(page)) if page.version == 0 => {
                 // An empty store has no version to follow from.
                 sleep(Duration::from_millis(PAUSE_MS)).await;
-                Followed::Listed(page)
+                Some(Followed::Listed(page))
             }
             Ok(news) => {
-                pause_ms = PAUSE_MS;
-                is_busy = matches!(&news, Followed::Changed(page) if !page.changes.is_empty());
+                self.pause_ms = PAUSE_MS;
+                self.is_busy = matches!(&news, Followed::Changed(page) if !page.changes.is_empty());
                 if let Followed::Listed(page) | Followed::Changed(page) = &news {
-                    version = Some(page.version);
+                    self.version = Some(page.version);
                 }
-                news
+                Some(news)
             }
-            Err(StoreError::Stopped) => return,
+            Err(StoreError::Stopped) => None,
             Err(error) => {
-                if error == StoreError::HistoryLost {
-                    version = None;
-                } else if matches!(error, StoreError::Unreachable) {
-                    sleep(Duration::from_millis(UNREACHED_PAUSE_MS)).await;
-                } else {
-                    sleep(Duration::from_millis(pause_ms)).await;
-                    pause_ms = (pause_ms * 2).min(REFUSED_PAUSE_MAX_MS);
-                }
-                Followed::Failed(error)
+                self.pause(&error).await;
+                Some(Followed::Failed(error))
             }
-        };
-        let is_quiet = matches!(&news, Followed::Changed(page) if page.changes.is_empty());
-        let was_lost = std::mem::replace(&mut is_lost, matches!(news, Followed::Failed(_)));
-        let is_told = was_lost || !is_quiet;
-        if is_told
-            && control
-                .send(ControlInput::Store(table, news))
-                .await
-                .is_err()
-        {
-            return;
         }
     }
-}
 
-async fn read(table: StoreTable, store: &mpsc::Sender<StoreRequest>) -> Result<Page, StoreError> {
-    call(store, |reply| StoreRequest::Read { table, reply }).await
-}
+    /// Waits until the table is to be followed.
+    async fn wanted(&mut self) -> Option<FollowOrder> {
+        let wanted = self
+            .orders
+            .wait_for(|order| order.source == FeedSource::Store);
+        wanted.await.ok().map(|order| *order)
+    }
 
-async fn follow(
-    table: StoreTable,
-    after: u64,
-    wait_ms: u64,
-    store: &mpsc::Sender<StoreRequest>,
-) -> Result<Page, StoreError> {
-    call(store, |reply| StoreRequest::Follow {
-        table,
-        after,
-        wait_ms,
-        reply,
-    })
-    .await
+    async fn pause(&mut self, error: &StoreError) {
+        match error {
+            StoreError::HistoryLost => self.version = None,
+            StoreError::Unreachable => sleep(Duration::from_millis(UNREACHED_PAUSE_MS)).await,
+            _ => {
+                sleep(Duration::from_millis(self.pause_ms)).await;
+                self.pause_ms = (self.pause_ms * 2).min(REFUSED_PAUSE_MAX_MS);
+            }
+        }
+    }
+
+    async fn read(&self) -> Result<Page, StoreError> {
+        let table = StoreTable::from(self.table);
+        call(&self.store, |reply| StoreRequest::Read { table, reply }).await
+    }
+
+    async fn follow(&self, after: u64, wait_ms: u64) -> Result<Page, StoreError> {
+        call(&self.store, |reply| StoreRequest::Follow {
+            table: StoreTable::from(self.table),
+            after,
+            wait_ms,
+            reply,
+        })
+        .await
+    }
 }
 
 /// Sends a call to the store's task and waits for its end.
--- a/crates/balsam-edge/src/control/lines.rs
+++ b/crates/balsam-edge/src/control/lines.rs
@@ -1,5 +1,6 @@
 //! Log lines of the control path.
 
+use crate::peer::UpstreamNews;
 use balsam_decide::keys::{Commit, CommitResult, GiverOutput, OrderKind, OrderResult};
 use balsam_types::{KeyRange, ServiceName, UpstreamName};
 use serde::Serialize;
@@ -88,6 +89,21 @@
     }
 }
 
+/// Writes a line for a change of the list of upstreams.
+pub(super) fn upstream(news: &UpstreamNews) {
+    let (upstream, state, born) = match news {
+        UpstreamNews::Changed(entry) if entry.is_ready() => (&entry.name, "ready", entry.born.0),
+        UpstreamNews::Changed(entry) => (&entry.name, "draining", entry.born.0),
+        UpstreamNews::Removed(name) => (name, "removed", 0),
+    };
+    ControlLine::Upstream {
+        upstream,
+        state,
+        born,
+    }
+    .write();
+}
+
 /// Writes a line for the end of a commit.
 pub(super) fn committed(result: CommitResult) {
     let (result, version) = match result {
--- a/crates/balsam-edge/src/control/message.rs
+++ b/crates/balsam-edge/src/control/message.rs
@@ -1,7 +1,8 @@
 //! What the control task is told.
 
 use crate::peer::PeerMessage;
-use crate::store::{Page, StoreError, StoreTable};
+use crate::store::{Page, StoreError};
+use balsam_decide::feed::FeedTable;
 use balsam_decide::keys::{CommitResult, OrderId, OrderResult, RowVersion};
 use balsam_types::{ServiceName, ShardKey, TimeMs};
 use std::net::SocketAddr;
@@ -21,7 +22,7 @@
 #[derive(Debug)]
 pub(crate) enum ControlInput {
     /// News of a table.
-    Store(StoreTable, Followed),
+    Store(FeedTable, Followed),
     /// A commit has ended.
     Committed(CommitResult),
     /// The row of the giver was read.
--- a/crates/balsam-edge/src/control/peers.rs
+++ b/crates/balsam-edge/src/control/peers.rs
@@ -2,7 +2,11 @@
 
 use super::task::ControlTask;
 use crate::clock::now;
-use crate::peer::{Beacon, PeerMessage, PeerOutput, RangesDelta};
+use crate::peer::{
+    Beacon, Greeting, PeerMessage, PeerOutput, RangesDelta, UpstreamNews, UpstreamsDelta,
+};
+use balsam_decide::directory::DirectoryInput;
+use balsam_decide::feed::FeedTable;
 use balsam_decide::keys::{GiverInput, RowVersion, StoredLead, StoredRanges, apply_delta, delta};
 use balsam_types::{Map, ServiceName, ServiceRanges, ShardKey, TimeMs};
 use std::net::SocketAddr;
@@ -15,6 +19,9 @@
 /// The time between two greetings to the giver, in milliseconds.
 const HELLO_MS: u64 = 1_000;
 
+/// Changes of upstreams in one datagram at most; an entry takes about 150 bytes.
+const PUSHED_ENTRIES_MAX: usize = 40;
+
 impl ControlTask {
     /// Sends the signs of life that are due.
     pub(super) fn keep_in_touch(&mut self, now: TimeMs) {
@@ -28,10 +35,18 @@
                 self.send(peers, PeerMessage::Lead(beacon));
             }
         } else if now >= self.hello_at
-            && let Some(leader) = self.giver.leader()
+            && let Some(leader) = self.giver.leader().cloned()
         {
             self.hello_at = now.after(HELLO_MS);
-            self.send(vec![leader.address], PeerMessage::Hello(self.me.clone()));
+            self.send(vec![leader.address], PeerMessage::Hello(self.greeting()));
+        }
+    }
+
+    fn greeting(&self) -> Greeting {
+        Greeting {
+            daemon: self.me.clone(),
+            follows: self.giver.lead_version().0,
+            has_orders: !self.notes.is_empty(),
         }
     }
 
@@ -46,6 +61,7 @@
             version: self.giver.lead_version().0,
             ranges: ranges.collect(),
             is_settled: self.giver.is_settled(now()),
+            tables: self.feed.state(now()),
             peers,
         }
     }
@@ -64,16 +80,58 @@
     pub(super) fn hear(&mut self, from: SocketAddr, message: PeerMessage) {
         self.book.heard(now(), from);
         match message {
-            PeerMessage::Hello(daemon) => self.give(GiverInput::Alive(daemon)),
+            PeerMessage::Hello(greeting) => self.hear_greeting(greeting),
             PeerMessage::Resign(incarnation) => self.give(GiverInput::Resigned(incarnation)),
             PeerMessage::Lead(beacon) => self.hear_beacon(beacon),
             PeerMessage::Ranges(delta) => self.hear_delta(&delta),
+            PeerMessage::Upstreams(delta) => self.hear_upstreams(delta),
             PeerMessage::Sample { service, keys } => {
                 self.give(GiverInput::Sampled { service, keys });
             }
         }
     }
 
+    fn hear_greeting(&mut self, greeting: Greeting) {
+        let incarnation = greeting.daemon.incarnation;
+        self.give(GiverInput::Alive(greeting.daemon));
+        // A former giver that follows this one gives no order any more.
+        let follows = self.giver.is_leading() && greeting.follows == self.giver.lead_version().0;
+        if follows && !greeting.has_orders {
+            self.give(GiverInput::Resigned(incarnation));
+        }
+    }
+
+    fn hear_upstreams(&mut self, delta: UpstreamsDelta) {
+        let UpstreamsDelta {
+            base,
+            version,
+            in_outage,
+            changes,
+        } = delta;
+        if in_outage {
+            self.directory.handle(now(), DirectoryInput::StoreFailed);
+        }
+        // What does not fit is read from the store once a sign of life names the version.
+        if self.feed.relayed(FeedTable::Upstreams, base, version) {
+            self.change_upstreams(changes);
+        }
+    }
+
+    /// Passes changes of the list of upstreams on to the other daemons.
+    pub(super) fn push_upstreams(&mut self, base: u64, version: u64, news: &[UpstreamNews]) {
+        if !self.giver.is_leading() || news.len() > PUSHED_ENTRIES_MAX {
+            return;
+        }
+        let peers = self.book.peers(now(), self.me.address);
+        let delta = UpstreamsDelta {
+            base,
+            version,
+            in_outage: self.directory.in_outage(now()),
+            changes: news.to_vec(),
+        };
+        self.send(peers, PeerMessage::Upstreams(delta));
+    }
+
     fn hear_beacon(&mut self, beacon: Beacon) {
         let incarnation = beacon.leader.incarnation;
         let version = RowVersion(beacon.version);
@@ -84,9 +142,15 @@
             version,
             leader: Some(beacon.leader),
         }));
+        self.feed.heard(now(), beacon.tables);
+        if !beacon.tables.is_fresh() {
+            // Entries that vanish now may only have lapsed.
+            self.directory.handle(now(), DirectoryInput::StoreFailed);
+        }
         self.give(GiverInput::Heard {
             incarnation,
             is_settled: beacon.is_settled,
+            should_replace: self.feed.should_replace(now()),
         });
         for peer in &beacon.peers {
             self.book.heard(now(), *peer);
--- a/crates/balsam-edge/src/control/tables.rs
+++ b/crates/balsam-edge/src/control/tables.rs
@@ -1,27 +1,36 @@
 //! What the control task takes from the tables of the store.
 
 use super::Followed;
-use super::lines::ControlLine;
+use super::lines::{self, ControlLine};
 use super::task::ControlTask;
 use crate::clock::now;
+use crate::peer::UpstreamNews;
 use crate::store::{
     OwnKey, Page, RowError, StoreChange, StoreError, StoreTable, decode_ranges, decode_row,
 };
 use balsam_decide::directory::{DirectoryInput, Upstreams};
+use balsam_decide::feed::FeedTable;
 use balsam_decide::keys::{GiverInput, RowVersion, StoredLead, StoredRanges};
 use balsam_decide::routing::RouteTable;
-use balsam_types::{RoutingConfig, UpstreamEntry};
+use balsam_types::RoutingConfig;
 use std::collections::hash_map::Entry;
 use std::sync::Arc;
 
 impl ControlTask {
-    pub(super) fn follow(&mut self, table: StoreTable, news: Followed) {
+    pub(super) fn follow(&mut self, table: FeedTable, news: Followed) {
         let (page, is_whole) = match news {
             Followed::Failed(StoreError::HistoryLost) => return,
             Followed::Failed(error) => return self.store_failed(table, &error),
             Followed::Listed(page) => (page, true),
             Followed::Changed(page) => (page, false),
         };
+        let has_changes = is_whole || !page.changes.is_empty();
+        let base = self.feed.state(now()).of(table).changed;
+        self.feed.answered(now(), table, page.version, has_changes);
+        if has_changes && self.giver.is_leading() {
+            // The others fetch what they lack once a sign of life names the version.
+            self.beacon_at = now();
+        }
         if let Some(lost_at) = self.lost.remove(&table) {
             // The giver knows whether the store was lost to others as well.
             self.hello_at = now();
@@ -29,26 +38,25 @@
             self.directory.handle(now(), DirectoryInput::StoreFailed);
             let lost_ms = now().since(lost_at);
             ControlLine::StoreBack {
-                table: table.as_str(),
+                table: StoreTable::from(table).as_str(),
                 version: page.version,
                 lost_ms,
             }
             .write();
         }
         match table {
-            StoreTable::Config => self.take_configs(page),
-            StoreTable::Upstreams => self.take_upstreams(page, is_whole),
-            // The own rows are read on demand.
-            StoreTable::Own => self.take_own(page),
+            FeedTable::Config => self.take_configs(page),
+            FeedTable::Upstreams => self.take_upstreams(page, base, is_whole),
         }
     }
 
-    fn store_failed(&mut self, table: StoreTable, error: &StoreError) {
+    fn store_failed(&mut self, table: FeedTable, error: &StoreError) {
+        self.feed.failed(table);
         self.directory.handle(now(), DirectoryInput::StoreFailed);
         if let Entry::Vacant(lost) = self.lost.entry(table) {
             lost.insert(now());
             ControlLine::StoreLost {
-                table: table.as_str(),
+                table: StoreTable::from(table).as_str(),
                 error: error.to_string(),
             }
             .write();
@@ -97,58 +105,53 @@
         self.publish();
     }
 
-    fn take_upstreams(&mut self, page: Page, is_whole: bool) {
-        let mut listed: Vec<UpstreamEntry> = Vec::new();
+    fn take_upstreams(&mut self, page: Page, base: u64, is_whole: bool) {
+        let version = page.version;
+        let news = page.changes.into_iter().filter_map(|change| match change {
+            StoreChange::Upstream(entry) => Some(UpstreamNews::Changed(entry)),
+            StoreChange::UpstreamRemoved(name) => Some(UpstreamNews::Removed(name)),
+            StoreChange::Unreadable { key, reason } => {
+                Self::unreadable(StoreTable::Upstreams, &key, &reason);
+                None
+            }
+            StoreChange::Config(_) | StoreChange::Own { .. } => None,
+        });
+        let news: Vec<UpstreamNews> = news.collect();
+        if is_whole {
+            self.list_upstreams(news);
+        } else if !news.is_empty() {
+            self.push_upstreams(base, version, &news);
+            self.change_upstreams(news);
+        }
+    }
+
+    /// Takes the whole list of upstreams.
+    fn list_upstreams(&mut self, news: Vec<UpstreamNews>) {
+        let entries = news.into_iter().filter_map(|news| match news {
+            UpstreamNews::Changed(entry) => Some(entry),
+            UpstreamNews::Removed(_) => None,
+        });
+        let listed = DirectoryInput::Listed(entries.collect());
+        self.view.has_upstreams = true;
+        match self.directory.handle(now(), listed) {
+            Some(upstreams) => self.adopt_upstreams(upstreams),
+            None => self.publish(),
+        }
+    }
+
+    /// Takes changes of the list of upstreams, from the store or from the giver.
+    pub(super) fn change_upstreams(&mut self, news: Vec<UpstreamNews>) {
         let mut newest = None;
-        for change in page.changes {
-            let input = match change {
-                StoreChange::Upstream(entry) if is_whole => {
-                    listed.push(entry);
-                    continue;
-                }
-                StoreChange::Upstream(entry) => {
-                    let state = if entry.is_ready() {
-                        "ready"
-                    } else {
-                        "draining"
-                    };
-                    let (upstream, born) = (&entry.name, entry.born.0);
-                    ControlLine::Upstream {
-                        upstream,
-                        state,
-                        born,
-                    }
-                    .write();
-                    DirectoryInput::Changed(entry)
-                }
-                StoreChange::UpstreamRemoved(name) => {
-                    ControlLine::Upstream {
-                        upstream: &name,
-                        state: "removed",
-                        born: 0,
-                    }
-                    .write();
-                    DirectoryInput::Removed(name)
-                }
-                StoreChange::Unreadable { key, reason } => {
-                    Self::unreadable(StoreTable::Upstreams, &key, &reason);
-                    continue;
-                }
-                StoreChange::Config(_) | StoreChange::Own { .. } => continue,
+        for news in news {
+            lines::upstream(&news);
+            let input = match news {
+                UpstreamNews::Changed(entry) => DirectoryInput::Changed(entry),
+                UpstreamNews::Removed(name) => DirectoryInput::Removed(name),
             };
             newest = self.directory.handle(now(), input).or(newest);
         }
-        if is_whole {
-            self.view.has_upstreams = true;
-            newest = self
-                .directory
-                .handle(now(), DirectoryInput::Listed(listed))
-                .or(newest);
-        }
-        match newest {
-            Some(upstreams) => self.adopt_upstreams(upstreams),
-            None if is_whole => self.publish(),
-            None => {}
+        if let Some(upstreams) = newest {
+            self.adopt_upstreams(upstreams);
         }
     }
 
--- a/crates/balsam-edge/src/control/task.rs
+++ b/crates/balsam-edge/src/control/task.rs
@@ -1,14 +1,16 @@
 //! The control task: owns what the daemon believes.
 
+use super::ControlInput;
 use super::act::Actor;
+use super::follow::{FollowOrder, Follower};
 use super::lines::{self, ControlLine, OrderNote};
-use super::{ControlInput, follow};
 use crate::clock::now;
 use crate::metrics::EdgeMetrics;
 use crate::peer::{PeerBook, PeerOutput};
-use crate::store::{StoreRequest, StoreTable};
+use crate::store::StoreRequest;
 use crate::view::View;
 use balsam_decide::directory::{Directory, DirectoryInput};
+use balsam_decide::feed::{FOLLOW_AS_GIVER_MS, FOLLOW_ASIDE_MS, Feed, FeedSource, FeedTable};
 use balsam_decide::keys::{Giver, GiverInput, GiverOutput, KeyTiming, Leader, OrderId};
 use balsam_types::{Map, ServiceName, ServiceRanges, TimeMs, new_map};
 use std::sync::Arc;
@@ -33,7 +35,9 @@
     pub(super) giver: Giver,
     pub(super) book: PeerBook,
     pub(super) notes: Map<OrderId, OrderNote>,
-    pub(super) lost: Map<StoreTable, TimeMs>,
+    pub(super) feed: Feed,
+    pub(super) follow_orders: Map<FeedTable, watch::Sender<FollowOrder>>,
+    pub(super) lost: Map<FeedTable, TimeMs>,
     pub(super) beacon_at: TimeMs,
     pub(super) hello_at: TimeMs,
     pub(super) was_leading: bool,
@@ -70,6 +74,8 @@
             giver,
             book: PeerBook::new(),
             notes: new_map(),
+            feed: Feed::new(),
+            follow_orders: new_map(),
             lost: new_map(),
             beacon_at: now(),
             hello_at: now(),
@@ -81,9 +87,11 @@
 
 /// Runs the control task until its inputs end.
 pub(crate) async fn run(mut task: ControlTask, mut inputs: mpsc::Receiver<ControlInput>) {
-    for table in [StoreTable::Config, StoreTable::Upstreams] {
-        let (store, control) = (task.actor.store.clone(), task.actor.control.clone());
-        actix_rt::spawn(follow::run(table, store, control));
+    for table in FeedTable::ALL {
+        let (orders, ordered) = watch::channel(FollowOrder::default());
+        let follower = Follower::new(table, task.actor.store.clone(), ordered);
+        actix_rt::spawn(follower.run(task.actor.control.clone()));
+        task.follow_orders.insert(table, orders);
     }
     let mut ticks = interval(Duration::from_millis(TICK_MS));
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
@@ -95,6 +103,7 @@
             },
             _ = ticks.tick() => task.tick(),
         }
+        task.direct_followers();
     }
 }
 
@@ -132,6 +141,31 @@
         }
     }
 
+    /// Tells the followers of the tables whether they are needed.
+    fn direct_followers(&self) {
+        let is_giver = self.giver.is_leading();
+        for (table, orders) in &self.follow_orders {
+            let order = FollowOrder {
+                source: if is_giver {
+                    FeedSource::Store
+                } else {
+                    self.feed.source(now(), *table)
+                },
+                seen: self.feed.seen(*table),
+                wait_ms: if is_giver {
+                    FOLLOW_AS_GIVER_MS
+                } else {
+                    FOLLOW_ASIDE_MS
+                },
+            };
+            orders.send_if_modified(|known| {
+                let has_turned = known.source != order.source;
+                *known = order;
+                has_turned
+            });
+        }
+    }
+
     fn tick(&mut self) {
         let now = now();
         if let Some(upstreams) = self.directory.handle(now, DirectoryInput::Tick) {
--- a/crates/balsam-edge/src/peer/message.rs
+++ b/crates/balsam-edge/src/peer/message.rs
@@ -1,7 +1,10 @@
 //! Messages between daemons and their encoding.
 
+use balsam_decide::feed::FeedState;
 use balsam_decide::keys::Leader;
-use balsam_types::{Incarnation, ServiceName, ServiceRanges, ShardKey};
+use balsam_types::{
+    Incarnation, ServiceName, ServiceRanges, ShardKey, UpstreamEntry, UpstreamName,
+};
 use bincode::config::{Configuration, Fixint, Limit, LittleEndian, standard};
 use bincode::error::{DecodeError, EncodeError};
 use serde::{Deserialize, Serialize};
@@ -21,6 +24,8 @@
     pub(crate) ranges: Vec<(ServiceName, u64)>,
     /// Whether no grant of an earlier giver can hold any more.
     pub(crate) is_settled: bool,
+    /// How far it knows the tables that it follows for all.
+    pub(crate) tables: FeedState,
     /// The other daemons that it knows of, one of which may follow it.
     pub(crate) peers: Vec<SocketAddr>,
 }
@@ -36,17 +41,52 @@
     pub(crate) changed: ServiceRanges,
 }
 
+/// What a daemon tells the giver that it follows.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Greeting {
+    /// The daemon in this life.
+    pub(crate) daemon: Leader,
+    /// The version of the giver's row that the daemon follows.
+    pub(crate) follows: u64,
+    /// Whether orders that it sent as a giver may still be under way.
+    pub(crate) has_orders: bool,
+}
+
+/// A change of the list of upstreams.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) enum UpstreamNews {
+    /// An entry was written.
+    Changed(UpstreamEntry),
+    /// An entry was removed.
+    Removed(UpstreamName),
+}
+
+/// Changes of the list of upstreams that the giver passes on.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct UpstreamsDelta {
+    /// The version of the store that brought the change before.
+    pub(crate) base: u64,
+    /// The version of the store with these changes.
+    pub(crate) version: u64,
+    /// Whether entries may have vanished only because the store was away.
+    pub(crate) in_outage: bool,
+    /// The changes in order.
+    pub(crate) changes: Vec<UpstreamNews>,
+}
+
 /// What one daemon tells another.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) enum PeerMessage {
-    /// The sender runs in this life and wants to hear of the giver.
-    Hello(Leader),
+    /// The sender runs and wants to hear of the giver.
+    Hello(Greeting),
     /// The sender was the giver and has sent its last order.
     Resign(Incarnation),
     /// The sender is the giver.
     Lead(Beacon),
     /// The sender has committed assignments.
     Ranges(RangesDelta),
+    /// The sender has read changes of the list of upstreams.
+    Upstreams(UpstreamsDelta),
     /// Requests were made on keys at the sender.
     Sample {
         service: ServiceName,
--- a/crates/balsam-edge/src/peer/mod.rs
+++ b/crates/balsam-edge/src/peer/mod.rs
@@ -8,5 +8,7 @@
 mod task;
 
 pub(crate) use book::PeerBook;
-pub(crate) use message::{Beacon, PeerMessage, PeerOutput, RangesDelta};
+pub(crate) use message::{
+    Beacon, Greeting, PeerMessage, PeerOutput, RangesDelta, UpstreamNews, UpstreamsDelta,
+};
 pub(crate) use task::PeerTask;
--- a/crates/balsam-edge/src/store/message.rs
+++ b/crates/balsam-edge/src/store/message.rs
@@ -1,5 +1,6 @@
 //! Calls to the store and their ends.
 
+use balsam_decide::feed::FeedTable;
 use balsam_types::{RoutingConfig, UpstreamEntry, UpstreamName};
 use bytes::Bytes;
 use snafu::Snafu;
@@ -28,6 +29,15 @@
     }
 }
 
+impl From<FeedTable> for StoreTable {
+    fn from(table: FeedTable) -> Self {
+        match table {
+            FeedTable::Config => Self::Config,
+            FeedTable::Upstreams => Self::Upstreams,
+        }
+    }
+}
+
 /// A row as it was read, decoded as far as its table tells.
 #[derive(Clone, Debug)]
 pub enum StoreChange {
--- a/crates/balsam-types/src/upstreams.rs
+++ b/crates/balsam-types/src/upstreams.rs
@@ -21,7 +21,7 @@
 }
 
 /// Whether an upstream takes new work.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum UpstreamState {
     /// The upstream takes new work.
     Ready,
@@ -30,7 +30,7 @@
 }
 
 /// An upstream's entry in the platform's list.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct UpstreamEntry {
     /// The name.
     pub name: UpstreamName,
