--- a/crates/balsam-decide/src/feed/machine.rs
+++ b/crates/balsam-decide/src/feed/machine.rs
@@ -16,6 +16,10 @@
 /// How long ago the store must have answered a daemon that replaces the giver, in milliseconds.
 const REACHED_MS: u64 = FOLLOW_ASIDE_MS + 500;
 
+/// How long a daemon tries to read an announced change from the store before it asks the giver, in
+/// milliseconds; a store that answers does so sooner.
+const SNAPSHOT_AFTER_MS: u64 = 600;
+
 /// Age of a table for which the store has not answered yet, in milliseconds.
 const UNKNOWN_AGE_MS: u64 = 3_600_000;
 
@@ -26,6 +30,20 @@
     state: Option<TableState>,
     /// When the store last answered, unless a call has failed since.
     answered_at: Option<TimeMs>,
+    /// Since when the giver announces a change that this daemon does not know.
+    behind_since: Option<TimeMs>,
+}
+
+impl Known {
+    /// Compares with what the giver says.
+    fn compare(&mut self, now: TimeMs, theirs: TableState) {
+        let is_whole = self.state.is_some_and(|mine| mine.seen >= theirs.changed);
+        if is_whole {
+            self.behind_since = None;
+        } else {
+            self.behind_since.get_or_insert(now);
+        }
+    }
 }
 
 /// Decides from where each table is followed.
@@ -69,6 +87,13 @@
             state.changed = state.changed.max(version);
         }
         state.seen = state.seen.max(version);
+        self.compare(now, table);
+    }
+
+    fn compare(&mut self, now: TimeMs, table: FeedTable) {
+        if let Some((_, said)) = self.heard {
+            self.known_mut(table).compare(now, said.of(table));
+        }
     }
 
     /// Notes that a call to the store has failed.
@@ -78,18 +103,23 @@
 
     /// Takes changes that the giver passes on, after `base` and up to `version`; returns whether
     /// they are new and follow without a gap.
-    pub fn relayed(&mut self, table: FeedTable, base: u64, version: u64) -> bool {
-        let Some(state) = &mut self.known_mut(table).state else {
-            return false;
-        };
-        let fits = base <= state.seen && state.seen < version;
-        if fits {
-            *state = TableState {
+    pub fn relayed(&mut self, now: TimeMs, table: FeedTable, base: u64, version: u64) -> bool {
+        let fits = self.seen(table).is_some_and(|seen| base <= seen);
+        fits && self.replaced(now, table, version)
+    }
+
+    /// Takes a snapshot of the whole table that the giver knows up to `version`; returns whether it is
+    /// new.
+    pub fn replaced(&mut self, now: TimeMs, table: FeedTable, version: u64) -> bool {
+        let is_new = self.seen(table).is_none_or(|seen| seen < version);
+        if is_new {
+            self.known_mut(table).state = Some(TableState {
                 changed: version,
                 seen: version,
-            };
+            });
+            self.compare(now, table);
         }
-        fits
+        is_new
     }
 
     /// Notes what a sign of life of the giver says.
@@ -103,6 +133,7 @@
             {
                 mine.seen = mine.seen.max(theirs.seen);
             }
+            self.compare(now, table);
         }
     }
 
@@ -133,16 +164,25 @@
             return FeedSource::Store;
         };
         let is_fresh = now.since(*heard_at) <= SILENT_MS && said.is_fresh();
-        let is_whole = self
-            .seen(table)
-            .is_some_and(|seen| seen >= said.of(table).changed);
-        if is_fresh && is_whole {
+        if is_fresh && !self.is_behind(table) {
             FeedSource::Giver
         } else {
             FeedSource::Store
         }
     }
 
+    /// Returns whether the giver has announced a change that this daemon does not know.
+    pub const fn is_behind(&self, table: FeedTable) -> bool {
+        self.known(table).behind_since.is_some()
+    }
+
+    /// Returns whether the store should have brought an announced change by now, so that the giver
+    /// is to be asked for a snapshot.
+    pub fn needs_snapshot(&self, now: TimeMs, table: FeedTable) -> bool {
+        let since = self.known(table).behind_since;
+        since.is_some_and(|since| now.since(since) >= SNAPSHOT_AFTER_MS)
+    }
+
     /// Returns whether the store answers this daemon and has not answered the giver for long.
     pub fn should_replace(&self, now: TimeMs) -> bool {
         let is_lost = |(heard_at, said): &(TimeMs, FeedState)| {
--- a/crates/balsam-edge/src/control/lines.rs
+++ b/crates/balsam-edge/src/control/lines.rs
@@ -33,6 +33,8 @@
         version: u64,
         lost_ms: u64,
     },
+    /// A snapshot was taken from the giver because the store did not bring it.
+    SnapshotTaken { topic: String, version: u64 },
     /// This daemon tries to become the giver.
     TakeLead { expected: u64 },
     /// This daemon has become the giver, or is it no longer.
--- a/crates/balsam-edge/src/control/mod.rs
+++ b/crates/balsam-edge/src/control/mod.rs
@@ -5,6 +5,7 @@
 mod lines;
 mod message;
 mod peers;
+mod snapshots;
 mod tables;
 mod task;
 
--- a/crates/balsam-edge/src/control/peers.rs
+++ b/crates/balsam-edge/src/control/peers.rs
@@ -85,6 +85,8 @@
             PeerMessage::Lead(beacon) => self.hear_beacon(beacon),
             PeerMessage::Ranges(delta) => self.hear_delta(&delta),
             PeerMessage::Upstreams(delta) => self.hear_upstreams(delta),
+            PeerMessage::Ask(topic) => self.answer(from, &topic),
+            PeerMessage::Part(part) => self.take_part(part),
             PeerMessage::Sample { service, keys } => {
                 self.give(GiverInput::Sampled { service, keys });
             }
@@ -112,7 +114,10 @@
             self.directory.handle(now(), DirectoryInput::StoreFailed);
         }
         // What does not fit is read from the store once a sign of life names the version.
-        if self.feed.relayed(FeedTable::Upstreams, base, version) {
+        if self
+            .feed
+            .relayed(now(), FeedTable::Upstreams, base, version)
+        {
             self.change_upstreams(changes);
         }
     }
@@ -156,13 +161,17 @@
             self.book.heard(now(), *peer);
         }
         self.daemons = beacon.peers.len() as u32 + 1;
-        let is_behind = beacon.ranges.iter().any(|(service, version)| {
+        let lacks = |(service, version): &(ServiceName, u64)| {
             let known = self.giver.stored(service);
-            known.is_none_or(|known| known.version.0 < *version)
-        });
-        if is_behind {
+            known
+                .is_none_or(|known| known.version.0 < *version)
+                .then(|| service.clone())
+        };
+        let lacking: Vec<ServiceName> = beacon.ranges.iter().filter_map(lacks).collect();
+        if !lacking.is_empty() {
             self.give(GiverInput::Behind);
         }
+        self.note_lacking(now(), lacking);
         self.publish_ranges();
     }
 
@@ -215,7 +224,7 @@
         }
     }
 
-    fn send(&self, targets: Vec<SocketAddr>, message: PeerMessage) {
+    pub(super) fn send(&self, targets: Vec<SocketAddr>, message: PeerMessage) {
         // Whatever is lost here is repeated or read from the store.
         drop(self.peers.try_send(PeerOutput { targets, message }));
     }
--- /dev/null
+++ b/crates/balsam-edge/src/control/snapshots.rs
@@ -0,0 +1,121 @@
+//! Snapshots of the tables for daemons that the store turns away.
+
+use super::lines::ControlLine;
+use super::task::ControlTask;
+use crate::clock::now;
+use crate::peer::{Part, PeerMessage, Snapshot, Topic, divide};
+use balsam_decide::feed::FeedTable;
+use balsam_decide::keys::{GiverInput, RowVersion, StoredRanges};
+use balsam_types::{ServiceName, TimeMs};
+use log::warn;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// The time between two requests for snapshots, in milliseconds; lost parts are asked for again.
+const ASK_MS: u64 = 400;
+
+/// How long assignments are awaited from the giver's messages and from the store before a snapshot is
+/// asked for, in milliseconds.
+const LACKING_MS: u64 = 800;
+
+impl ControlTask {
+    /// Notes the services whose newest assignments this daemon lacks.
+    pub(super) fn note_lacking(&mut self, now: TimeMs, services: Vec<ServiceName>) {
+        self.lacking.retain(|service, _| services.contains(service));
+        for service in services {
+            self.lacking.entry(service).or_insert(now);
+        }
+    }
+
+    /// Asks the giver for what the store did not bring in time.
+    pub(super) fn ask_for_snapshots(&mut self, now: TimeMs) {
+        if self.giver.is_leading() || now.since(self.asked_at) < ASK_MS {
+            return;
+        }
+        let tables = FeedTable::ALL.into_iter();
+        let tables = tables.filter(|table| self.feed.needs_snapshot(now, *table));
+        let ranges = self.lacking.iter();
+        let ranges = ranges.filter(|(_, since)| now.since(**since) >= LACKING_MS);
+        let ranges = ranges.map(|(service, _)| Topic::Ranges(service.clone()));
+        let topics: Vec<Topic> = tables.map(Topic::Table).chain(ranges).collect();
+        let Some(giver) = self.giver.leader().map(|leader| leader.address) else {
+            return;
+        };
+        for topic in topics {
+            self.asked_at = now;
+            self.send(vec![giver], PeerMessage::Ask(topic));
+        }
+    }
+
+    /// Answers another daemon that asks for a snapshot.
+    pub(super) fn answer(&self, from: SocketAddr, topic: &Topic) {
+        if !self.giver.is_leading() {
+            return;
+        }
+        let Some((version, snapshot)) = self.snapshot(topic) else {
+            return;
+        };
+        match divide(topic, version, &snapshot) {
+            Ok(parts) => {
+                for part in parts {
+                    self.send(vec![from], PeerMessage::Part(part));
+                }
+            }
+            Err(error) => warn!("snapshot of {topic:?} not sent to {from}: {error}"),
+        }
+    }
+
+    fn snapshot(&self, topic: &Topic) -> Option<(u64, Snapshot)> {
+        match topic {
+            Topic::Table(table) => {
+                let snapshot = match table {
+                    FeedTable::Config => Snapshot::Config(self.config.clone()?),
+                    FeedTable::Upstreams => {
+                        let all = self.view.upstreams.iter();
+                        Snapshot::Upstreams(all.map(|believed| believed.entry.clone()).collect())
+                    }
+                };
+                Some((self.feed.seen(*table)?, snapshot))
+            }
+            Topic::Ranges(service) => {
+                let stored = self.giver.stored(service)?;
+                let ranges = stored.ranges.as_ref().clone();
+                Some((stored.version.0, Snapshot::Ranges(ranges)))
+            }
+        }
+    }
+
+    /// Takes a part of a snapshot, and the snapshot once it is whole.
+    pub(super) fn take_part(&mut self, part: Part) {
+        let topic = part.topic.clone();
+        match self.snapshots.take(part) {
+            Ok(Some((version, snapshot))) => self.take_snapshot(&topic, version, snapshot),
+            Ok(None) => {}
+            Err(error) => warn!("snapshot of {topic:?} dropped: {error}"),
+        }
+    }
+
+    fn take_snapshot(&mut self, topic: &Topic, version: u64, snapshot: Snapshot) {
+        let is_new = match topic {
+            Topic::Table(table) => self.feed.replaced(now(), *table, version),
+            Topic::Ranges(_) => true,
+        };
+        if !is_new {
+            return;
+        }
+        ControlLine::SnapshotTaken {
+            topic: topic.to_string(),
+            version,
+        }
+        .write();
+        match snapshot {
+            Snapshot::Config(config) => self.configure(config),
+            Snapshot::Upstreams(entries) => self.list_upstreams(entries),
+            Snapshot::Ranges(ranges) => {
+                let (version, ranges) = (RowVersion(version), Arc::new(ranges));
+                self.give(GiverInput::Ranges(StoredRanges { version, ranges }));
+                self.publish_ranges();
+            }
+        }
+    }
+}
--- a/crates/balsam-edge/src/control/tables.rs
+++ b/crates/balsam-edge/src/control/tables.rs
@@ -12,7 +12,7 @@
 use balsam_decide::feed::FeedTable;
 use balsam_decide::keys::{GiverInput, RowVersion, StoredLead, StoredRanges};
 use balsam_decide::routing::RouteTable;
-use balsam_types::RoutingConfig;
+use balsam_types::{RoutingConfig, UpstreamEntry};
 use std::collections::hash_map::Entry;
 use std::sync::Arc;
 
@@ -84,7 +84,7 @@
         }
     }
 
-    fn configure(&mut self, config: RoutingConfig) {
+    pub(super) fn configure(&mut self, config: RoutingConfig) {
         let version = config.version;
         let in_force = self.view.table.as_ref().map(|table| table.version());
         if let Some(in_force) = in_force.filter(|in_force| *in_force >= version) {
@@ -99,6 +99,7 @@
             routes: config.routes.len(),
         }
         .write();
+        self.config = Some(config.clone());
         self.view.table = Some(Arc::new(RouteTable::new(config)));
         self.view.table_at = now();
         self.tell_world();
@@ -118,7 +119,11 @@
         });
         let news: Vec<UpstreamNews> = news.collect();
         if is_whole {
-            self.list_upstreams(news);
+            let entries = news.into_iter().filter_map(|news| match news {
+                UpstreamNews::Changed(entry) => Some(entry),
+                UpstreamNews::Removed(_) => None,
+            });
+            self.list_upstreams(entries.collect());
         } else if !news.is_empty() {
             self.push_upstreams(base, version, &news);
             self.change_upstreams(news);
@@ -126,12 +131,8 @@
     }
 
     /// Takes the whole list of upstreams.
-    fn list_upstreams(&mut self, news: Vec<UpstreamNews>) {
-        let entries = news.into_iter().filter_map(|news| match news {
-            UpstreamNews::Changed(entry) => Some(entry),
-            UpstreamNews::Removed(_) => None,
-        });
-        let listed = DirectoryInput::Listed(entries.collect());
+    pub(super) fn list_upstreams(&mut self, entries: Vec<UpstreamEntry>) {
+        let listed = DirectoryInput::Listed(entries);
         self.view.has_upstreams = true;
         match self.directory.handle(now(), listed) {
             Some(upstreams) => self.adopt_upstreams(upstreams),
--- a/crates/balsam-edge/src/control/task.rs
+++ b/crates/balsam-edge/src/control/task.rs
@@ -6,13 +6,13 @@
 use super::lines::{self, ControlLine, OrderNote};
 use crate::clock::now;
 use crate::metrics::EdgeMetrics;
-use crate::peer::{PeerBook, PeerOutput};
+use crate::peer::{PeerBook, PeerOutput, Snapshots};
 use crate::store::StoreRequest;
 use crate::view::View;
 use balsam_decide::directory::{Directory, DirectoryInput};
 use balsam_decide::feed::{FOLLOW_AS_GIVER_MS, FOLLOW_ASIDE_MS, Feed, FeedSource, FeedTable};
 use balsam_decide::keys::{Giver, GiverInput, GiverOutput, KeyTiming, Leader, OrderId};
-use balsam_types::{Map, ServiceName, ServiceRanges, TimeMs, new_map};
+use balsam_types::{Map, RoutingConfig, ServiceName, ServiceRanges, TimeMs, new_map};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::{mpsc, watch};
@@ -34,6 +34,11 @@
     pub(super) directory: Directory,
     pub(super) giver: Giver,
     pub(super) book: PeerBook,
+    pub(super) config: Option<RoutingConfig>,
+    pub(super) snapshots: Snapshots,
+    /// Services whose newest assignments are missing, and since when.
+    pub(super) lacking: Map<ServiceName, TimeMs>,
+    pub(super) asked_at: TimeMs,
     pub(super) notes: Map<OrderId, OrderNote>,
     pub(super) feed: Feed,
     pub(super) follow_orders: Map<FeedTable, watch::Sender<FollowOrder>>,
@@ -73,6 +78,10 @@
             directory: Directory::new(),
             giver,
             book: PeerBook::new(),
+            config: None,
+            snapshots: Snapshots::new(),
+            lacking: new_map(),
+            asked_at: now(),
             notes: new_map(),
             feed: Feed::new(),
             follow_orders: new_map(),
@@ -152,10 +161,10 @@
                     self.feed.source(now(), *table)
                 },
                 seen: self.feed.seen(*table),
-                wait_ms: if is_giver {
-                    FOLLOW_AS_GIVER_MS
-                } else {
-                    FOLLOW_ASIDE_MS
+                wait_ms: match (is_giver, self.feed.is_behind(*table)) {
+                    (true, _) => FOLLOW_AS_GIVER_MS,
+                    (false, true) => 0,
+                    (false, false) => FOLLOW_ASIDE_MS,
                 },
             };
             orders.send_if_modified(|known| {
@@ -172,6 +181,7 @@
             self.adopt_upstreams(upstreams);
         }
         self.keep_in_touch(now);
+        self.ask_for_snapshots(now);
         self.give(GiverInput::Tick);
     }
 
--- a/crates/balsam-edge/src/peer/message.rs
+++ b/crates/balsam-edge/src/peer/message.rs
@@ -1,6 +1,6 @@
 //! Messages between daemons and their encoding.
 
-use balsam_decide::feed::FeedState;
+use balsam_decide::feed::{FeedState, FeedTable};
 use balsam_decide::keys::Leader;
 use balsam_types::{
     Incarnation, ServiceName, ServiceRanges, ShardKey, UpstreamEntry, UpstreamName,
@@ -8,6 +8,7 @@
 use bincode::config::{Configuration, Fixint, Limit, LittleEndian, standard};
 use bincode::error::{DecodeError, EncodeError};
 use serde::{Deserialize, Serialize};
+use std::fmt;
 use std::net::SocketAddr;
 
 /// The greatest datagram in bytes; longer ones are neither sent nor read.
@@ -74,6 +75,38 @@
     pub(crate) changes: Vec<UpstreamNews>,
 }
 
+/// What a daemon may ask the giver for.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub(crate) enum Topic {
+    /// The configuration or the list of upstreams.
+    Table(FeedTable),
+    /// The assignments of a service.
+    Ranges(ServiceName),
+}
+
+impl fmt::Display for Topic {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Table(FeedTable::Config) => f.write_str("config"),
+            Self::Table(FeedTable::Upstreams) => f.write_str("upstreams"),
+            Self::Ranges(service) => write!(f, "ranges of {service}"),
+        }
+    }
+}
+
+/// A part of the answer; the whole may be larger than a datagram.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Part {
+    pub(crate) topic: Topic,
+    /// The version of the whole.
+    pub(crate) version: u64,
+    /// The number of this part, from 0.
+    pub(crate) index: u16,
+    /// How many parts the whole has.
+    pub(crate) count: u16,
+    pub(crate) bytes: Vec<u8>,
+}
+
 /// What one daemon tells another.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) enum PeerMessage {
@@ -87,6 +120,10 @@
     Ranges(RangesDelta),
     /// The sender has read changes of the list of upstreams.
     Upstreams(UpstreamsDelta),
+    /// The sender lacks something that the store does not give it.
+    Ask(Topic),
+    /// A part of what the receiver has asked for.
+    Part(Part),
     /// Requests were made on keys at the sender.
     Sample {
         service: ServiceName,
--- a/crates/balsam-edge/src/peer/mod.rs
+++ b/crates/balsam-edge/src/peer/mod.rs
@@ -1,14 +1,17 @@
-//! Datagrams between daemons: signs of life of the giver, its assignments, and samples of busy
-//! keys.
+//! Datagrams between daemons: signs of life of the giver, its assignments, changes of the store's
+//! tables, and samples of busy keys.
 //!
 //! Whatever a lost datagram had said is repeated or read from the store.
 
 mod book;
 mod message;
+mod snapshot;
 mod task;
 
 pub(crate) use book::PeerBook;
 pub(crate) use message::{
-    Beacon, Greeting, PeerMessage, PeerOutput, RangesDelta, UpstreamNews, UpstreamsDelta,
+    Beacon, Greeting, Part, PeerMessage, PeerOutput, RangesDelta, Topic, UpstreamNews,
+    UpstreamsDelta,
 };
+pub(crate) use snapshot::{Snapshot, Snapshots, divide};
 pub(crate) use task::PeerTask;
--- a/crates/balsam-edge/tests/support/mod.rs
+++ b/crates/balsam-edge/tests/support/mod.rs
@@ -2,15 +2,17 @@
 //! interface.
 
 mod caller;
+mod store;
 mod upstream;
 
 pub use caller::Caller;
+pub use store::{Access, Store};
 pub use upstream::{Act, Upstream};
 
 use balsam_edge::order::OrderRequest;
 use balsam_edge::request::HeaderNames;
 use balsam_edge::settings::{Bounds, Listen, Settings};
-use balsam_edge::store::{Page, StoreChange, StoreError, StoreRequest, StoreTable, Written};
+use balsam_edge::store::StoreChange;
 use balsam_edge::{Adapter, Edge};
 use balsam_types::{
     Born, CallerLimits, ConfigVersion, DaemonName, Route, RouteKind, RouteName, RoutingConfig,
@@ -35,9 +37,9 @@
 
 const ANY: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 0);
 
-fn settings() -> Settings {
+fn settings(daemon: usize) -> Settings {
     Settings {
-        daemon: DaemonName::new("d1").expect("a valid name"),
+        daemon: DaemonName::new(format!("d{daemon}")).expect("a valid name"),
         zone: ZoneName::new("a").expect("a valid name"),
         listen: Listen {
             callers: ANY,
@@ -62,14 +64,17 @@
     ServiceName::new("files").expect("a valid name")
 }
 
-fn config() -> RoutingConfig {
+/// Returns a version of the configuration with a route of its own beside the others.
+pub fn config(version: u64) -> RoutingConfig {
+    let of_version = format!("/v{version}/");
     let kinds = [
         ("/read/", RouteKind::Idempotent),
         ("/order/", RouteKind::Order),
+        (of_version.as_str(), RouteKind::Idempotent),
     ];
     let routes = kinds.map(|(prefix, kind)| {
         Arc::new(Route {
-            name: RouteName::new(kind.as_str()).expect("a valid name"),
+            name: RouteName::new(prefix.trim_matches('/')).expect("a valid name"),
             host: Arc::from("h.example"),
             prefix: Arc::from(prefix),
             kind,
@@ -85,15 +90,19 @@
     });
     let mut services = new_map();
     services.insert(service(), ServicePolicy { is_keyed: false });
+    // A giver is elected only if some service is divided by key.
+    let keyed = ServiceName::new("keys").expect("a valid name");
+    services.insert(keyed, ServicePolicy { is_keyed: true });
     RoutingConfig {
-        version: ConfigVersion(1),
+        version: ConfigVersion(version),
         routes: routes.to_vec(),
         services,
         limits: CallerLimits::default(),
     }
 }
 
-fn entry(upstream: &Upstream) -> UpstreamEntry {
+/// Returns the entry of an upstream.
+pub fn entry(upstream: &Upstream) -> UpstreamEntry {
     UpstreamEntry {
         name: UpstreamName::new(&upstream.name).expect("a valid name"),
         born: Born(1),
@@ -106,87 +115,44 @@
     }
 }
 
-/// Answers the calls of a daemon; without upstreams the store cannot be reached.
-fn start_store(changes: Option<Vec<StoreChange>>) -> mpsc::Sender<StoreRequest> {
-    let (requests, mut received) = mpsc::channel(16);
-    actix_rt::spawn(async move {
-        while let Some(request) = received.recv().await {
-            let Some(changes) = &changes else {
-                refuse(request);
-                continue;
-            };
-            match request {
-                StoreRequest::Read { table, reply } => {
-                    let is_of = |change: &&StoreChange| match table {
-                        StoreTable::Config => matches!(change, StoreChange::Config(_)),
-                        StoreTable::Upstreams => matches!(change, StoreChange::Upstream(_)),
-                        StoreTable::Own => false,
-                    };
-                    let changes = changes.iter().filter(is_of).cloned().collect();
-                    drop(reply.send(Ok(Page {
-                        changes,
-                        version: 1,
-                    })));
-                }
-                StoreRequest::ReadOwn { reply, .. } => {
-                    drop(reply.send(Ok(Page {
-                        changes: Vec::new(),
-                        version: 1,
-                    })));
-                }
-                StoreRequest::Follow { reply, .. } => {
-                    actix_rt::spawn(async move {
-                        sleep(Duration::from_secs(30)).await;
-                        drop(reply.send(Ok(Page {
-                            changes: Vec::new(),
-                            version: 1,
-                        })));
-                    });
-                }
-                StoreRequest::Write { reply, .. } => drop(reply.send(Ok(Written::Done(2)))),
-            }
-        }
-    });
-    requests
+/// Returns the rows of a configuration and of upstreams.
+pub fn rows(upstreams: &[&Upstream]) -> Vec<StoreChange> {
+    let entries = upstreams
+        .iter()
+        .map(|upstream| StoreChange::Upstream(entry(upstream)));
+    std::iter::once(StoreChange::Config(config(1)))
+        .chain(entries)
+        .collect()
 }
 
-fn refuse(request: StoreRequest) {
-    let refused = StoreError::Refused { status: 503 };
-    match request {
-        StoreRequest::Read { reply, .. }
-        | StoreRequest::ReadOwn { reply, .. }
-        | StoreRequest::Follow { reply, .. } => drop(reply.send(Err(refused))),
-        StoreRequest::Write { reply, .. } => drop(reply.send(Err(refused))),
-    }
-}
-
-/// Starts a daemon that knows `upstreams`, or a daemon without a store.
-pub async fn start(upstreams: Option<&[&Upstream]>) -> Edge {
-    let changes = upstreams.map(|upstreams| {
-        let entries = upstreams
-            .iter()
-            .map(|upstream| StoreChange::Upstream(entry(upstream)));
-        std::iter::once(StoreChange::Config(config()))
-            .chain(entries)
-            .collect()
-    });
+/// Starts a daemon with its own name at a store.
+pub async fn start_at(store: &Store, client: usize) -> Edge {
     let (orders, _) = mpsc::channel::<OrderRequest>(1);
     let adapter = Adapter {
         names: NAMES,
-        store: start_store(changes),
+        store: store.client(client),
         orders,
         lost_lines: balsam_log::LostLines::default(),
     };
-    let edge = Edge::start(&settings(), adapter)
-        .await
-        .expect("a running daemon");
+    let started = Edge::start(&settings(client), adapter).await;
+    started.expect("a running daemon")
+}
+
+/// Starts a daemon that knows `upstreams`, or a daemon without a store.
+pub async fn start(upstreams: Option<&[&Upstream]>) -> Edge {
+    let store = Store::start(rows(upstreams.unwrap_or_default()));
+    if upstreams.is_none() {
+        store.set_access(1, Access::Refused);
+    }
+    let edge = start_at(&store, 1).await;
     if upstreams.is_some() {
         wait_ready(&edge).await;
     }
     edge
 }
 
-async fn wait_ready(edge: &Edge) {
+/// Waits until a daemon is ready.
+pub async fn wait_ready(edge: &Edge) {
     for _ in 0..200 {
         if ready_status(edge).await == 200 {
             return;
--- /dev/null
+++ b/crates/balsam-edge/tests/support/store.rs
@@ -0,0 +1,243 @@
+//! A store of versioned rows that may turn single daemons away.
+
+use balsam_edge::store::{Page, StoreChange, StoreError, StoreRequest, StoreTable, Written};
+use bytes::Bytes;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::{Instant, sleep};
+
+/// How often waiting calls look for changes.
+const LOOK: Duration = Duration::from_millis(10);
+
+/// Whether the store answers a daemon.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Access {
+    Served,
+    Refused,
+}
+
+type Key = (&'static str, Arc<str>);
+
+enum Command {
+    Call(usize, StoreRequest),
+    Put(StoreChange),
+    Access(usize, Access),
+    Calls(usize, oneshot::Sender<u64>),
+}
+
+struct Row {
+    version: u64,
+    change: StoreChange,
+}
+
+struct Waiting {
+    client: usize,
+    until: Instant,
+    request: StoreRequest,
+}
+
+/// The task that owns the rows.
+struct Task {
+    version: u64,
+    rows: BTreeMap<Key, Row>,
+    access: BTreeMap<usize, Access>,
+    calls: BTreeMap<usize, u64>,
+    waiting: Vec<Waiting>,
+}
+
+/// A handle of the store.
+#[derive(Clone, Debug)]
+pub struct Store {
+    commands: mpsc::UnboundedSender<Command>,
+}
+
+impl std::fmt::Debug for Command {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("command of the store")
+    }
+}
+
+impl Store {
+    /// Starts a store with some rows.
+    pub fn start(changes: impl IntoIterator<Item = StoreChange>) -> Self {
+        let (commands, received) = mpsc::unbounded_channel();
+        actix_rt::spawn(run(received));
+        let store = Self { commands };
+        for change in changes {
+            store.put(change);
+        }
+        store
+    }
+
+    /// Returns where a daemon sends its calls.
+    pub fn client(&self, client: usize) -> mpsc::Sender<StoreRequest> {
+        let (requests, mut received) = mpsc::channel(16);
+        let commands = self.commands.clone();
+        actix_rt::spawn(async move {
+            while let Some(request) = received.recv().await {
+                drop(commands.send(Command::Call(client, request)));
+            }
+        });
+        requests
+    }
+
+    /// Writes a row as the operator or an upstream does.
+    pub fn put(&self, change: StoreChange) {
+        drop(self.commands.send(Command::Put(change)));
+    }
+
+    /// Serves a daemon or turns it away.
+    pub fn set_access(&self, client: usize, access: Access) {
+        drop(self.commands.send(Command::Access(client, access)));
+    }
+
+    /// Returns the calls that a daemon has made.
+    pub async fn calls(&self, client: usize) -> u64 {
+        let (reply, count) = oneshot::channel();
+        drop(self.commands.send(Command::Calls(client, reply)));
+        count.await.expect("a running store")
+    }
+}
+
+async fn run(mut commands: mpsc::UnboundedReceiver<Command>) {
+    let mut task = Task {
+        version: 0,
+        rows: BTreeMap::new(),
+        access: BTreeMap::new(),
+        calls: BTreeMap::new(),
+        waiting: Vec::new(),
+    };
+    loop {
+        tokio::select! {
+            command = commands.recv() => match command {
+                Some(command) => task.handle(command),
+                None => return,
+            },
+            () = sleep(LOOK) => {}
+        }
+        task.answer_waiting();
+    }
+}
+
+impl Task {
+    fn handle(&mut self, command: Command) {
+        match command {
+            Command::Put(change) => self.put(change),
+            Command::Access(client, access) => {
+                self.access.insert(client, access);
+            }
+            Command::Calls(client, reply) => {
+                drop(reply.send(self.calls.get(&client).copied().unwrap_or(0)));
+            }
+            Command::Call(client, request) => {
+                *self.calls.entry(client).or_default() += 1;
+                self.call(client, request);
+            }
+        }
+    }
+
+    fn put(&mut self, change: StoreChange) {
+        self.version += 1;
+        let (table, key) = match &change {
+            StoreChange::Config(_) => ("config", Arc::from("config")),
+            StoreChange::Upstream(entry) => ("upstreams", Arc::from(entry.name.as_str())),
+            StoreChange::UpstreamRemoved(name) => ("upstreams", Arc::from(name.as_str())),
+            StoreChange::Own { key, .. } => ("own", Arc::clone(key)),
+            StoreChange::Unreadable { key, .. } => ("upstreams", Arc::clone(key)),
+        };
+        let version = self.version;
+        self.rows.insert((table, key), Row { version, change });
+    }
+
+    fn is_refused(&self, client: usize) -> bool {
+        self.access.get(&client) == Some(&Access::Refused)
+    }
+
+    fn call(&mut self, client: usize, request: StoreRequest) {
+        if self.is_refused(client) {
+            return refuse(request);
+        }
+        match request {
+            StoreRequest::Read { table, reply } => {
+                drop(reply.send(Ok(self.page(table, 0))));
+            }
+            StoreRequest::ReadOwn { key, reply } => {
+                let mut page = self.page(StoreTable::Own, 0);
+                page.changes.retain(
+                    |change| matches!(change, StoreChange::Own { key: found, .. } if *found == key),
+                );
+                drop(reply.send(Ok(page)));
+            }
+            StoreRequest::Follow { wait_ms, .. } => self.waiting.push(Waiting {
+                client,
+                until: Instant::now() + Duration::from_millis(wait_ms),
+                request,
+            }),
+            StoreRequest::Write {
+                expected,
+                rows,
+                removed: _,
+                reply,
+            } => drop(reply.send(Ok(self.write(&expected, rows)))),
+        }
+    }
+
+    fn write(&mut self, expected: &[(Arc<str>, u64)], rows: Vec<(Arc<str>, Bytes)>) -> Written {
+        let version_of = |key: &Arc<str>| {
+            let row = self.rows.get(&("own", Arc::clone(key)));
+            row.map_or(0, |row| row.version)
+        };
+        if expected
+            .iter()
+            .any(|(key, version)| version_of(key) != *version)
+        {
+            return Written::Conflict;
+        }
+        for (key, value) in rows {
+            let (version, value) = (self.version + 1, Some(value));
+            self.put(StoreChange::Own {
+                key,
+                version,
+                value,
+            });
+        }
+        Written::Done(self.version)
+    }
+
+    fn page(&self, table: StoreTable, after: u64) -> Page {
+        let rows = self.rows.iter();
+        let rows = rows.filter(|((of, _), row)| *of == table.as_str() && row.version > after);
+        Page {
+            changes: rows.map(|(_, row)| row.change.clone()).collect(),
+            version: self.version,
+        }
+    }
+
+    fn answer_waiting(&mut self) {
+        for waiting in std::mem::take(&mut self.waiting) {
+            let StoreRequest::Follow { table, after, .. } = &waiting.request else {
+                continue;
+            };
+            let page = self.page(*table, *after);
+            if self.is_refused(waiting.client) {
+                refuse(waiting.request);
+            } else if page.changes.is_empty() && Instant::now() < waiting.until {
+                self.waiting.push(waiting);
+            } else if let StoreRequest::Follow { reply, .. } = waiting.request {
+                drop(reply.send(Ok(page)));
+            }
+        }
+    }
+}
+
+fn refuse(request: StoreRequest) {
+    let refused = StoreError::Refused { status: 503 };
+    match request {
+        StoreRequest::Read { reply, .. }
+        | StoreRequest::ReadOwn { reply, .. }
+        | StoreRequest::Follow { reply, .. } => drop(reply.send(Err(refused))),
+        StoreRequest::Write { reply, .. } => drop(reply.send(Err(refused))),
+    }
+}
--- /dev/null
+++ b/crates/balsam-edge/tests/table_feed.rs
@@ -0,0 +1,109 @@
+//! Guards how daemons learn of changes in the store: from the giver, or from the store if the giver
+//! cannot tell them.
+
+mod support;
+
+use balsam_edge::Edge;
+use balsam_edge::store::StoreChange;
+use std::time::Duration;
+use support::{Access, Act, Caller, Store, Upstream, config, entry, rows, start_at, wait_ready};
+use tokio::time::{Instant, sleep};
+
+/// The stated time within which a leaving upstream or a version must be known.
+const KNOWN_WITHIN: Duration = Duration::from_secs(2);
+
+/// Time for the election of the giver and for its signs of life to reach the others.
+const SETTLE: Duration = Duration::from_millis(2_800);
+
+const GIVER: usize = 1;
+const OTHER: usize = 2;
+
+/// Starts two daemons of which the first is the giver.
+async fn start_two(store: &Store) -> (Edge, Edge) {
+    let giver = start_at(store, GIVER).await;
+    wait_ready(&giver).await;
+    sleep(Duration::from_secs(1)).await;
+    let other = start_at(store, OTHER).await;
+    wait_ready(&other).await;
+    sleep(SETTLE).await;
+    (giver, other)
+}
+
+async fn status(edge: &Edge, path: &str) -> u16 {
+    let mut caller = Caller::open(edge.addresses().callers).await;
+    caller.request("GET", path, "r1").await;
+    caller.answer().await.0
+}
+
+/// Waits until a daemon answers a path with a status; fails if that takes too long.
+async fn wait_status(edge: &Edge, path: &str, wanted: u16) {
+    let end = Instant::now() + KNOWN_WITHIN;
+    loop {
+        let found = status(edge, path).await;
+        if found == wanted {
+            return;
+        }
+        assert!(Instant::now() < end, "{path} still ends {found}");
+        sleep(Duration::from_millis(50)).await;
+    }
+}
+
+/// Guards that a daemon that hears the giver makes no calls, and still learns of changes.
+#[actix_rt::test]
+async fn giver_tells() {
+    let first = Upstream::start("u1", &[Act::Answer]).await;
+    let store = Store::start(rows(&[]));
+    let (_giver, other) = start_two(&store).await;
+    let before = store.calls(OTHER).await;
+    sleep(Duration::from_secs(1)).await;
+    assert_eq!(store.calls(OTHER).await, before);
+    assert_eq!(status(&other, "/read/x").await, 503);
+    store.put(StoreChange::Upstream(entry(&first)));
+    wait_status(&other, "/read/x", 200).await;
+    assert_eq!(store.calls(OTHER).await, before);
+    store.put(StoreChange::Config(config(2)));
+    wait_status(&other, "/v2/x", 200).await;
+    assert!(store.calls(OTHER).await <= before + 2, "one read a version");
+}
+
+/// Guards that a daemon that the store turns away gets upstreams and versions from the giver.
+#[actix_rt::test]
+async fn turned_away() {
+    let first = Upstream::start("u1", &[Act::Answer]).await;
+    let store = Store::start(rows(&[]));
+    let (_giver, other) = start_two(&store).await;
+    store.set_access(OTHER, Access::Refused);
+    store.put(StoreChange::Upstream(entry(&first)));
+    wait_status(&other, "/read/x", 200).await;
+    store.put(StoreChange::Config(config(2)));
+    wait_status(&other, "/v2/x", 200).await;
+}
+
+/// Guards that the others follow the store themselves as soon as it turns the giver away, and that
+/// one of them takes its place.
+#[actix_rt::test]
+async fn giver_turned_away() {
+    let first = Upstream::start("u1", &[Act::Answer]).await;
+    let store = Store::start(rows(&[]));
+    let (giver, other) = start_two(&store).await;
+    store.set_access(GIVER, Access::Refused);
+    store.put(StoreChange::Upstream(entry(&first)));
+    wait_status(&other, "/read/x", 200).await;
+    // The other daemon takes the lead after 3 s and tells the former giver.
+    sleep(Duration::from_secs(4)).await;
+    wait_status(&giver, "/read/x", 200).await;
+    store.put(StoreChange::Config(config(2)));
+    wait_status(&giver, "/v2/x", 200).await;
+}
+
+/// Guards that changes are known although the giver has ended without a word.
+#[actix_rt::test]
+async fn giver_lost() {
+    let first = Upstream::start("u1", &[Act::Answer]).await;
+    let store = Store::start(rows(&[]));
+    let (giver, other) = start_two(&store).await;
+    store.set_access(GIVER, Access::Refused);
+    giver.stop().await;
+    store.put(StoreChange::Upstream(entry(&first)));
+    wait_status(&other, "/read/x", 200).await;
+}
--- a/crates/balsam-types/src/routing.rs
+++ b/crates/balsam-types/src/routing.rs
@@ -3,11 +3,14 @@
 //! See [the platform page](../../../docs/platform.md#configuration).
 
 use crate::{Map, RouteName, ServiceName};
+use serde::{Deserialize, Serialize};
 use std::fmt;
 use std::sync::Arc;
 
 /// The version of a routing configuration; a greater one is newer.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
 pub struct ConfigVersion(pub u64);
 
 impl fmt::Display for ConfigVersion {
@@ -17,7 +20,7 @@
 }
 
 /// What may be repeated of a route's requests.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum RouteKind {
     /// Requests may run more than once.
     Idempotent,
@@ -47,7 +50,7 @@
 }
 
 /// A service that takes a share of a route's requests.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ServiceShare {
     /// The service.
     pub service: ServiceName,
@@ -56,7 +59,7 @@
 }
 
 /// One route: which requests it takes, where they go and how long they may take.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Route {
     /// The name.
     pub name: RouteName,
@@ -79,14 +82,14 @@
 }
 
 /// What an operator says of a service.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ServicePolicy {
     /// Whether each key has one owning upstream.
     pub is_keyed: bool,
 }
 
 /// What callers may send and how long they may take.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CallerLimits {
     /// Bytes of a request's head.
     pub header_max_bytes: usize,
@@ -111,7 +114,7 @@
 }
 
 /// One version of the routing configuration, in full.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RoutingConfig {
     /// The version.
     pub version: ConfigVersion,
