Let strong machines become the giver, and renew fewer ranges less often

Change: the weaker a machine, the later it tries to take the lead; the settings name its processor and link. Deployments of more than 100 upstreams start with at most 300 ranges or one each. Grants are renewed after 45 % of their hold instead of 30 %.

--- a/crates/balsam-decide/src/keys/plan.rs
+++ b/crates/balsam-decide/src/keys/plan.rs
@@ -8,6 +8,9 @@
 /// Busy keys lie close to one another; several narrow ranges spread them before any load is known.
 const FIRST_RANGES: usize = 3;
 
+/// Ranges at which several for each upstream are too many: the giver renews each of them in time.
+const FIRST_RANGES_MAX: usize = 300;
+
 /// Ranges that are moved for balance in one step, at least.
 const BALANCE_MOVES_MIN: usize = 4;
 
@@ -87,7 +90,8 @@
 
 impl Draft<'_> {
     fn assign_first(&mut self) {
-        let pieces = self.candidates.len() * FIRST_RANGES;
+        let count = self.candidates.len();
+        let pieces = (count * FIRST_RANGES).min(FIRST_RANGES_MAX).max(count);
         let width = (1 + usize::from(u16::MAX)) / pieces.max(1);
         for piece in 0..pieces {
             let first = piece * width;
--- a/crates/balsam-decide/src/keys/timing.rs
+++ b/crates/balsam-decide/src/keys/timing.rs
@@ -39,7 +39,8 @@
         };
         Self {
             hold_ms,
-            renew_ms: hold_ms * 3 / 10,
+            // A renewal that is lost leaves time for two more.
+            renew_ms: hold_ms * 45 / 100,
             trust_ms: 8_000,
             confirm_ms: 1_500,
             grant_timeout_ms: 700,
--- a/crates/balsam-edge/src/assembly.rs
+++ b/crates/balsam-edge/src/assembly.rs
@@ -34,6 +34,13 @@
 /// How long the platform needs to notice that a daemon is not ready any more.
 const LEAVE_TIME: Duration = Duration::from_millis(2_500);
 
+/// How much later the weakest machine tries to become the giver than a strong one, in milliseconds;
+/// with the rest of a takeover it must fit into the hold of a grant.
+const WEAKNESS_MS: f64 = 400.0;
+
+/// The spread of attempts of machines that are equally strong, in milliseconds.
+const STAGGER_MS: u64 = 150;
+
 /// The part of the grace time that is left for the end of the process.
 const EXIT_RESERVE: Duration = Duration::from_millis(500);
 
@@ -131,7 +138,8 @@
             address,
         };
         let timing = KeyTiming::new(settings.bounds.hold_max_ms());
-        let stagger_ms = rand::random_range(0..timing.silent_ms / 2);
+        let weakness = 1.0 - settings.machine.strength();
+        let stagger_ms = (WEAKNESS_MS * weakness) as u64 + rand::random_range(0..STAGGER_MS);
         let links = ControlLinks {
             store: adapter.store.clone(),
             orders: adapter.orders,
--- a/crates/balsam-edge/src/settings/file.rs
+++ b/crates/balsam-edge/src/settings/file.rs
@@ -20,6 +20,8 @@
     pub zone: ZoneName,
     /// Where callers, the platform and other daemons connect.
     pub listen: Listen,
+    /// What the machine can carry.
+    pub machine: Machine,
     /// A word that all daemons of a deployment share; datagrams without it are dropped.
     pub peer_credential: String,
     /// The address of the platform's store.
@@ -45,6 +47,18 @@
     pub metrics: SocketAddr,
 }
 
+/// What the daemon's machine can carry.
+#[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Machine {
+    /// The share of a core.
+    pub cpu_share: f64,
+    /// The speed of that core, relative to an ordinary one.
+    pub cpu_speed: f64,
+    /// The bandwidth of its link in megabits per second.
+    pub link_mbps: f64,
+}
+
 /// What the deployment promises; times are in seconds.
 #[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -89,10 +103,44 @@
                 accepted: "one character or more",
             }
         );
+        self.machine.check()?;
         self.bounds.check()
     }
 }
 
+/// The part of an ordinary core that carries the duties of the giver beside requests.
+const GIVER_CORES: f64 = 0.5;
+
+/// The bandwidth that carries the duties of the giver beside requests.
+const GIVER_MBPS: f64 = 100.0;
+
+impl Machine {
+    fn check(&self) -> Result<(), SettingsError> {
+        let fields = [
+            ("machine.cpu_share", self.cpu_share),
+            ("machine.cpu_speed", self.cpu_speed),
+            ("machine.link_mbps", self.link_mbps),
+        ];
+        for (field, value) in fields {
+            ensure!(
+                value > 0.0 && value.is_finite(),
+                OutOfRangeSnafu {
+                    field,
+                    value: value.to_string(),
+                    accepted: "a number above 0",
+                }
+            );
+        }
+        Ok(())
+    }
+
+    /// Returns how well the machine can carry the duties of the giver, from 0 to 1.
+    pub fn strength(&self) -> f64 {
+        let cores = self.cpu_share * self.cpu_speed / GIVER_CORES;
+        cores.min(self.link_mbps / GIVER_MBPS).clamp(0.0, 1.0)
+    }
+}
+
 impl Bounds {
     fn check(&self) -> Result<(), SettingsError> {
         let seconds = "0.05 to 3600 seconds";
--- a/crates/balsam-edge/src/settings/mod.rs
+++ b/crates/balsam-edge/src/settings/mod.rs
@@ -6,4 +6,4 @@
 mod file;
 
 pub use error::SettingsError;
-pub use file::{Bounds, Listen, Settings};
+pub use file::{Bounds, Listen, Machine, Settings};
--- a/crates/balsam-edge/tests/settings_check.rs
+++ b/crates/balsam-edge/tests/settings_check.rs
@@ -11,6 +11,7 @@
             "callers": "127.0.0.1:1", "readiness": "127.0.0.1:2", "peers": "127.0.0.1:3",
             "metrics": "127.0.0.1:4"
         },
+        "machine": {"cpu_share": 0.2, "cpu_speed": 1, "link_mbps": 1000},
         "peer_credential": "word", "store": "127.0.0.1:5",
         "bounds": {
             "grace_s": 6, "retry_budget_ratio": 0.2, "budget_window_s": 10,
@@ -42,6 +43,7 @@
 #[case::time("/bounds/grace_s", json!(-1), "bounds.grace_s")]
 #[case::hold("/bounds/hold_max_s", json!(99999), "bounds.hold_max_s")]
 #[case::ratio("/bounds/retry_budget_ratio", json!(-0.1), "bounds.retry_budget_ratio")]
+#[case::cpu("/machine/cpu_share", json!(0), "machine.cpu_share")]
 #[case::name("/daemon", json!("a b"), "daemon")]
 #[case::address("/store", json!("nowhere"), "socket address")]
 fn bad_value(#[case] field: &str, #[case] value: Value, #[case] named: &str) {
@@ -51,6 +53,18 @@
     assert!(error.contains(named), "{error}");
 }
 
+/// Guards that a machine with a slow processor or a narrow link counts as a weak one.
+#[rstest]
+#[case::strong(0.5, 1_000.0, 1.0)]
+#[case::slow_processor(0.1, 1_000.0, 0.2)]
+#[case::narrow_link(0.5, 10.0, 0.1)]
+fn weak_machine(#[case] cpu_share: f64, #[case] link_mbps: f64, #[case] strength: f64) {
+    let mut settings = settings();
+    settings["machine"] = json!({"cpu_share": cpu_share, "cpu_speed": 1, "link_mbps": link_mbps});
+    let machine = read(&settings).expect("settings").machine;
+    assert!((machine.strength() - strength).abs() < 1e-9);
+}
+
 /// Guards that a misspelt field is not ignored.
 #[test]
 fn unknown_field() {
--- a/crates/balsam-edge/tests/support/mod.rs
+++ b/crates/balsam-edge/tests/support/mod.rs
@@ -11,7 +11,7 @@
 
 use balsam_edge::order::OrderRequest;
 use balsam_edge::request::HeaderNames;
-use balsam_edge::settings::{Bounds, Listen, Settings};
+use balsam_edge::settings::{Bounds, Listen, Machine, Settings};
 use balsam_edge::store::StoreChange;
 use balsam_edge::{Adapter, Edge};
 use balsam_types::{
@@ -47,6 +47,11 @@
             peers: ANY,
             metrics: ANY,
         },
+        machine: Machine {
+            cpu_share: 0.5,
+            cpu_speed: 1.0,
+            link_mbps: 100.0,
+        },
         peer_credential: "test".to_owned(),
         store: ANY,
         bounds: Bounds {
