Push small configurations, wait for the first row, and end moves in batches

Change: an empty store is followed from version 0; configurations of three datagrams or less are pushed by the giver; commits that only end moves are 0.5 s apart.

--- a/crates/balsam-decide/src/keys/service.rs
+++ b/crates/balsam-decide/src/keys/service.rs
@@ -24,6 +24,10 @@
 /// The time between two attempts of a release, in milliseconds.
 const RELEASE_RETRY_MS: u64 = 300;
 
+/// The time between two commits that only end moves, in milliseconds; the new owners have their keys
+/// already.
+const SETTLE_MS: u64 = 500;
+
 /// The weight of an upstream that is still slow after its start, in percent of its slots.
 const COLD_PERCENT: f64 = 50.0;
 
@@ -56,6 +60,7 @@
     load: KeyLoad,
     tenures: Tenures,
     planned_at: TimeMs,
+    settled_at: TimeMs,
     /// The number of candidates and since when it is the same.
     candidates: (usize, TimeMs),
 }
@@ -71,6 +76,7 @@
             load: KeyLoad::new(),
             tenures: Tenures::new(),
             planned_at: TimeMs(0),
+            settled_at: TimeMs(0),
             candidates: (0, TimeMs(0)),
         }
     }
@@ -245,7 +251,8 @@
         moves: Moves,
     ) -> Option<Arc<ServiceRanges>> {
         let mut draft = ServiceRanges::clone(&self.stored.ranges);
-        let mut changed = self.settle(&mut draft);
+        let is_settled = self.settle(&mut draft);
+        let mut changed = is_settled && now.since(self.settled_at) >= SETTLE_MS;
         let candidates = candidates(now, &draft.service, upstreams, reach);
         if self.candidates.0 != candidates.len() {
             self.candidates = (candidates.len(), now);
@@ -267,6 +274,9 @@
                 changed = true;
             }
         }
+        if changed && is_settled {
+            self.settled_at = now;
+        }
         changed.then(|| Arc::new(draft))
     }
 
--- a/crates/balsam-edge/src/control/follow.rs
+++ b/crates/balsam-edge/src/control/follow.rs
@@ -103,11 +103,6 @@
             Some(after) => self.follow(after, wait_ms).await.map(Followed::Changed),
         };
         match news {
-            Ok(Followed::Listed(page)) if page.version == 0 => {
-                // An empty store has no version to follow from.
-                sleep(Duration::from_millis(PAUSE_MS)).await;
-                Some(Followed::Listed(page))
-            }
             Ok(news) => {
                 self.pause_ms = PAUSE_MS;
                 self.is_busy = matches!(&news, Followed::Changed(page) if !page.changes.is_empty());
--- a/crates/balsam-edge/src/control/snapshots.rs
+++ b/crates/balsam-edge/src/control/snapshots.rs
@@ -14,10 +14,14 @@
 /// The time between two requests for snapshots, in milliseconds; lost parts are asked for again.
 const ASK_MS: u64 = 400;
 
-/// How long assignments are awaited from the giver's messages and from the store before a snapshot is
-/// asked for, in milliseconds.
+/// How long assignments are awaited from the giver's messages and from the store before a snapshot
+/// is asked for, in milliseconds.
 const LACKING_MS: u64 = 800;
 
+/// Datagrams of a configuration that the giver sends to every daemon; a larger one would fill the
+/// giver's link.
+const PUSHED_PARTS_MAX: usize = 3;
+
 impl ControlTask {
     /// Notes the services whose newest assignments this daemon lacks.
     pub(super) fn note_lacking(&mut self, now: TimeMs, services: Vec<ServiceName>) {
@@ -65,6 +69,28 @@
         }
     }
 
+    /// Passes a configuration that fits into a few datagrams on to the other daemons.
+    pub(super) fn push_config(&mut self) {
+        let topic = Topic::Table(FeedTable::Config);
+        let Some((version, snapshot)) = self.snapshot(&topic) else {
+            return;
+        };
+        if !self.giver.is_leading() {
+            return;
+        }
+        let peers = self.book.peers(now(), self.me.address);
+        match divide(&topic, version, &snapshot) {
+            Ok(parts) if parts.len() <= PUSHED_PARTS_MAX => {
+                for part in parts {
+                    self.send(peers.clone(), PeerMessage::Part(part));
+                }
+            }
+            // The others read a larger one from the store.
+            Ok(_) => {}
+            Err(error) => warn!("configuration not passed on: {error}"),
+        }
+    }
+
     fn snapshot(&self, topic: &Topic) -> Option<(u64, Snapshot)> {
         match topic {
             Topic::Table(table) => {
--- a/crates/balsam-edge/src/control/tables.rs
+++ b/crates/balsam-edge/src/control/tables.rs
@@ -45,7 +45,12 @@
             .write();
         }
         match table {
-            FeedTable::Config => self.take_configs(page),
+            FeedTable::Config => {
+                self.take_configs(page);
+                if has_changes {
+                    self.push_config();
+                }
+            }
             FeedTable::Upstreams => self.take_upstreams(page, base, is_whole),
         }
     }
--- a/crates/balsam-edge/tests/table_feed.rs
+++ b/crates/balsam-edge/tests/table_feed.rs
@@ -63,7 +63,7 @@
     assert_eq!(store.calls(OTHER).await, before);
     store.put(StoreChange::Config(config(2)));
     wait_status(&other, "/v2/x", 200).await;
-    assert!(store.calls(OTHER).await <= before + 2, "one read a version");
+    assert_eq!(store.calls(OTHER).await, before);
 }
 
 /// Guards that a daemon that the store turns away gets upstreams and versions from the giver.
