Take changed settings without a signal

The grace time, the budget and the log level are taken within two seconds of a change, or at once after a hangup; fields that need a new start are named in a log line. A file that cannot be used is reported once and changes nothing.

--- a/crates/balsam-decide/src/budget/window.rs
+++ b/crates/balsam-decide/src/budget/window.rs
@@ -50,6 +50,12 @@
         self.terms.daemons = daemons.max(1);
     }
 
+    /// Sets the terms; the number of daemons stays as it was last set.
+    pub fn set_terms(&mut self, terms: BudgetTerms) {
+        let daemons = self.terms.daemons;
+        self.terms = BudgetTerms { daemons, ..terms };
+    }
+
     /// Counts a request of a caller.
     pub fn count_request(&mut self, now: TimeMs, service: &ServiceName) {
         self.part(now, service).requests += 1;
--- a/crates/balsam-decide/src/pool/machine.rs
+++ b/crates/balsam-decide/src/pool/machine.rs
@@ -75,6 +75,7 @@
                 let service = upstream.entry.service.clone();
                 self.serve_waiting(now, &service, &mut outputs);
             }
+            PoolInput::Budget(terms) => self.budget.set_terms(terms),
             PoolInput::World(world) => self.adopt(now, world, &mut outputs),
             PoolInput::Tick => self.look(now, &mut outputs),
         }
--- a/crates/balsam-decide/src/pool/message.rs
+++ b/crates/balsam-decide/src/pool/message.rs
@@ -111,6 +111,8 @@
         /// The time from sending to the answer in milliseconds.
         took_ms: u64,
     },
+    /// The budget for repeats has changed.
+    Budget(BudgetTerms),
     /// The beliefs have changed.
     World(PoolWorld),
     /// Time has passed.
--- a/crates/balsam-edge/src/assembly.rs
+++ b/crates/balsam-edge/src/assembly.rs
@@ -93,6 +93,8 @@
     phase: watch::Sender<Phase>,
     listener: JoinHandle<()>,
     control: mpsc::Sender<ControlInput>,
+    pool: PoolClient,
+    settings: Settings,
     grace: Duration,
     addresses: Addresses,
 }
@@ -156,10 +158,11 @@
             budget: settings.bounds.budget(),
         };
         actix_rt::spawn(PoolTask::run(pool, wanted, views.clone(), control.clone()));
+        let pool = PoolClient::new(messages);
         let chain = Chain {
             names: adapter.names,
             views: views.clone(),
-            pool: PoolClient::new(messages),
+            pool: pool.clone(),
             control: control.clone(),
             recorder: Recorder::new(metrics.clone()),
         };
@@ -176,13 +179,15 @@
             lost_lines,
         };
         actix_rt::spawn(probe::run(exports, metrics_probe));
-        let grace = Duration::from_millis(settings.bounds.grace_ms()).saturating_sub(EXIT_RESERVE);
+        let grace = grace(settings);
         let drain = grace.saturating_sub(LEAVE_TIME);
         let listener = run_listener(callers, chain, phases, CONNECTIONS_MAX, drain);
         Ok(Self {
             phase,
             listener: actix_rt::spawn(listener),
             control,
+            pool,
+            settings: settings.clone(),
             grace,
             addresses,
         })
@@ -193,6 +198,18 @@
         self.addresses
     }
 
+    /// Takes changed settings while the daemon runs: the log level, the grace time and the budget.
+    ///
+    /// Returns the changed fields that are taken only by a new start.
+    pub async fn reload(&mut self, settings: &Settings) -> Vec<&'static str> {
+        log::set_max_level(settings.log_level);
+        self.pool.set_budget(settings.bounds.budget()).await;
+        self.grace = grace(settings);
+        let kept = self.settings.fixed_until_restart(settings);
+        self.settings.bounds = settings.bounds;
+        kept
+    }
+
     /// Stops the daemon in order: it leaves the platform's rotation, finishes the requests in
     /// flight and ends within the grace time.
     pub async fn stop(self) {
@@ -205,3 +222,8 @@
         drop(self.listener.await);
     }
 }
+
+/// Returns the time from the request to stop in which requests may go on.
+fn grace(settings: &Settings) -> Duration {
+    Duration::from_millis(settings.bounds.grace_ms()).saturating_sub(EXIT_RESERVE)
+}
--- a/crates/balsam-edge/src/pool/message.rs
+++ b/crates/balsam-edge/src/pool/message.rs
@@ -2,6 +2,7 @@
 
 use super::Lease;
 use crate::http::Connection;
+use balsam_decide::budget::BudgetTerms;
 use balsam_decide::directory::Believed;
 use balsam_decide::pool::{Refusal, Verdict};
 use balsam_types::{Route, ServiceName, ShardKey, TimeMs, UpstreamName};
@@ -35,6 +36,8 @@
         wanted: Wanted,
         reply: oneshot::Sender<Result<Lease, Refused>>,
     },
+    /// The budget for repeats has changed.
+    Budget(BudgetTerms),
 }
 
 /// The end of a lease.
@@ -59,6 +62,12 @@
         Self { messages }
     }
 
+    /// Changes the budget for repeats.
+    pub(crate) async fn set_budget(&self, terms: BudgetTerms) {
+        // A pool that has stopped needs no budget.
+        drop(self.messages.send(PoolMessage::Budget(terms)).await);
+    }
+
     /// Waits for an upstream.
     pub(crate) async fn want(&self, wanted: Wanted) -> Result<Lease, Refused> {
         let (reply, answer) = oneshot::channel();
--- a/crates/balsam-edge/src/pool/task.rs
+++ b/crates/balsam-edge/src/pool/task.rs
@@ -64,6 +64,7 @@
             tokio::select! {
                 message = messages.recv() => match message {
                     Some(PoolMessage::Want { wanted, reply }) => task.want(wanted, reply),
+                    Some(PoolMessage::Budget(terms)) => task.handle(PoolInput::Budget(terms)),
                     None => return,
                 },
                 Some(end) = ended.recv() => task.end(end),
--- a/crates/balsam-edge/src/settings/file.rs
+++ b/crates/balsam-edge/src/settings/file.rs
@@ -94,6 +94,27 @@
         Ok(settings)
     }
 
+    /// Returns the fields that differ from `next` and are taken only by a new start.
+    pub fn fixed_until_restart(&self, next: &Self) -> Vec<&'static str> {
+        let changed = [
+            ("daemon", self.daemon != next.daemon),
+            ("zone", self.zone != next.zone),
+            ("listen", self.listen != next.listen),
+            ("machine", self.machine != next.machine),
+            (
+                "peer_credential",
+                self.peer_credential != next.peer_credential,
+            ),
+            ("store", self.store != next.store),
+            (
+                "bounds.hold_max_s",
+                self.bounds.hold_max_ms() != next.bounds.hold_max_ms(),
+            ),
+        ];
+        let changed = changed.into_iter().filter(|(_, differs)| *differs);
+        changed.map(|(field, _)| field).collect()
+    }
+
     fn check(&self) -> Result<(), SettingsError> {
         ensure!(
             !self.peer_credential.is_empty(),
--- a/crates/balsam-edge/src/settings/mod.rs
+++ b/crates/balsam-edge/src/settings/mod.rs
@@ -4,6 +4,8 @@
 
 mod error;
 mod file;
+mod watch;
 
 pub use error::SettingsError;
 pub use file::{Bounds, Listen, Machine, Settings};
+pub use watch::SettingsWatch;
