Answer requests that come while the daemon closes, and log abandoned ones

A request that was complete only after the daemon had begun to close stayed unanswered until its header time was over, and one that had arrived but was not read yet was dropped with its connection. Change: such requests are refused as not run at once, with Retry-After 0; a connection is closed only after a last look for bytes. A request that ends with its connection leaves a log line, which was missing. The new test late_request got 408 after 3 s before.

--- a/crates/balsam-edge/src/request/connection.rs
+++ b/crates/balsam-edge/src/request/connection.rs
@@ -3,7 +3,7 @@
 use super::accept::Phase;
 use super::read::{CallerRequest, ReadStep, Reader, Unreadable};
 use super::reply::{Part, Reply};
-use super::serve::{Chain, serve};
+use super::serve::{Chain, refuse_stopping, serve};
 use crate::clock::now;
 use balsam_http1::encode_chunk;
 use balsam_types::CallerLimits;
@@ -129,7 +129,7 @@
             let idle_at = self.active_at + Duration::from_millis(wait_ms);
             let has_space = self.buffer.len() < READ_AHEAD_MAX_BYTES;
             let phase_now = *self.phase.borrow();
-            if phase_now == Phase::Closing && is_idle && self.buffer.is_empty() {
+            if phase_now == Phase::Closing && is_idle && self.has_nothing_left() {
                 return End::Idle;
             }
             let front = self.in_flight.front_mut();
@@ -184,8 +184,7 @@
     fn wants_more(&self) -> bool {
         let is_open = match *self.phase.borrow() {
             Phase::Running => true,
-            Phase::Leaving => self.in_flight.is_empty(),
-            Phase::Closing => false,
+            Phase::Leaving | Phase::Closing => self.in_flight.is_empty(),
         };
         let has_room = self.in_flight.len() < PIPELINE_MAX;
         is_open && has_room && !self.is_closing && self.unreadable.is_none()
@@ -204,6 +203,17 @@
         }
     }
 
+    /// Returns whether a request has neither arrived nor begun to arrive.
+    fn has_nothing_left(&mut self) -> bool {
+        let is_quiet =
+            |buffer: &BytesMut, reader: &Reader| buffer.is_empty() && !reader.is_inside();
+        if !is_quiet(&self.buffer, &self.reader) {
+            return false;
+        }
+        // What arrived before the connection was closed is owed an answer.
+        !self.read() || is_quiet(&self.buffer, &self.reader)
+    }
+
     /// Starts serving the requests that have arrived.
     async fn take_requests(&mut self) -> Option<End> {
         while self.wants_more() {
@@ -235,7 +245,13 @@
         let to_head = request.head.method.as_ref() == b"HEAD";
         let keep_alive = request.head.keep_alive;
         self.is_closing |= !keep_alive;
-        let task = actix_rt::spawn(serve(self.chain.clone(), request, sender));
+        let chain = self.chain.clone();
+        // A request that comes this late could not end before the process does.
+        let task = if *self.phase.borrow() == Phase::Closing {
+            actix_rt::spawn(async move { refuse_stopping(&chain, &request, sender) })
+        } else {
+            actix_rt::spawn(serve(chain, request, sender))
+        };
         self.in_flight.push_back(InFlight {
             reply,
             task,
--- a/crates/balsam-edge/src/request/record.rs
+++ b/crates/balsam-edge/src/request/record.rs
@@ -30,6 +30,7 @@
     service: Option<ServiceName>,
     attempts: Vec<AttemptNote>,
     metrics: EdgeMetrics,
+    is_written: bool,
 }
 
 #[derive(Clone, Debug, Serialize)]
@@ -85,6 +86,7 @@
             service: None,
             attempts: Vec::new(),
             metrics: self.metrics.clone(),
+            is_written: false,
         }
     }
 
@@ -126,7 +128,7 @@
     }
 
     /// Records that an upstream's answer goes to the caller.
-    pub(super) fn delivered(&self, answer: &Reply) {
+    pub(super) fn delivered(&mut self, answer: &Reply) {
         let status = match answer {
             Reply::Own { status, .. }
             | Reply::Whole { status, .. }
@@ -136,7 +138,7 @@
     }
 
     /// Records the end of a streamed answer.
-    pub(super) fn streamed(&self, verdict: Verdict) {
+    pub(super) fn streamed(&mut self, verdict: Verdict) {
         let outcome = if verdict == Verdict::Served {
             "answered"
         } else {
@@ -146,7 +148,7 @@
     }
 
     /// Records that the daemon answers itself.
-    pub(super) fn ended(&self, ending: Ending, reason: &'static str, at: TimeMs) {
+    pub(super) fn ended(&mut self, ending: Ending, reason: &'static str, at: TimeMs) {
         let outcome = match ending {
             Ending::NotRun => "not-run",
             Ending::Unknown => "unknown",
@@ -156,7 +158,8 @@
     }
 
     /// Writes the line and counts the request.
-    fn write(&self, outcome: &'static str, status: u16, reason: &'static str, at: TimeMs) {
+    fn write(&mut self, outcome: &'static str, status: u16, reason: &'static str, at: TimeMs) {
+        self.is_written = true;
         let took_ms = at.since(self.received_at);
         self.metrics
             .request(self.service.as_ref(), self.rank, outcome, reason, took_ms);
@@ -176,6 +179,15 @@
     }
 }
 
+impl Drop for Record {
+    /// Records a request that ended with its connection, before there was an answer.
+    fn drop(&mut self) {
+        if !self.is_written {
+            self.write("abandoned", 0, "connection-ended", now());
+        }
+    }
+}
+
 /// Returns the text of a verdict in log lines and metrics.
 const fn verdict_text(verdict: Verdict) -> &'static str {
     match verdict {
--- a/crates/balsam-edge/src/request/route.rs
+++ b/crates/balsam-edge/src/request/route.rs
@@ -26,6 +26,8 @@
 pub(super) enum Unrouted {
     /// No configuration is known yet.
     NoConfig,
+    /// The daemon is about to end.
+    Stopping,
     /// No route takes the request.
     NoRoute,
     /// The request lacks its id, or a field that decides its way is malformed.
@@ -36,7 +38,7 @@
     /// Returns the status that tells the caller.
     pub(super) const fn status(self) -> u16 {
         match self {
-            Self::NoConfig => 503,
+            Self::NoConfig | Self::Stopping => 503,
             Self::NoRoute => 404,
             Self::BadRequest => 400,
         }
@@ -46,6 +48,7 @@
     pub(super) const fn as_str(self) -> &'static str {
         match self {
             Self::NoConfig => "no-config",
+            Self::Stopping => "stopping",
             Self::NoRoute => "no-route",
             Self::BadRequest => "bad-request",
         }
--- a/crates/balsam-edge/src/request/serve.rs
+++ b/crates/balsam-edge/src/request/serve.rs
@@ -46,23 +46,45 @@
         Ok(routed) => Attempts::new(chain, routed).run(reply).await,
         Err(unrouted) => {
             let (reason, request) = *unrouted;
-            let fields = &request.head.fields;
-            let id = fields.text(chain.names.attempt_id).map(str::to_owned);
-            chain
-                .recorder
-                .unrouted(id.as_deref(), &request.head, reason);
-            let retry_after_ms = (reason == Unrouted::NoConfig).then_some(NO_CONFIG_RETRY_MS);
-            let status = reason.status();
-            // A caller that left needs no answer.
-            drop(reply.send(Reply::Own {
-                status,
-                attempt_id: id,
-                retry_after_ms,
-            }));
+            refuse_unrouted(&chain, &request, reason, reply);
         }
     }
 }
 
+/// Refuses a request that came after the daemon had begun to close.
+pub(super) fn refuse_stopping(
+    chain: &Chain,
+    request: &CallerRequest,
+    reply: oneshot::Sender<Reply>,
+) {
+    refuse_unrouted(chain, request, Unrouted::Stopping, reply);
+}
+
+fn refuse_unrouted(
+    chain: &Chain,
+    request: &CallerRequest,
+    reason: Unrouted,
+    reply: oneshot::Sender<Reply>,
+) {
+    let fields = &request.head.fields;
+    let id = fields.text(chain.names.attempt_id).map(str::to_owned);
+    chain
+        .recorder
+        .unrouted(id.as_deref(), &request.head, reason);
+    let retry_after_ms = match reason {
+        Unrouted::NoConfig => Some(NO_CONFIG_RETRY_MS),
+        // Other daemons take new connections already.
+        Unrouted::Stopping => Some(0),
+        Unrouted::NoRoute | Unrouted::BadRequest => None,
+    };
+    // A caller that left needs no answer.
+    drop(reply.send(Reply::Own {
+        status: reason.status(),
+        attempt_id: id,
+        retry_after_ms,
+    }));
+}
+
 struct Attempts {
     chain: Chain,
     routed: Routed,
@@ -182,7 +204,7 @@
     }
 
     fn end(
-        &self,
+        &mut self,
         reply: oneshot::Sender<Reply>,
         ending: Ending,
         reason: &'static str,
--- a/crates/balsam-edge/tests/caller_requests.rs
+++ b/crates/balsam-edge/tests/caller_requests.rs
@@ -198,3 +198,23 @@
         "a request behind the closing answer was sent on"
     );
 }
+
+/// Guards that a request that is complete only after the daemon has begun to close is refused as not
+/// run at once, instead of being left without an answer.
+#[actix_rt::test]
+async fn late_request() {
+    let mut upstream = Upstream::start("u1", &[Act::Answer]).await;
+    let edge = start(Some(&[&upstream])).await;
+    let mut caller = Caller::open(edge.addresses().callers).await;
+    caller.send("GET /read/x HTTP/1.1\r\nHost: h.ex").await;
+    let stop = actix_rt::spawn(edge.stop());
+    // The daemon leaves for 2.5 s and closes for 1 s.
+    tokio::time::sleep(Duration::from_millis(2_800)).await;
+    caller.send("ample\r\nTest-Id: r1\r\n\r\n").await;
+    let (status, head, _) = caller.answer().await;
+    assert_eq!(status, 503);
+    assert_eq!(head.fields.text("retry-after"), Some("0"));
+    assert_eq!(caller.end().await.len(), 0);
+    stop.await.expect("an orderly stop");
+    assert_eq!(upstream.seen().len(), 0);
+}
