--- a/crates/balsam-decide/src/directory/machine.rs
+++ b/crates/balsam-decide/src/directory/machine.rs
@@ -68,7 +68,7 @@
     }
 
     /// Returns whether entries that vanish may be back soon.
-    pub fn in_outage(&self, now: TimeMs) -> bool {
+    fn in_outage(&self, now: TimeMs) -> bool {
         self.failed_at
             .is_some_and(|at| now.since(at) <= LAPSE_GRACE_MS)
     }
--- a/crates/balsam-edge/src/control/peers.rs
+++ b/crates/balsam-edge/src/control/peers.rs
@@ -5,7 +5,6 @@
 use crate::peer::{
     Beacon, Greeting, PeerMessage, PeerOutput, RangesDelta, UpstreamNews, UpstreamsDelta,
 };
-use balsam_decide::directory::DirectoryInput;
 use balsam_decide::feed::FeedTable;
 use balsam_decide::keys::{GiverInput, RowVersion, StoredLead, StoredRanges, apply_delta, delta};
 use balsam_types::{Map, ServiceName, ServiceRanges, ShardKey, TimeMs};
@@ -54,7 +53,8 @@
         let keyed = self.view.ranges.keys();
         let ranges = keyed.filter_map(|service| {
             let stored = self.giver.stored(service)?;
-            Some((service.clone(), stored.version.0))
+            // Assignments that were never written are missing to nobody.
+            (stored.version.0 > 0).then(|| (service.clone(), stored.version.0))
         });
         Beacon {
             leader: self.me.clone(),
@@ -107,12 +107,8 @@
         let UpstreamsDelta {
             base,
             version,
-            in_outage,
             changes,
         } = delta;
-        if in_outage {
-            self.directory.handle(now(), DirectoryInput::StoreFailed);
-        }
         // What does not fit is read from the store once a sign of life names the version.
         if self
             .feed
@@ -131,7 +127,6 @@
         let delta = UpstreamsDelta {
             base,
             version,
-            in_outage: self.directory.in_outage(now()),
             changes: news.to_vec(),
         };
         self.send(peers, PeerMessage::Upstreams(delta));
@@ -148,10 +143,6 @@
             leader: Some(beacon.leader),
         }));
         self.feed.heard(now(), beacon.tables);
-        if !beacon.tables.is_fresh() {
-            // Entries that vanish now may only have lapsed.
-            self.directory.handle(now(), DirectoryInput::StoreFailed);
-        }
         self.give(GiverInput::Heard {
             incarnation,
             is_settled: beacon.is_settled,
--- a/crates/balsam-edge/src/peer/message.rs
+++ b/crates/balsam-edge/src/peer/message.rs
@@ -69,8 +69,6 @@
     pub(crate) base: u64,
     /// The version of the store with these changes.
     pub(crate) version: u64,
-    /// Whether entries may have vanished only because the store was away.
-    pub(crate) in_outage: bool,
     /// The changes in order.
     pub(crate) changes: Vec<UpstreamNews>,
 }
--- a/crates/balsam-edge/tests/table_feed.rs
+++ b/crates/balsam-edge/tests/table_feed.rs
@@ -107,3 +107,18 @@
     store.put(StoreChange::Upstream(entry(&first)));
     wait_status(&other, "/read/x", 200).await;
 }
+
+/// Guards that an upstream that leaves without notice is dropped at once by a daemon that the store
+/// answers, although it does not answer the giver: that is no outage in which entries only lapse.
+#[actix_rt::test]
+async fn removed_at_once() {
+    let first = Upstream::start("u1", &[Act::Answer]).await;
+    let store = Store::start(rows(&[&first]));
+    let (_giver, other) = start_two(&store).await;
+    wait_status(&other, "/read/x", 200).await;
+    store.set_access(GIVER, Access::Refused);
+    sleep(Duration::from_millis(1_500)).await;
+    let removed = entry(&first).name;
+    store.put(StoreChange::UpstreamRemoved(removed));
+    wait_status(&other, "/read/x", 503).await;
+}
