Run the control path on a thread of its own

Change: control, messages of other daemons, store and orders have a thread of their own, and the adapter starts its tasks there.

--- a/crates/balsam-edge/src/assembly.rs
+++ b/crates/balsam-edge/src/assembly.rs
@@ -3,18 +3,20 @@
 use crate::control::{self, ControlInput, ControlLinks, ControlTask};
 use crate::metrics::EdgeMetrics;
 use crate::order::OrderRequest;
-use crate::peer::PeerTask;
+use crate::peer::{PeerSocket, PeerTask};
 use crate::pool::{PoolClient, PoolTask};
 use crate::probe::{self, Probe};
 use crate::request::{Chain, HeaderNames, Phase, Recorder, run_listener};
 use crate::settings::Settings;
 use crate::store::StoreRequest;
 use crate::view::View;
+use actix_rt::Arbiter;
 use balsam_decide::keys::{KeyTiming, Leader};
 use balsam_decide::pool::PoolSettings;
 use balsam_log::LostLines;
 use balsam_metrics::MetricsError;
 use balsam_types::Incarnation;
+use log::error;
 use snafu::{ResultExt, Snafu};
 use std::io;
 use std::net::SocketAddr;
@@ -44,19 +46,33 @@
 /// The part of the grace time that is left for the end of the process.
 const EXIT_RESERVE: Duration = Duration::from_millis(500);
 
-/// What the adapter to the platform provides.
-#[derive(Debug)]
-pub struct Adapter {
-    /// The names of header fields.
-    pub names: HeaderNames,
+/// Where the control path sends its calls to the platform.
+#[derive(Clone, Debug)]
+pub struct Links {
     /// Takes calls to the store.
     pub store: mpsc::Sender<StoreRequest>,
     /// Takes orders to upstreams.
     pub orders: mpsc::Sender<OrderRequest>,
+}
+
+/// What the adapter to the platform provides.
+pub struct Adapter {
+    /// The names of header fields.
+    pub names: HeaderNames,
+    /// Starts the tasks behind the links; called on the thread of the control path.
+    pub connect: Box<dyn FnOnce() -> Links + Send>,
     /// Counts the log lines that were dropped.
     pub lost_lines: LostLines,
 }
 
+impl std::fmt::Debug for Adapter {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Adapter")
+            .field("names", &self.names)
+            .finish_non_exhaustive()
+    }
+}
+
 /// Why a daemon cannot start.
 #[derive(Debug, Snafu)]
 pub enum StartError {
@@ -93,6 +109,7 @@
     phase: watch::Sender<Phase>,
     listener: JoinHandle<()>,
     control: mpsc::Sender<ControlInput>,
+    control_thread: Arbiter,
     pool: PoolClient,
     settings: Settings,
     grace: Duration,
@@ -130,9 +147,8 @@
         let (publisher, views) = watch::channel(Arc::new(View::default()));
         let (phase, phases) = watch::channel(Phase::Running);
         let address = settings.listen.peers;
-        let peer = PeerTask::bind(address, &settings.peer_credential, control.clone());
-        let (peer, address) = peer.await.context(ListenSnafu { address })?;
-        actix_rt::spawn(peer.run(outputs));
+        let peer_socket = PeerSocket::bind(address).context(ListenSnafu { address })?;
+        let address = peer_socket.address();
 
         let me = Leader {
             daemon: settings.daemon.clone(),
@@ -142,16 +158,30 @@
         let timing = KeyTiming::new(settings.bounds.hold_max_ms());
         let weakness = 1.0 - settings.machine.strength();
         let stagger_ms = (WEAKNESS_MS * weakness) as u64 + rand::random_range(0..STAGGER_MS);
-        let links = ControlLinks {
-            store: adapter.store.clone(),
-            orders: adapter.orders,
-            control: control.clone(),
-            peers,
-            views: publisher,
-            metrics: metrics.clone(),
-        };
-        let task = ControlTask::new(me, timing, stagger_ms, links);
-        actix_rt::spawn(control::run(task, inputs));
+        let own = (control.clone(), metrics.clone());
+        let credential = settings.peer_credential.clone();
+        let connect = adapter.connect;
+        // On a thread of its own the control path gets its turns also while requests fill the
+        // processor; changes and grants have bounds that hold then as well.
+        let control_thread = Arbiter::new();
+        control_thread.spawn_fn(move || {
+            let (control, metrics) = own;
+            let Links { store, orders } = connect();
+            match PeerTask::new(peer_socket, &credential, control.clone()) {
+                Ok(peer) => drop(actix_rt::spawn(peer.run(outputs))),
+                Err(error) => error!("no messages of other daemons: {error}"),
+            }
+            let links = ControlLinks {
+                store,
+                orders,
+                control,
+                peers,
+                views: publisher,
+                metrics,
+            };
+            let task = ControlTask::new(me, timing, stagger_ms, links);
+            actix_rt::spawn(control::run(task, inputs));
+        });
 
         let pool = PoolSettings {
             zone: settings.zone.clone(),
@@ -186,6 +216,7 @@
             phase,
             listener: actix_rt::spawn(listener),
             control,
+            control_thread,
             pool,
             settings: settings.clone(),
             grace,
@@ -220,6 +251,7 @@
         self.phase.send_replace(Phase::Closing);
         // The listener ends by itself within the rest of the grace time.
         drop(self.listener.await);
+        self.control_thread.stop();
     }
 }
 
--- a/crates/balsam-edge/src/lib.rs
+++ b/crates/balsam-edge/src/lib.rs
@@ -19,5 +19,5 @@
 mod probe;
 mod view;
 
-pub use assembly::{Adapter, Addresses, Edge, StartError};
+pub use assembly::{Adapter, Addresses, Edge, Links, StartError};
 pub use view::View;
--- a/crates/balsam-edge/src/peer/mod.rs
+++ b/crates/balsam-edge/src/peer/mod.rs
@@ -14,4 +14,4 @@
     UpstreamsDelta,
 };
 pub(crate) use snapshot::{Snapshot, Snapshots, divide};
-pub(crate) use task::PeerTask;
+pub(crate) use task::{PeerSocket, PeerTask};
--- a/crates/balsam-edge/src/peer/task.rs
+++ b/crates/balsam-edge/src/peer/task.rs
@@ -18,21 +18,40 @@
     control: mpsc::Sender<ControlInput>,
 }
 
+/// A bound socket that no task owns yet.
+#[derive(Debug)]
+pub(crate) struct PeerSocket {
+    socket: std::net::UdpSocket,
+    address: SocketAddr,
+}
+
+impl PeerSocket {
+    /// Binds a socket; the system may choose the port.
+    pub(crate) fn bind(address: SocketAddr) -> io::Result<Self> {
+        let socket = std::net::UdpSocket::bind(address)?;
+        socket.set_nonblocking(true)?;
+        let address = socket.local_addr()?;
+        Ok(Self { socket, address })
+    }
+
+    /// Returns the bound address.
+    pub(crate) const fn address(&self) -> SocketAddr {
+        self.address
+    }
+}
+
 impl PeerTask {
-    /// Binds the socket; returns its address as well, whose port the system may have chosen.
-    pub(crate) async fn bind(
-        address: SocketAddr,
+    /// Makes the task of a bound socket; needs the runtime on which the task will run.
+    pub(crate) fn new(
+        bound: PeerSocket,
         credential: &str,
         control: mpsc::Sender<ControlInput>,
-    ) -> io::Result<(Self, SocketAddr)> {
-        let socket = UdpSocket::bind(address).await?;
-        let address = socket.local_addr()?;
-        let task = Self {
-            socket,
+    ) -> io::Result<Self> {
+        Ok(Self {
+            socket: UdpSocket::from_std(bound.socket)?,
             credential: KeyHash::of(credential).0,
             control,
-        };
-        Ok((task, address))
+        })
     }
 
     /// Runs until the control task ends.
--- a/crates/balsam-edge/tests/support/mod.rs
+++ b/crates/balsam-edge/tests/support/mod.rs
@@ -13,7 +13,7 @@
 use balsam_edge::request::HeaderNames;
 use balsam_edge::settings::{Bounds, Listen, Machine, Settings};
 use balsam_edge::store::StoreChange;
-use balsam_edge::{Adapter, Edge};
+use balsam_edge::{Adapter, Edge, Links};
 use balsam_types::{
     Born, CallerLimits, ConfigVersion, DaemonName, Route, RouteKind, RouteName, RoutingConfig,
     ServiceName, ServicePolicy, ServiceShare, UpstreamEntry, UpstreamName, UpstreamState, ZoneName,
@@ -133,10 +133,10 @@
 /// Starts a daemon with its own name at a store.
 pub async fn start_at(store: &Store, client: usize) -> Edge {
     let (orders, _) = mpsc::channel::<OrderRequest>(1);
+    let store = store.client(client);
     let adapter = Adapter {
         names: NAMES,
-        store: store.client(client),
-        orders,
+        connect: Box::new(|| Links { store, orders }),
         lost_lines: balsam_log::LostLines::default(),
     };
     let started = Edge::start(&settings(client), adapter).await;
