Let a giver that is stopped renew keys until another daemon takes its place

The giver resigned at its SIGTERM, nobody could take the lead, and the owners' grants ran out after 4 s: from 23 s to 27 s most lookups were refused (not-held, retry-budget). The lines that told: leading false at 19.0 s, take-lead with result unknown at nine daemons, store-lost. Ruled out: upstreams, which answered not-held, so they had lost their grants. Change: a leaving giver asks to be replaced in its signs of life, and goes on until it hears of a successor or its grace time ends.

--- a/crates/balsam-decide/src/keys/giver.rs
+++ b/crates/balsam-decide/src/keys/giver.rs
@@ -72,6 +72,8 @@
     /// The giver before this one, while its orders may still be under way.
     pub(super) predecessor: Option<Leader>,
     pub(super) take_at: TimeMs,
+    /// Whether this daemon is about to stop.
+    pub(super) is_leaving: bool,
     pub(super) services: Map<ServiceName, ServiceState>,
     pub(super) keyed: Vec<ServiceName>,
     pub(super) upstreams: Arc<Upstreams>,
@@ -98,6 +100,7 @@
             followed: Followed::default(),
             predecessor: None,
             take_at: now.after(stagger_ms),
+            is_leaving: false,
             services: new_map(),
             keyed: Vec::new(),
             upstreams: Arc::new(Upstreams::default()),
@@ -164,6 +167,7 @@
             } => self.heard(now, incarnation, is_settled, should_replace),
             GiverInput::Alive(daemon) => self.see_alive(now, &daemon),
             GiverInput::Resigned(incarnation) => self.resigned(now, incarnation),
+            GiverInput::Leave => self.is_leaving = true,
             GiverInput::Stop => self.lead = Lead::Stopped,
             GiverInput::Behind => {
                 if self.reload_at.is_none() {
--- a/crates/balsam-decide/src/keys/message.rs
+++ b/crates/balsam-decide/src/keys/message.rs
@@ -167,13 +167,16 @@
         incarnation: Incarnation,
         /// Whether no grant of an earlier giver can hold any more.
         is_settled: bool,
-        /// Whether the store answers this daemon and has not answered the giver for long.
+        /// Whether this daemon should take the giver's place, because it leaves or because the store
+        /// answers this daemon and has not answered the giver for long.
         should_replace: bool,
     },
     /// A daemon runs in this life; its former life has ended.
     Alive(Leader),
     /// The present or the former giver with this life has sent its last order.
     Resigned(Incarnation),
+    /// This daemon is about to stop: it gives orders only until another daemon takes its place.
+    Leave,
     /// This daemon stops and sends no further order.
     Stop,
     /// The giver has committed assignments that this daemon does not know.
--- a/crates/balsam-decide/src/keys/succession.rs
+++ b/crates/balsam-decide/src/keys/succession.rs
@@ -171,7 +171,7 @@
 
     pub(super) fn take_lead(&mut self, now: TimeMs, stored: &StoredLead) -> Option<GiverOutput> {
         let waits = now < self.take_at || self.pending.is_some() || self.reload_at.is_some();
-        if waits || self.keyed.is_empty() {
+        if waits || self.is_leaving || self.keyed.is_empty() {
             return None;
         }
         let is_first = stored.version == RowVersion(0);
--- /dev/null
+++ b/crates/balsam-decide/tests/giver_leaving.rs
@@ -0,0 +1,145 @@
+//! Guards what a giver does that is about to stop.
+
+use balsam_decide::directory::{Believed, Upstreams};
+use balsam_decide::keys::{
+    Commit, CommitResult, Giver, GiverInput, GiverOutput, KeyTiming, Leader, OrderResult,
+    RowVersion, StoredLead,
+};
+use balsam_types::{
+    Born, DaemonName, Incarnation, ServiceName, TimeMs, UpstreamEntry, UpstreamName, UpstreamState,
+    ZoneName,
+};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+const STEP_MS: u64 = 50;
+
+fn leader(name: &str, incarnation: u64) -> Leader {
+    Leader {
+        daemon: DaemonName::new(name).expect("a valid name"),
+        incarnation: Incarnation(incarnation),
+        address: SocketAddr::from(([127, 0, 0, 1], 7_000)),
+    }
+}
+
+fn world() -> GiverInput {
+    let service = ServiceName::new("keyed").expect("a valid name");
+    let upstream = Arc::new(Believed {
+        entry: UpstreamEntry {
+            name: UpstreamName::new("u1").expect("a valid name"),
+            born: Born(1),
+            service: service.clone(),
+            zone: ZoneName::new("z").expect("a valid name"),
+            address: SocketAddr::from(([127, 0, 0, 1], 9_000)),
+            slots: 3,
+            state: UpstreamState::Ready,
+            warmup_left_ms: 0,
+        },
+        cold_until: TimeMs(0),
+    });
+    GiverInput::World {
+        upstreams: Arc::new(Upstreams::new([upstream])),
+        keyed: vec![service],
+    }
+}
+
+/// A giver whose commits and orders succeed, and whose store may be away.
+struct Played {
+    giver: Giver,
+    now: TimeMs,
+    version: u64,
+    orders: u32,
+    attempts: u32,
+    is_store_away: bool,
+}
+
+impl Played {
+    fn start() -> Self {
+        let now = TimeMs(100_000);
+        let giver = Giver::new(now, leader("d1", 1), KeyTiming::new(10_000), 0);
+        let mut played = Self {
+            giver,
+            now,
+            version: 0,
+            orders: 0,
+            attempts: 0,
+            is_store_away: false,
+        };
+        played.give(GiverInput::Lead(StoredLead {
+            version: RowVersion(0),
+            leader: None,
+        }));
+        played.give(world());
+        played
+    }
+
+    fn give(&mut self, input: GiverInput) {
+        for output in self.giver.handle(self.now, input) {
+            let answer = self.answer(output);
+            self.give(answer);
+        }
+    }
+
+    fn answer(&mut self, output: GiverOutput) -> GiverInput {
+        match output {
+            GiverOutput::Commit(commit) => {
+                self.attempts += u32::from(matches!(commit, Commit::TakeLead { .. }));
+                if self.is_store_away {
+                    return GiverInput::Committed(CommitResult::Failed);
+                }
+                self.version += 1;
+                GiverInput::Committed(CommitResult::Done(RowVersion(self.version)))
+            }
+            GiverOutput::Reload if self.is_store_away => GiverInput::ReloadFailed,
+            GiverOutput::Reload => GiverInput::Reloaded,
+            GiverOutput::Confirm => GiverInput::Confirmed {
+                asked_at: self.now,
+                version: (!self.is_store_away).then(|| self.giver.lead_version()),
+            },
+            GiverOutput::Order(order) => {
+                self.orders += 1;
+                let (id, result) = (order.id, OrderResult::Granted);
+                GiverInput::Ordered { id, result }
+            }
+        }
+    }
+
+    /// Plays a time and returns the orders that were sent in it.
+    fn play(&mut self, length_ms: u64) -> u32 {
+        let before = self.orders;
+        let end = self.now.after(length_ms);
+        while self.now < end {
+            self.now = self.now.after(STEP_MS);
+            self.give(GiverInput::Tick);
+        }
+        self.orders - before
+    }
+}
+
+/// Guards against keys without an owner when the giver stops while the store is away, so that no
+/// other daemon can take its place.
+#[test]
+fn renews_until_replaced() {
+    let mut played = Played::start();
+    played.play(3_000);
+    assert!(played.giver.is_leading());
+    played.give(GiverInput::Leave);
+    played.is_store_away = true;
+    assert!(played.play(4_000) > 0, "no renewal in a whole hold");
+    assert!(played.giver.is_leading());
+}
+
+/// Guards against orders of a giver that has been replaced, and against its return to the lead.
+#[test]
+fn stays_replaced() {
+    let mut played = Played::start();
+    played.play(3_000);
+    played.give(GiverInput::Leave);
+    played.give(GiverInput::Lead(StoredLead {
+        version: RowVersion(100),
+        leader: Some(leader("d2", 2)),
+    }));
+    let attempts = played.attempts;
+    assert_eq!(played.play(20_000), 0);
+    assert_eq!(played.attempts, attempts);
+}
--- a/crates/balsam-decide/tests/key_world/world.rs
+++ b/crates/balsam-decide/tests/key_world/world.rs
@@ -70,6 +70,8 @@
     incarnation: u64,
     frozen_until: TimeMs,
     store_cut_until: TimeMs,
+    /// When it stops, if it is about to.
+    stops_at: Option<TimeMs>,
     upstream_cut_until: [TimeMs; UPSTREAMS],
     waiting: VecDeque<GiverInput>,
     /// Orders that were decided and not sent when the daemon froze.
@@ -157,6 +159,7 @@
             incarnation,
             frozen_until: TimeMs(0),
             store_cut_until: TimeMs(0),
+            stops_at: None,
             upstream_cut_until: [TimeMs(0); UPSTREAMS],
             waiting: VecDeque::new(),
             unsent: Vec::new(),
@@ -195,7 +198,15 @@
             if self.chance(25) {
                 self.daemons[at].store_cut_until = self.time(500, 25_000);
             }
-            if self.chance(8) {
+            if self.chance(8) && self.daemons[at].stops_at.is_none() {
+                let stops_at = self.time(0, 6_000);
+                self.daemons[at].stops_at = Some(stops_at);
+                self.answer(at, GiverInput::Leave);
+            }
+            if self.daemons[at]
+                .stops_at
+                .is_some_and(|stops| stops <= self.now)
+            {
                 let incarnation = self.daemons[at].incarnation + 10;
                 self.daemons[at] = self.start(at, incarnation);
             }
@@ -274,8 +285,8 @@
                 said.push(GiverInput::Heard {
                     incarnation,
                     is_settled: daemon.giver.is_settled(self.now),
-                    should_replace: self.now < daemon.store_cut_until
-                        && self.now >= mine.store_cut_until,
+                    should_replace: daemon.stops_at.is_some()
+                        || self.now < daemon.store_cut_until && self.now >= mine.store_cut_until,
                 });
             } else if daemon.unsent.is_empty() && lead == mine.giver.lead_version() {
                 said.push(GiverInput::Resigned(incarnation));
--- a/crates/balsam-edge/src/assembly.rs
+++ b/crates/balsam-edge/src/assembly.rs
@@ -23,9 +23,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpListener;
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::JoinHandle;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep, timeout_at};
 
 /// Messages that wait for a task.
 const CHANNEL_MESSAGES: usize = 256;
@@ -43,6 +43,9 @@
 /// The spread of attempts of machines that are equally strong, in milliseconds.
 const STAGGER_MS: u64 = 150;
 
+/// The time for the last messages to other daemons.
+const LAST_WORDS_TIME: Duration = Duration::from_millis(20);
+
 /// The part of the grace time that is left for the end of the process.
 const EXIT_RESERVE: Duration = Duration::from_millis(500);
 
@@ -244,13 +247,19 @@
     /// Stops the daemon in order: it leaves the platform's rotation, finishes the requests in
     /// flight and ends within the grace time.
     pub async fn stop(self) {
+        let end = Instant::now() + self.grace;
         self.phase.send_replace(Phase::Leaving);
+        let (replaced, is_replaced) = oneshot::channel();
         // A control task that has ended has nothing to hand over.
-        drop(self.control.send(ControlInput::Stop).await);
+        drop(self.control.send(ControlInput::Leave(replaced)).await);
         sleep(LEAVE_TIME.min(self.grace)).await;
         self.phase.send_replace(Phase::Closing);
         // The listener ends by itself within the rest of the grace time.
         drop(self.listener.await);
+        // While the store is away no other daemon can renew the keys of upstreams.
+        drop(timeout_at(end, is_replaced).await);
+        drop(self.control.send(ControlInput::Stop).await);
+        sleep(LAST_WORDS_TIME).await;
         self.control_thread.stop();
     }
 }
--- a/crates/balsam-edge/src/control/message.rs
+++ b/crates/balsam-edge/src/control/message.rs
@@ -6,6 +6,7 @@
 use balsam_decide::keys::{CommitResult, OrderId, OrderResult, RowVersion};
 use balsam_types::{ServiceName, ShardKey, TimeMs};
 use std::net::SocketAddr;
+use tokio::sync::oneshot;
 
 /// News of a table.
 #[derive(Debug)]
@@ -44,7 +45,9 @@
         service: ServiceName,
         keys: Vec<ShardKey>,
     },
-    /// The daemon stops.
+    /// The daemon is about to stop; it is told when it is not the giver any more.
+    Leave(oneshot::Sender<()>),
+    /// The daemon stops now.
     Stop,
     /// An upstream does not hold a key that it should.
     NotHeld { service: ServiceName, key: ShardKey },
--- a/crates/balsam-edge/src/control/peers.rs
+++ b/crates/balsam-edge/src/control/peers.rs
@@ -10,6 +10,7 @@
 use balsam_types::{Map, ServiceName, ServiceRanges, ShardKey, TimeMs};
 use std::net::SocketAddr;
 use std::sync::Arc;
+use tokio::sync::oneshot;
 
 /// The time between two signs of life of the giver, in milliseconds; several fit into the time
 /// after which it counts as silent.
@@ -61,11 +62,22 @@
             version: self.giver.lead_version().0,
             ranges: ranges.collect(),
             is_settled: self.giver.is_settled(now()),
+            is_leaving: self.is_leaving,
             tables: self.feed.state(now()),
             peers,
         }
     }
 
+    /// Asks another daemon to take the lead.
+    ///
+    /// Until one does, which the store may prevent, the keys' owners need their renewals.
+    pub(super) fn leave(&mut self, replaced: oneshot::Sender<()>) {
+        self.is_leaving = true;
+        self.replaced = Some(replaced);
+        self.beacon_at = now();
+        self.give(GiverInput::Leave);
+    }
+
     /// Sends no further order, and lets another daemon follow at once.
     pub(super) fn resign(&mut self) {
         let was_leading = self.giver.is_leading();
@@ -146,7 +158,8 @@
         self.give(GiverInput::Heard {
             incarnation,
             is_settled: beacon.is_settled,
-            should_replace: self.feed.should_replace(now()),
+            should_replace: self.feed.should_replace(now())
+                || beacon.is_leaving && beacon.tables.is_fresh(),
         });
         for peer in &beacon.peers {
             self.book.heard(now(), *peer);
--- a/crates/balsam-edge/src/control/task.rs
+++ b/crates/balsam-edge/src/control/task.rs
@@ -15,7 +15,7 @@
 use balsam_types::{Map, RoutingConfig, ServiceName, ServiceRanges, TimeMs, new_map};
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::{MissedTickBehavior, interval};
 
 /// The time between two looks at what is due, in milliseconds; orders and lapses are due to within
@@ -46,6 +46,9 @@
     pub(super) beacon_at: TimeMs,
     pub(super) hello_at: TimeMs,
     pub(super) was_leading: bool,
+    /// Who is told that this leaving daemon is not the giver any more.
+    pub(super) replaced: Option<oneshot::Sender<()>>,
+    pub(super) is_leaving: bool,
     pub(super) daemons: u32,
 }
 
@@ -89,6 +92,8 @@
             beacon_at: now(),
             hello_at: now(),
             was_leading: false,
+            replaced: None,
+            is_leaving: false,
             daemons: 0,
         }
     }
@@ -143,6 +148,7 @@
             }
             ControlInput::Peer { from, message } => self.hear(from, message),
             ControlInput::Sampled { service, keys } => self.sampled(service, keys),
+            ControlInput::Leave(replaced) => self.leave(replaced),
             ControlInput::Stop => self.resign(),
             ControlInput::NotHeld { service, key } => {
                 self.give(GiverInput::NotHeld { service, key });
@@ -221,6 +227,10 @@
             self.metrics.giver(leading);
             ControlLine::Leading { leading }.write();
         }
+        if let Some(replaced) = self.replaced.take_if(|_| !leading) {
+            // A daemon that has stopped waiting needs no answer.
+            let _is_heard = replaced.send(()).is_ok();
+        }
     }
 
     /// Returns the assignments that are known, with their versions.
--- a/crates/balsam-edge/src/peer/message.rs
+++ b/crates/balsam-edge/src/peer/message.rs
@@ -25,6 +25,8 @@
     pub(crate) ranges: Vec<(ServiceName, u64)>,
     /// Whether no grant of an earlier giver can hold any more.
     pub(crate) is_settled: bool,
+    /// Whether it is about to stop and another daemon should take its place.
+    pub(crate) is_leaving: bool,
     /// How far it knows the tables that it follows for all.
     pub(crate) tables: FeedState,
     /// The other daemons that it knows of, one of which may follow it.
