Give on the keys of an owner whose address another service has taken

The giver had just changed and waited 13 s, so from 6 s to 18 s a fifth of the lookups had no owner. Ruled out: upstreams that answer late; the requests at these addresses ended as replaced at once. Change: an upstream that takes no keys, has the owner's address and started 5 s or more after it shows that the owner has ended. The new test reused_address covers an older entry, clocks that differ and an address taken by an upstream that takes keys.

--- a/crates/balsam-decide/src/keys/giver.rs
+++ b/crates/balsam-decide/src/keys/giver.rs
@@ -351,6 +351,7 @@
                 inherited_until,
                 stale_until,
                 upstreams: &upstreams,
+                keyed: &self.keyed,
             });
             for due in due {
                 let id = Tenures::next_id(&mut self.last_order);
--- a/crates/balsam-decide/src/keys/service.rs
+++ b/crates/balsam-decide/src/keys/service.rs
@@ -28,6 +28,10 @@
 /// already.
 const SETTLE_MS: u64 = 500;
 
+/// How much later than an owner another upstream must have started to show that the owner has
+/// ended, in milliseconds; the machines' clocks may differ by less.
+const BORN_SKEW_MS: u64 = 5_000;
+
 /// The weight of an upstream that is still slow after its start, in percent of its slots.
 const COLD_PERCENT: f64 = 50.0;
 
@@ -51,6 +55,21 @@
     /// When no order of an earlier giver can arrive any more.
     pub(super) stale_until: TimeMs,
     pub(super) upstreams: &'a Upstreams,
+    /// The services that are divided by key.
+    pub(super) keyed: &'a [ServiceName],
+}
+
+impl Moment<'_> {
+    /// Returns whether an upstream that takes no keys has the address of an owner, which has ended
+    /// then; orders that earlier givers still send there change nothing.
+    fn has_ended(&self, owner: &Owner) -> bool {
+        self.upstreams.iter().any(|found| {
+            let entry = &found.entry;
+            entry.address == owner.address
+                && entry.born.0 > owner.born.0 + BORN_SKEW_MS
+                && !self.keyed.contains(&entry.service)
+        })
+    }
 }
 
 /// One service's assignments, as stored, and what was done for them.
@@ -143,6 +162,9 @@
         assignment: &Assignment,
         former: &Owner,
     ) -> bool {
+        if at.has_ended(former) {
+            return true;
+        }
         if at.holds.may_hold(at.now, service, former, assignment.range) {
             return false;
         }
--- a/crates/balsam-decide/tests/key_world/mod.rs
+++ b/crates/balsam-decide/tests/key_world/mod.rs
@@ -1,9 +1,11 @@
 //! A small world of givers, upstreams and a store for random schedules.
 
+mod kinds;
 mod store;
 mod upstream;
 mod world;
 
+pub use kinds::{Flaw, Report, Restart};
 pub use store::Store;
 pub use upstream::{KEYS, Upstream};
-pub use world::{Flaw, Report, Restart, World};
+pub use world::World;
--- a/crates/balsam-decide/tests/key_world/world.rs
+++ b/crates/balsam-decide/tests/key_world/world.rs
@@ -1,7 +1,7 @@
 //! Random schedules of givers that are cut off, frozen and killed, and of orders that are lost or
 //! carried out late.
 
-use super::{KEYS, Store, Upstream};
+use super::{Flaw, KEYS, Report, Restart, Store, Upstream};
 use balsam_decide::directory::{Believed, Upstreams};
 use balsam_decide::keys::{
     Commit, CommitResult, Giver, GiverInput, GiverOutput, KeyTiming, Leader, Order, OrderKind,
@@ -21,50 +21,6 @@
 const UPSTREAMS: usize = 3;
 const STEP_MS: u64 = 50;
 
-/// A safeguard that is removed, or an assumption that is broken.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Flaw {
-    None,
-    /// An upstream's clock runs 60 % slow, so that holds outlast the wait for them.
-    HoldNotWaitedFor,
-    /// Upstreams forget the tokens of releases.
-    ReleaseWithoutFence,
-    /// The store acknowledges assignments that it does not keep.
-    OrderBeforeRow,
-    /// A giver that is cut off from the store renews for ever.
-    EndlessTrust,
-    /// A new giver does not wait long enough for grants of its predecessor.
-    NoInheritance,
-    /// A release counts although an earlier giver may still order the upstream's next life.
-    EarlyReleaseCounts,
-    /// A grant without an answer is taken for one that did not arrive.
-    LateGrantForgotten,
-    /// A refused connection is taken for the end of an upstream.
-    RefusalIsEnd,
-    /// Orders of a giver that woke up are sent without a look at the clock.
-    NoCheckBeforeSend,
-}
-
-/// How soon a crashed upstream starts again under its name.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Restart {
-    /// Within seconds, while an earlier giver may still order it.
-    Quick,
-    /// Once no earlier giver can order it any more.
-    Slow,
-}
-
-/// What one schedule has shown.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Report {
-    /// Looks at which two upstreams held one key.
-    pub double_holds: u32,
-    /// Looks at which some upstream held the key.
-    pub held: u64,
-    /// All looks.
-    pub looks: u64,
-}
-
 struct Daemon {
     giver: Giver,
     incarnation: u64,
--- /dev/null
+++ b/crates/balsam-decide/tests/reused_address.rs
@@ -0,0 +1,134 @@
+//! Guards when keys of an owner whose address has another upstream are given on.
+
+use balsam_decide::directory::{Believed, Upstreams};
+use balsam_decide::keys::{
+    CommitResult, Giver, GiverInput, GiverOutput, KeyTiming, Leader, OrderKind, OrderResult,
+    RowVersion, StoredLead,
+};
+use balsam_types::{
+    Born, DaemonName, Incarnation, KeyRange, ServiceName, TimeMs, UpstreamEntry, UpstreamName,
+    UpstreamState, ZoneName,
+};
+use rstest::rstest;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+const STEP_MS: u64 = 50;
+
+/// When the lost owner was started.
+const BORN: u64 = 1_000_000;
+
+fn service(name: &str) -> ServiceName {
+    ServiceName::new(name).expect("a valid name")
+}
+
+fn upstream(name: &str, of: &str, born: u64, port: u16) -> Arc<Believed> {
+    Arc::new(Believed {
+        entry: UpstreamEntry {
+            name: UpstreamName::new(name).expect("a valid name"),
+            born: Born(born),
+            service: service(of),
+            zone: ZoneName::new("z").expect("a valid name"),
+            address: SocketAddr::from(([127, 0, 0, 1], port)),
+            slots: 3,
+            state: UpstreamState::Ready,
+            warmup_left_ms: 0,
+        },
+        cold_until: TimeMs(0),
+    })
+}
+
+fn world(upstreams: Vec<Arc<Believed>>) -> GiverInput {
+    GiverInput::World {
+        upstreams: Arc::new(Upstreams::new(upstreams)),
+        keyed: vec![service("keyed")],
+    }
+}
+
+/// A giver whose commits succeed; the upstream at port 9,000 answers no order.
+struct Played {
+    giver: Giver,
+    now: TimeMs,
+    version: u64,
+    /// The ranges that were granted to the upstream that stays.
+    granted: Vec<KeyRange>,
+}
+
+impl Played {
+    fn give(&mut self, input: GiverInput) {
+        for output in self.giver.handle(self.now, input) {
+            let answer = match output {
+                GiverOutput::Commit(_) => {
+                    self.version += 1;
+                    GiverInput::Committed(CommitResult::Done(RowVersion(self.version)))
+                }
+                GiverOutput::Reload => GiverInput::Reloaded,
+                GiverOutput::Confirm => GiverInput::Confirmed {
+                    asked_at: self.now,
+                    version: Some(self.giver.lead_version()),
+                },
+                GiverOutput::Order(order) => {
+                    let is_lost = self.now >= TimeMs(103_000) && order.to.address.port() == 9_000;
+                    let result = match (is_lost, &order.kind) {
+                        (true, _) => OrderResult::Refused { status: 400 },
+                        (false, OrderKind::Release) => OrderResult::Released { handover: None },
+                        (false, OrderKind::Grant { .. }) => {
+                            if order.to.address.port() == 9_001 {
+                                self.granted.push(order.range);
+                            }
+                            OrderResult::Granted
+                        }
+                    };
+                    GiverInput::Ordered {
+                        id: order.id,
+                        result,
+                    }
+                }
+            };
+            self.give(answer);
+        }
+    }
+
+    fn play(&mut self, length_ms: u64) {
+        let end = self.now.after(length_ms);
+        while self.now < end {
+            self.now = self.now.after(STEP_MS);
+            self.give(GiverInput::Tick);
+        }
+    }
+}
+
+/// Guards against a wait for an owner that has ended, and against none where its address does not
+/// show that: an entry from before the owner's start, or a process that may take its keys.
+#[rstest]
+#[case::ended("plain", BORN + 60_000, true)]
+#[case::older_entry("plain", BORN - 60_000, false)]
+#[case::clocks_differ("plain", BORN + 2_000, false)]
+#[case::takes_keys("keyed", BORN + 60_000, false)]
+fn address_taken(#[case] of: &str, #[case] born: u64, #[case] is_free: bool) {
+    let now = TimeMs(100_000);
+    let me = Leader {
+        daemon: DaemonName::new("d1").expect("a valid name"),
+        incarnation: Incarnation(1),
+        address: SocketAddr::from(([127, 0, 0, 1], 7_000)),
+    };
+    let mut played = Played {
+        giver: Giver::new(now, me, KeyTiming::new(10_000), 0),
+        now,
+        version: 0,
+        granted: Vec::new(),
+    };
+    played.give(GiverInput::Lead(StoredLead {
+        version: RowVersion(0),
+        leader: None,
+    }));
+    let lost = upstream("u1", "keyed", BORN, 9_000);
+    let other = upstream("u2", "keyed", BORN, 9_001);
+    played.give(world(vec![lost, Arc::clone(&other)]));
+    played.play(3_000);
+    let own = std::mem::take(&mut played.granted);
+    played.give(world(vec![other, upstream("x1", of, born, 9_000)]));
+    played.play(1_000);
+    let has_more = played.granted.iter().any(|range| !own.contains(range));
+    assert_eq!(has_more, is_free);
+}
