--- a/crates/balsam-decide/src/feed/machine.rs
+++ b/crates/balsam-decide/src/feed/machine.rs
@@ -6,17 +6,17 @@
 /// How long another daemon that follows the store lets it wait for a change, in milliseconds.
 pub const FOLLOW_ASIDE_MS: u64 = 2_000;
 
-/// How long the giver's signs of life may be missing, in milliseconds: three of them.
+/// How long the leader's heartbeats may be missing, in milliseconds: three of them.
 const SILENT_MS: u64 = 750;
 
-/// How long the store may be silent to the giver before another daemon replaces it, in
-/// milliseconds; shorter than a giver's trust in itself, so that keys keep their owners.
+/// How long the store may be silent to the leader before another daemon replaces it, in
+/// milliseconds; shorter than a leader's trust in itself, so that keys keep their owners.
 const REPLACE_MS: u64 = 3_000;
 
-/// How long ago the store must have answered a daemon that replaces the giver, in milliseconds.
+/// How long ago the store must have answered a daemon that replaces the leader, in milliseconds.
 const REACHED_MS: u64 = FOLLOW_ASIDE_MS + 500;
 
-/// How long a daemon tries to read an announced change from the store before it asks the giver, in
+/// How long a daemon tries to read an announced change from the store before it asks the leader, in
 /// milliseconds; a store that answers does so sooner.
 const SNAPSHOT_AFTER_MS: u64 = 600;
 
@@ -30,12 +30,12 @@
     state: Option<TableState>,
     /// When the store last answered, unless a call has failed since.
     answered_at: Option<TimeMs>,
-    /// Since when the giver announces a change that this daemon does not know.
+    /// Since when the leader announces a change that this daemon does not know.
     behind_since: Option<TimeMs>,
 }
 
 impl Known {
-    /// Compares with what the giver says.
+    /// Compares with what the leader says.
     fn compare(&mut self, now: TimeMs, theirs: TableState) {
         let is_whole = self.state.is_some_and(|mine| mine.seen >= theirs.changed);
         if is_whole {
@@ -48,9 +48,9 @@
 
 /// Decides from where each table is followed.
 ///
-/// A daemon relies on the giver only while it hears from it, while the store answers the giver, and
-/// while it knows all changes that the giver has announced. Otherwise it follows the store itself,
-/// so that a change is known in time whatever becomes of the giver.
+/// A daemon relies on the leader only while it hears from it, while the store answers the leader,
+/// and while it knows all changes that the leader has announced. Otherwise it follows the store
+/// itself, so that a change is known in time whatever becomes of the leader.
 #[derive(Debug, Default)]
 pub struct Feed {
     config: Known,
@@ -101,15 +101,15 @@
         self.known_mut(table).answered_at = None;
     }
 
-    /// Takes changes that the giver passes on, after `base` and up to `version`; returns whether
+    /// Takes changes that the leader passes on, after `base` and up to `version`; returns whether
     /// they are new and follow without a gap.
     pub fn relayed(&mut self, now: TimeMs, table: FeedTable, base: u64, version: u64) -> bool {
         let fits = self.seen(table).is_some_and(|seen| base <= seen);
         fits && self.replaced(now, table, version)
     }
 
-    /// Takes a snapshot of the whole table that the giver knows up to `version`; returns whether it is
-    /// new.
+    /// Takes a snapshot of the whole table that the leader knows up to `version`; returns whether
+    /// it is new.
     pub fn replaced(&mut self, now: TimeMs, table: FeedTable, version: u64) -> bool {
         let is_new = self.seen(table).is_none_or(|seen| seen < version);
         if is_new {
@@ -122,12 +122,12 @@
         is_new
     }
 
-    /// Notes what a sign of life of the giver says.
+    /// Notes what a heartbeat of the leader says.
     pub fn heard(&mut self, now: TimeMs, said: FeedState) {
         self.heard = Some((now, said));
         for table in FeedTable::ALL {
             let theirs = said.of(table);
-            // Without a change in between, the giver's newer version holds here as well.
+            // Without a change in between, the leader's newer version holds here as well.
             if let Some(mine) = &mut self.known_mut(table).state
                 && mine.seen >= theirs.changed
             {
@@ -142,7 +142,7 @@
         self.known(table).state.map(|state| state.seen)
     }
 
-    /// Returns what this daemon says of the tables as the giver.
+    /// Returns what this daemon says of the tables as the leader.
     pub fn state(&self, now: TimeMs) -> FeedState {
         let state = |known: &Known| known.state.unwrap_or_default();
         FeedState {
@@ -158,32 +158,32 @@
         age(&self.config).max(age(&self.upstreams))
     }
 
-    /// Returns from where a daemon that is not the giver learns of a table's changes.
+    /// Returns from where a daemon that is not the leader learns of a table's changes.
     pub fn source(&self, now: TimeMs, table: FeedTable) -> FeedSource {
         let Some((heard_at, said)) = &self.heard else {
             return FeedSource::Store;
         };
         let is_fresh = now.since(*heard_at) <= SILENT_MS && said.is_fresh();
         if is_fresh && !self.is_behind(table) {
-            FeedSource::Giver
+            FeedSource::Leader
         } else {
             FeedSource::Store
         }
     }
 
-    /// Returns whether the giver has announced a change that this daemon does not know.
+    /// Returns whether the leader has announced a change that this daemon does not know.
     pub const fn is_behind(&self, table: FeedTable) -> bool {
         self.known(table).behind_since.is_some()
     }
 
-    /// Returns whether the store should have brought an announced change by now, so that the giver
+    /// Returns whether the store should have brought an announced change by now, so that the leader
     /// is to be asked for a snapshot.
     pub fn needs_snapshot(&self, now: TimeMs, table: FeedTable) -> bool {
         let since = self.known(table).behind_since;
         since.is_some_and(|since| now.since(since) >= SNAPSHOT_AFTER_MS)
     }
 
-    /// Returns whether the store answers this daemon and has not answered the giver for long.
+    /// Returns whether the store answers this daemon and has not answered the leader for long.
     pub fn should_replace(&self, now: TimeMs) -> bool {
         let is_lost = |(heard_at, said): &(TimeMs, FeedState)| {
             now.since(*heard_at) <= SILENT_MS && said.age_ms > REPLACE_MS
--- a/crates/balsam-decide/src/feed/message.rs
+++ b/crates/balsam-decide/src/feed/message.rs
@@ -2,14 +2,14 @@
 
 use serde::{Deserialize, Serialize};
 
-/// How long the giver lets the store wait for a change, in milliseconds.
+/// How long the leader lets the store wait for a change, in milliseconds.
 ///
-/// Each answer proves that the giver knows the newest version, also if nothing has changed.
-pub const FOLLOW_AS_GIVER_MS: u64 = 500;
+/// Each answer proves that the leader knows the newest version, also if nothing has changed.
+pub const FOLLOW_AS_LEADER_MS: u64 = 500;
 
-/// How long the giver's knowledge counts as new after the store's last answer, in milliseconds: the
-/// wait of its calls and the time for an answer of a slow store.
-const FRESH_MS: u64 = FOLLOW_AS_GIVER_MS + 400;
+/// How long the leader's knowledge counts as new after the store's last answer, in milliseconds:
+/// the wait of its calls and the time for an answer of a slow store.
+const FRESH_MS: u64 = FOLLOW_AS_LEADER_MS + 400;
 
 /// A table of the store that every daemon must know.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -30,11 +30,11 @@
 pub enum FeedSource {
     /// It follows the store.
     Store,
-    /// It waits for the giver's messages.
-    Giver,
+    /// It waits for the leader's messages.
+    Leader,
 }
 
-/// How far the giver knows one table; both are versions of the store.
+/// How far the leader knows one table; both are versions of the store.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TableState {
     /// The version that brought the last change.
@@ -43,7 +43,7 @@
     pub seen: u64,
 }
 
-/// What the giver's signs of life say of the tables.
+/// What the leader's heartbeats say of the tables.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct FeedState {
     /// The configuration.
@@ -56,7 +56,7 @@
 }
 
 impl FeedState {
-    /// Returns whether the giver knows the newest versions, also if nothing has changed.
+    /// Returns whether the leader knows the newest versions, also if nothing has changed.
     pub const fn is_fresh(&self) -> bool {
         self.age_ms <= FRESH_MS
     }
--- a/crates/balsam-decide/src/feed/mod.rs
+++ b/crates/balsam-decide/src/feed/mod.rs
@@ -1,5 +1,5 @@
 //! From where a daemon learns of changes in the store's tables: from the store itself, or from the
-//! giver, which follows the store for all.
+//! leader, which follows the store for all.
 //!
 //! See [the platform page](../../../../docs/platform.md#calls-to-the-store).
 
@@ -7,4 +7,4 @@
 mod message;
 
 pub use machine::{FOLLOW_ASIDE_MS, Feed};
-pub use message::{FOLLOW_AS_GIVER_MS, FeedSource, FeedState, FeedTable, TableState};
+pub use message::{FOLLOW_AS_LEADER_MS, FeedSource, FeedState, FeedTable, TableState};
--- a/crates/balsam-decide/src/keys/giver.rs
+++ b/crates/balsam-decide/src/keys/assigner.rs
@@ -1,11 +1,11 @@
-//! The giver: the one daemon that assigns keys.
+//! The leader: the one daemon that assigns keys.
 
 use super::holds::Holds;
 use super::orders::{Sent, Tenures};
 use super::reach::Reach;
 use super::service::{Moment, ServiceState, tenure_key};
 use super::{
-    Commit, CommitResult, GiverInput, GiverOutput, KeyTiming, Leader, Moves, Order, OrderId,
+    AssignerInput, AssignerOutput, Commit, CommitResult, KeyTiming, Leader, Moves, Order, OrderId,
     OrderKind, OrderResult, RowVersion, StoredLead, StoredRanges,
 };
 use crate::directory::Upstreams;
@@ -18,7 +18,7 @@
 /// The time between two attempts to read the rows, in milliseconds.
 const RELOAD_RETRY_MS: u64 = 300;
 
-/// Whether this daemon is the giver.
+/// Whether this daemon is the leader.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(super) enum Lead {
     /// The row was not read yet.
@@ -31,17 +31,17 @@
     Mine {
         version: RowVersion,
         confirmed_at: TimeMs,
-        /// When no grant of an earlier giver can hold any more.
+        /// When no grant of an earlier leader can hold any more.
         inherited_until: TimeMs,
-        /// Whether the rows were read since this daemon became the giver.
+        /// Whether the rows were read since this daemon became the leader.
         is_loaded: bool,
     },
 }
 
-/// What a daemon knows of the giver that it follows, or followed last.
+/// What a daemon knows of the leader that it follows, or followed last.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(super) struct Followed {
-    /// Whether it has waited for the grants of earlier givers.
+    /// Whether it has waited for the grants of earlier leaders.
     pub(super) is_settled: bool,
     /// Whether it gives no more orders.
     pub(super) has_ended: bool,
@@ -60,16 +60,16 @@
     },
 }
 
-/// The giver, or a daemon that stands by to become it.
+/// The leader, or a daemon that stands by to become it.
 #[derive(Debug)]
-pub struct Giver {
+pub struct Assigner {
     pub(super) me: Leader,
     pub(super) timing: KeyTiming,
     pub(super) stagger_ms: u64,
     pub(super) lead: Lead,
-    /// What is known of the giver that this daemon follows.
+    /// What is known of the leader that this daemon follows.
     pub(super) followed: Followed,
-    /// The giver before this one, while its orders may still be under way.
+    /// The leader before this one, while its orders may still be under way.
     pub(super) predecessor: Option<Leader>,
     pub(super) take_at: TimeMs,
     /// Whether this daemon is about to stop.
@@ -87,8 +87,8 @@
     pub(super) confirm_at: TimeMs,
 }
 
-impl Giver {
-    /// Makes a giver in waiting.
+impl Assigner {
+    /// Makes a leader in waiting.
     ///
     /// `stagger_ms` differs between daemons, so that they do not all try to take the lead at once.
     pub fn new(now: TimeMs, me: Leader, timing: KeyTiming, stagger_ms: u64) -> Self {
@@ -115,12 +115,12 @@
         }
     }
 
-    /// Returns whether this daemon is the giver, as far as it knows.
+    /// Returns whether this daemon is the leader, as far as it knows.
     pub const fn is_leading(&self) -> bool {
         matches!(self.lead, Lead::Mine { .. })
     }
 
-    /// Returns the giver that this daemon knows of.
+    /// Returns the leader that this daemon knows of.
     pub fn leader(&self) -> Option<&Leader> {
         match &self.lead {
             Lead::Unread | Lead::Stopped => None,
@@ -129,7 +129,7 @@
         }
     }
 
-    /// Returns the version of the row of the giver, as far as this daemon knows.
+    /// Returns the version of the row of the leader, as far as this daemon knows.
     pub const fn lead_version(&self) -> RowVersion {
         match &self.lead {
             Lead::Unread | Lead::Stopped => RowVersion(0),
@@ -144,50 +144,52 @@
     }
 
     /// Takes one input and returns what is to be done.
-    pub fn handle(&mut self, now: TimeMs, input: GiverInput) -> Vec<GiverOutput> {
+    pub fn handle(&mut self, now: TimeMs, input: AssignerInput) -> Vec<AssignerOutput> {
         match input {
-            GiverInput::Lead(stored) => self.see_lead(now, stored),
-            GiverInput::Ranges(stored) => self.see_ranges(stored),
-            GiverInput::Reloaded => {
+            AssignerInput::Lead(stored) => self.see_lead(now, stored),
+            AssignerInput::Ranges(stored) => self.see_ranges(stored),
+            AssignerInput::Reloaded => {
                 self.is_reloading = false;
                 self.reload_at = None;
                 if let Lead::Mine { is_loaded, .. } = &mut self.lead {
                     *is_loaded = true;
                 }
             }
-            GiverInput::ReloadFailed => {
+            AssignerInput::ReloadFailed => {
                 self.is_reloading = false;
                 self.reload_at = Some(now.after(RELOAD_RETRY_MS));
             }
-            GiverInput::Confirmed { asked_at, version } => self.confirmed(now, asked_at, version),
-            GiverInput::Heard {
+            AssignerInput::Confirmed { asked_at, version } => {
+                self.confirmed(now, asked_at, version)
+            }
+            AssignerInput::Heard {
                 incarnation,
                 is_settled,
                 should_replace,
             } => self.heard(now, incarnation, is_settled, should_replace),
-            GiverInput::Alive(daemon) => self.see_alive(now, &daemon),
-            GiverInput::Resigned(incarnation) => self.resigned(now, incarnation),
-            GiverInput::Leave => self.is_leaving = true,
-            GiverInput::Stop => self.lead = Lead::Stopped,
-            GiverInput::Behind => {
+            AssignerInput::Alive(daemon) => self.see_alive(now, &daemon),
+            AssignerInput::Resigned(incarnation) => self.resigned(now, incarnation),
+            AssignerInput::Leave => self.is_leaving = true,
+            AssignerInput::Stop => self.lead = Lead::Stopped,
+            AssignerInput::Behind => {
                 if self.reload_at.is_none() {
                     self.reload_at = Some(now.after(RELOAD_RETRY_MS));
                 }
             }
-            GiverInput::World { upstreams, keyed } => {
+            AssignerInput::World { upstreams, keyed } => {
                 self.upstreams = upstreams;
                 self.keyed = keyed;
             }
-            GiverInput::Committed(result) => self.committed(now, result),
-            GiverInput::Ordered { id, result } => self.ordered(now, id, &result),
-            GiverInput::Sampled { service, keys } => {
+            AssignerInput::Committed(result) => self.committed(now, result),
+            AssignerInput::Ordered { id, result } => self.ordered(now, id, &result),
+            AssignerInput::Sampled { service, keys } => {
                 if self.is_leading() {
                     self.service(&service).sample(now, keys);
                 }
                 return Vec::new();
             }
-            GiverInput::NotHeld { service, key } => self.service(&service).not_held(key),
-            GiverInput::Tick => {}
+            AssignerInput::NotHeld { service, key } => self.service(&service).not_held(key),
+            AssignerInput::Tick => {}
         }
         self.act(now)
     }
@@ -202,7 +204,7 @@
         self.service(&service).store(stored);
     }
 
-    /// Returns whether no grant of an earlier giver can hold any more.
+    /// Returns whether no grant of an earlier leader can hold any more.
     pub fn is_settled(&self, now: TimeMs) -> bool {
         self.is_leading() && now >= self.inherited_until()
     }
@@ -213,7 +215,7 @@
         };
         match (result, pending) {
             (CommitResult::Done(version), Pending::Lead { sent_at, is_first }) => {
-                // The first giver of all has no predecessor.
+                // The first leader of all has no predecessor.
                 let inherited_ms = if is_first {
                     0
                 } else {
@@ -272,11 +274,11 @@
         }
     }
 
-    fn act(&mut self, now: TimeMs) -> Vec<GiverOutput> {
+    fn act(&mut self, now: TimeMs) -> Vec<AssignerOutput> {
         let mut outputs = Vec::new();
         if !self.is_reloading && self.reload_at.is_some_and(|at| at <= now) {
             self.is_reloading = true;
-            outputs.push(GiverOutput::Reload);
+            outputs.push(AssignerOutput::Reload);
         }
         match self.lead.clone() {
             Lead::Unread | Lead::Stopped => {}
@@ -289,7 +291,7 @@
             } => {
                 if now >= self.confirm_at {
                     self.confirm_at = now.after(self.timing.confirm_ms);
-                    outputs.push(GiverOutput::Confirm);
+                    outputs.push(AssignerOutput::Confirm);
                 }
                 // After a commit of unknown fate the rows are read before the next one; the
                 // assignments that are known to be stored stay in force meanwhile.
@@ -304,12 +306,13 @@
         outputs
     }
 
-    fn commit_ranges(&mut self, now: TimeMs, lead: RowVersion) -> Option<GiverOutput> {
+    fn commit_ranges(&mut self, now: TimeMs, lead: RowVersion) -> Option<AssignerOutput> {
         if self.pending.is_some() {
             return None;
         }
         self.reach.prune(now);
-        // Keys that move while an earlier giver may order their former owner have no owner meanwhile.
+        // Keys that move while an earlier leader may order their former owner have no owner
+        // meanwhile.
         let moves = if now < self.stale_until() {
             Moves::Needed
         } else {
@@ -325,7 +328,7 @@
                     sent_at: now,
                     ranges: Arc::clone(&ranges),
                 });
-                return Some(GiverOutput::Commit(Commit::Assign {
+                return Some(AssignerOutput::Commit(Commit::Assign {
                     lead,
                     expected,
                     ranges,
@@ -335,7 +338,12 @@
         None
     }
 
-    fn give_orders(&mut self, now: TimeMs, confirmed_at: TimeMs, outputs: &mut Vec<GiverOutput>) {
+    fn give_orders(
+        &mut self,
+        now: TimeMs,
+        confirmed_at: TimeMs,
+        outputs: &mut Vec<AssignerOutput>,
+    ) {
         let send_before = confirmed_at.after(self.timing.trust_ms);
         if now >= send_before {
             return;
@@ -366,7 +374,7 @@
                     }
                     OrderKind::Release => self.timing.release_timeout_ms,
                 };
-                outputs.push(GiverOutput::Order(Order {
+                outputs.push(AssignerOutput::Order(Order {
                     id,
                     service: name.clone(),
                     to: due.to,
--- a/crates/balsam-decide/src/keys/holds.rs
+++ b/crates/balsam-decide/src/keys/holds.rs
@@ -14,7 +14,7 @@
     is_answered: bool,
 }
 
-/// The grants that this giver has sent and that may not have run out.
+/// The grants that this leader has sent and that may not have run out.
 #[derive(Debug, Default)]
 pub(super) struct Holds {
     grants: Vec<Grant>,
@@ -89,7 +89,7 @@
         self.grants.retain(|grant| grant.owner != *owner);
     }
 
-    /// Returns whether an owner may hold a key of the range by a grant of this giver.
+    /// Returns whether an owner may hold a key of the range by a grant of this leader.
     pub(super) fn may_hold(
         &self,
         now: TimeMs,
--- a/crates/balsam-decide/src/keys/message.rs
+++ b/crates/balsam-decide/src/keys/message.rs
@@ -1,4 +1,4 @@
-//! What a giver is told and what it wants done.
+//! What a leader is told and what it wants done.
 
 use crate::directory::Upstreams;
 use balsam_types::{
@@ -23,12 +23,12 @@
     pub address: SocketAddr,
 }
 
-/// The row that names the giver.
+/// The row that names the leader.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct StoredLead {
     /// The row's version.
     pub version: RowVersion,
-    /// The giver, if there was ever one.
+    /// The leader, if there was ever one.
     pub leader: Option<Leader>,
 }
 
@@ -112,16 +112,16 @@
 /// A change of rows under the condition that they have not changed.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Commit {
-    /// Makes this daemon the giver.
+    /// Makes this daemon the leader.
     TakeLead {
         /// The version that the row must have.
         expected: RowVersion,
         /// This daemon.
         leader: Leader,
     },
-    /// Writes assignments while this daemon is the giver.
+    /// Writes assignments while this daemon is the leader.
     Assign {
-        /// The version that the row of the giver must have.
+        /// The version that the row of the leader must have.
         lead: RowVersion,
         /// The version that the row of the assignments must have.
         expected: RowVersion,
@@ -143,43 +143,43 @@
     Unknown,
 }
 
-/// What a giver is told.
+/// What a leader is told.
 #[derive(Clone, Debug)]
-pub enum GiverInput {
-    /// The row of the giver, as it was read or followed.
+pub enum AssignerInput {
+    /// The row of the leader, as it was read or followed.
     Lead(StoredLead),
     /// The row of a service's assignments.
     Ranges(StoredRanges),
-    /// All rows were read after [`GiverOutput::Reload`].
+    /// All rows were read after [`AssignerOutput::Reload`].
     Reloaded,
     /// The rows could not be read.
     ReloadFailed,
-    /// The row of the giver was read after [`GiverOutput::Confirm`], which was asked at a time.
+    /// The row of the leader was read after [`AssignerOutput::Confirm`], which was asked at a time.
     Confirmed {
         /// When the read began.
         asked_at: TimeMs,
         /// The version of the row, or `None` if it could not be read.
         version: Option<RowVersion>,
     },
-    /// The giver with this life was heard.
+    /// The leader with this life was heard.
     Heard {
         /// Its life.
         incarnation: Incarnation,
-        /// Whether no grant of an earlier giver can hold any more.
+        /// Whether no grant of an earlier leader can hold any more.
         is_settled: bool,
-        /// Whether this daemon should take the giver's place, because it leaves or because the store
-        /// answers this daemon and has not answered the giver for long.
+        /// Whether this daemon should take the leader's place, because it leaves or because the
+        /// store answers this daemon and has not answered the leader for long.
         should_replace: bool,
     },
     /// A daemon runs in this life; its former life has ended.
     Alive(Leader),
-    /// The present or the former giver with this life has sent its last order.
+    /// The present or the former leader with this life has sent its last order.
     Resigned(Incarnation),
     /// This daemon is about to stop: it gives orders only until another daemon takes its place.
     Leave,
     /// This daemon stops and sends no further order.
     Stop,
-    /// The giver has committed assignments that this daemon does not know.
+    /// The leader has committed assignments that this daemon does not know.
     Behind,
     /// The upstreams and the services that are divided by key.
     World {
@@ -215,14 +215,14 @@
     Tick,
 }
 
-/// What a giver wants done.
+/// What a leader wants done.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum GiverOutput {
+pub enum AssignerOutput {
     /// Change rows; one commit is under way at a time.
     Commit(Commit),
-    /// Read all rows of the giver and the assignments.
+    /// Read all rows of the leader and the assignments.
     Reload,
-    /// Read the row of the giver.
+    /// Read the row of the leader.
     Confirm,
     /// Send an order.
     Order(Order),
--- a/crates/balsam-decide/src/keys/mod.rs
+++ b/crates/balsam-decide/src/keys/mod.rs
@@ -1,10 +1,10 @@
-//! Who owns which keys: one daemon, the giver, assigns ranges of keys and orders upstreams.
+//! Who owns which keys: one daemon, the leader, assigns ranges of keys and orders upstreams.
 //!
 //! See [the platform page](../../../../docs/platform.md#ownership-of-keys) for why no two upstreams
 //! hold a key at once.
 
+mod assigner;
 mod delta;
-mod giver;
 mod holds;
 mod load;
 mod message;
@@ -16,12 +16,12 @@
 mod succession;
 mod timing;
 
+pub use assigner::Assigner;
 pub use delta::{apply_delta, delta};
-pub use giver::Giver;
 pub use load::KeyLoad;
 pub use message::{
-    Commit, CommitResult, GiverInput, GiverOutput, Leader, Order, OrderId, OrderKind, OrderResult,
-    RowVersion, StoredLead, StoredRanges,
+    AssignerInput, AssignerOutput, Commit, CommitResult, Leader, Order, OrderId, OrderKind,
+    OrderResult, RowVersion, StoredLead, StoredRanges,
 };
 pub use plan::{Candidate, Moves, plan};
 pub use timing::KeyTiming;
--- a/crates/balsam-decide/src/keys/orders.rs
+++ b/crates/balsam-decide/src/keys/orders.rs
@@ -36,7 +36,7 @@
 /// Names an assignment: its range and its token.
 pub(super) type TenureKey = (KeyRange, Fence);
 
-/// What this giver has achieved for one assignment.
+/// What this leader has achieved for one assignment.
 #[derive(Debug, Default)]
 pub(super) struct Tenure {
     /// When the owner was last sent a grant.
--- a/crates/balsam-decide/src/keys/plan.rs
+++ b/crates/balsam-decide/src/keys/plan.rs
@@ -8,7 +8,7 @@
 /// Busy keys lie close to one another; several narrow ranges spread them before any load is known.
 const FIRST_RANGES: usize = 3;
 
-/// Ranges at which several for each upstream are too many: the giver renews each of them in time.
+/// Ranges at which several for each upstream are too many: the leader renews each of them in time.
 const FIRST_RANGES_MAX: usize = 300;
 
 /// Ranges that are moved for balance in one step, at least.
--- a/crates/balsam-decide/src/keys/service.rs
+++ b/crates/balsam-decide/src/keys/service.rs
@@ -1,4 +1,4 @@
-//! The assignments of one service at the giver.
+//! The assignments of one service at the leader.
 
 use super::orders::{Sent, TenureKey, Tenures};
 use super::reach::Reach;
@@ -24,8 +24,8 @@
 /// The time between two attempts of a release, in milliseconds.
 const RELEASE_RETRY_MS: u64 = 300;
 
-/// The time between two commits that only end moves, in milliseconds; the new owners have their keys
-/// already.
+/// The time between two commits that only end moves, in milliseconds; the new owners have their
+/// keys already.
 const SETTLE_MS: u64 = 500;
 
 /// How much later than an owner another upstream must have started to show that the owner has
@@ -50,9 +50,9 @@
     pub(super) now: TimeMs,
     pub(super) timing: &'a KeyTiming,
     pub(super) holds: &'a super::holds::Holds,
-    /// When grants of earlier givers have run out.
+    /// When grants of earlier leaders have run out.
     pub(super) inherited_until: TimeMs,
-    /// When no order of an earlier giver can arrive any more.
+    /// When no order of an earlier leader can arrive any more.
     pub(super) stale_until: TimeMs,
     pub(super) upstreams: &'a Upstreams,
     /// The services that are divided by key.
@@ -61,7 +61,7 @@
 
 impl Moment<'_> {
     /// Returns whether an upstream that takes no keys has the address of an owner, which has ended
-    /// then; orders that earlier givers still send there change nothing.
+    /// then; orders that earlier leaders still send there change nothing.
     fn has_ended(&self, owner: &Owner) -> bool {
         self.upstreams.iter().any(|found| {
             let entry = &found.entry;
@@ -113,7 +113,7 @@
         &self.stored
     }
 
-    /// Forgets what this daemon did as an earlier giver.
+    /// Forgets what this daemon did as an earlier leader.
     pub(super) fn start_over(&mut self) {
         self.tenures = Tenures::new();
     }
@@ -170,7 +170,7 @@
         }
         let tenure = self.tenures.get(assignment);
         let released_at = tenure.and_then(|tenure| tenure.release_of(former));
-        // An upstream that starts anew forgets the release, and an earlier giver may then still
+        // An upstream that starts anew forgets the release, and an earlier leader may then still
         // grant it the keys. Only a release that follows the last of its orders is conclusive.
         let has_released = released_at.is_some_and(|sent_at| sent_at >= at.stale_until);
         has_released || at.now >= at.inherited_until
@@ -255,7 +255,7 @@
                 tenure.handover = handover.clone().or(tenure.handover.take());
                 true
             }
-            // A stale giver could still order the next process at the address.
+            // A stale leader could still order the next process at the address.
             OrderResult::Ended => !inherits,
             _ => false,
         };
--- a/crates/balsam-decide/src/keys/succession.rs
+++ b/crates/balsam-decide/src/keys/succession.rs
@@ -1,10 +1,11 @@
-//! How a daemon becomes the giver, and how long it waits for what its predecessors may still order.
+//! How a daemon becomes the leader, and how long it waits for what its predecessors may still
+//! order.
 
-use super::giver::{Followed, Giver, Lead, Pending};
-use super::{Commit, GiverOutput, Leader, RowVersion, StoredLead};
+use super::assigner::{Assigner, Followed, Lead, Pending};
+use super::{AssignerOutput, Commit, Leader, RowVersion, StoredLead};
 use balsam_types::{Incarnation, TimeMs};
 
-impl Giver {
+impl Assigner {
     pub(super) fn see_lead(&mut self, now: TimeMs, stored: StoredLead) {
         match &self.lead {
             Lead::Mine { version, .. } if stored.version <= *version => return,
@@ -54,7 +55,7 @@
         for service in self.services.values_mut() {
             service.start_over();
         }
-        // The assignments are read once more: what the former giver wrote last must be known.
+        // The assignments are read once more: what the former leader wrote last must be known.
         self.reload_at = Some(now);
     }
 
@@ -109,7 +110,7 @@
         }
     }
 
-    /// Makes ready to follow a giver that gives no more orders.
+    /// Makes ready to follow a leader that gives no more orders.
     pub(super) fn leader_ended(&mut self, now: TimeMs) {
         self.followed.has_ended = true;
         self.take_at = self.take_at.min(now.after(self.stagger_ms));
@@ -117,7 +118,7 @@
 
     /// Shortens the wait for grants of a predecessor that has ended.
     ///
-    /// Earlier givers may still give orders unless the predecessor had waited for them.
+    /// Earlier leaders may still give orders unless the predecessor had waited for them.
     pub(super) fn predecessor_ended(&mut self, now: TimeMs) {
         if let Lead::Mine {
             inherited_until, ..
@@ -150,7 +151,7 @@
         }
     }
 
-    /// Returns when no grant of an earlier giver can hold any more.
+    /// Returns when no grant of an earlier leader can hold any more.
     pub(super) fn inherited_until(&self) -> TimeMs {
         match self.lead {
             Lead::Mine {
@@ -160,7 +161,7 @@
         }
     }
 
-    /// Returns when no order of an earlier giver can arrive any more.
+    /// Returns when no order of an earlier leader can arrive any more.
     pub(super) fn stale_until(&self) -> TimeMs {
         TimeMs(
             self.inherited_until()
@@ -169,7 +170,7 @@
         )
     }
 
-    pub(super) fn take_lead(&mut self, now: TimeMs, stored: &StoredLead) -> Option<GiverOutput> {
+    pub(super) fn take_lead(&mut self, now: TimeMs, stored: &StoredLead) -> Option<AssignerOutput> {
         let waits = now < self.take_at || self.pending.is_some() || self.reload_at.is_some();
         if waits || self.is_leaving || self.keyed.is_empty() {
             return None;
@@ -179,7 +180,7 @@
             sent_at: now,
             is_first,
         });
-        Some(GiverOutput::Commit(Commit::TakeLead {
+        Some(AssignerOutput::Commit(Commit::TakeLead {
             expected: stored.version,
             leader: self.me.clone(),
         }))
--- a/crates/balsam-decide/src/keys/timing.rs
+++ b/crates/balsam-decide/src/keys/timing.rs
@@ -1,13 +1,13 @@
 //! How long grants and the right to give them last.
 
-/// The times of a giver; all in milliseconds.
+/// The times of a leader; all in milliseconds.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct KeyTiming {
     /// How long an upstream holds keys after a grant has arrived.
     pub hold_ms: u64,
     /// The time between two grants of the same keys.
     pub renew_ms: u64,
-    /// How long a giver goes on renewing after the store last confirmed that it is the giver.
+    /// How long a leader goes on renewing after the store last confirmed that it is the leader.
     pub trust_ms: u64,
     /// The time between two such confirmations.
     pub confirm_ms: u64,
@@ -16,7 +16,7 @@
     pub grant_timeout_ms: u64,
     /// How long the answer to a release is awaited, which comes when running work has ended.
     pub release_timeout_ms: u64,
-    /// How long a giver may be silent before another daemon takes its place.
+    /// How long a leader may be silent before another daemon takes its place.
     pub silent_ms: u64,
 }
 
@@ -29,7 +29,7 @@
 impl KeyTiming {
     /// Makes the times for holds of at most `hold_max_ms`.
     ///
-    /// A hold outlasts a lost giver and the election of the next one. Longer holds would keep the
+    /// A hold outlasts a lost leader and the election of the next one. Longer holds would keep the
     /// keys of an upstream that fell silent without an owner for longer.
     pub const fn new(hold_max_ms: u64) -> Self {
         let hold_ms = if hold_max_ms < 4_000 {
@@ -55,12 +55,12 @@
         self.hold_ms + self.hold_ms * SLOW_CLOCK_PERMILLE / 1_000 + MARGIN_MS
     }
 
-    /// Returns how long grants of a giver may hold after it has ended.
+    /// Returns how long grants of a leader may hold after it has ended.
     pub const fn ended_ms(&self) -> u64 {
         self.grant_timeout_ms + self.lapse_ms()
     }
 
-    /// Returns how long grants of an earlier giver may hold after another daemon took its place.
+    /// Returns how long grants of an earlier leader may hold after another daemon took its place.
     pub const fn inherited_ms(&self) -> u64 {
         self.trust_ms + self.ended_ms()
     }
--- a/crates/balsam-decide/tests/feed_source.rs
+++ b/crates/balsam-decide/tests/feed_source.rs
@@ -1,4 +1,4 @@
-//! Guards how soon a daemon learns of changes that the giver follows for it.
+//! Guards how soon a daemon learns of changes that the leader follows for it.
 
 use balsam_decide::feed::{Feed, FeedSource, FeedTable};
 use balsam_types::TimeMs;
@@ -7,8 +7,8 @@
 
 const TABLE: FeedTable = FeedTable::Upstreams;
 
-/// The time between two signs of life of the giver.
-const BEACON_MS: u64 = 250;
+/// The time between two heartbeats of the leader.
+const HEARTBEAT_MS: u64 = 250;
 
 /// Returns the feed of a daemon that has read both tables at version 10.
 fn read(now: TimeMs) -> Feed {
@@ -19,33 +19,33 @@
     feed
 }
 
-/// Guards that a daemon makes no calls of its own while the giver knows the newest version.
+/// Guards that a daemon makes no calls of its own while the leader knows the newest version.
 #[test]
-fn giver_serves() {
-    let (mut giver, mut daemon) = (read(TimeMs(0)), read(TimeMs(0)));
+fn leader_serves() {
+    let (mut leader, mut daemon) = (read(TimeMs(0)), read(TimeMs(0)));
     for step in 1..40 {
-        let now = TimeMs(step * BEACON_MS);
+        let now = TimeMs(step * HEARTBEAT_MS);
         for table in FeedTable::ALL {
-            giver.answered(now, table, 10 + step, false);
+            leader.answered(now, table, 10 + step, false);
         }
-        daemon.heard(now, giver.state(now));
-        assert_eq!(daemon.source(now, TABLE), FeedSource::Giver, "at {now:?}");
+        daemon.heard(now, leader.state(now));
+        assert_eq!(daemon.source(now, TABLE), FeedSource::Leader, "at {now:?}");
         assert_eq!(daemon.seen(TABLE), Some(10 + step));
     }
 }
 
-/// Guards that a lost message is noticed with the next sign of life.
+/// Guards that a lost message is noticed with the next heartbeat.
 #[test]
 fn lost_message() {
-    let (mut giver, mut daemon) = (read(TimeMs(0)), read(TimeMs(0)));
-    giver.answered(TimeMs(100), TABLE, 20, true);
-    giver.answered(TimeMs(200), TABLE, 30, true);
+    let (mut leader, mut daemon) = (read(TimeMs(0)), read(TimeMs(0)));
+    leader.answered(TimeMs(100), TABLE, 20, true);
+    leader.answered(TimeMs(200), TABLE, 30, true);
     assert!(!daemon.relayed(TimeMs(200), TABLE, 20, 30), "20 was lost");
-    daemon.heard(TimeMs(250), giver.state(TimeMs(250)));
+    daemon.heard(TimeMs(250), leader.state(TimeMs(250)));
     assert_eq!(daemon.source(TimeMs(250), TABLE), FeedSource::Store);
     assert_eq!(daemon.seen(TABLE), Some(10), "the gap is still read");
     daemon.answered(TimeMs(300), TABLE, 31, true);
-    assert_eq!(daemon.source(TimeMs(300), TABLE), FeedSource::Giver);
+    assert_eq!(daemon.source(TimeMs(300), TABLE), FeedSource::Leader);
 }
 
 /// Guards against changes that are taken twice or in the wrong order.
@@ -60,23 +60,23 @@
     assert!(daemon.replaced(TimeMs(6), TABLE, 31));
 }
 
-/// Guards that a giver that the store turns away is replaced by a daemon that the store answers,
+/// Guards that a leader that the store turns away is replaced by a daemon that the store answers,
 /// and by no other.
 #[test]
-fn giver_without_store() {
-    let (mut giver, mut served, mut cut) = (read(TimeMs(0)), read(TimeMs(0)), read(TimeMs(0)));
-    giver.failed(TABLE);
+fn leader_without_store() {
+    let (mut leader, mut served, mut cut) = (read(TimeMs(0)), read(TimeMs(0)), read(TimeMs(0)));
+    leader.failed(TABLE);
     cut.failed(TABLE);
     for step in 1..=16 {
-        let now = TimeMs(step * BEACON_MS);
+        let now = TimeMs(step * HEARTBEAT_MS);
         for table in FeedTable::ALL {
             served.answered(now, table, 10, false);
         }
-        served.heard(now, giver.state(now));
-        cut.heard(now, giver.state(now));
+        served.heard(now, leader.state(now));
+        cut.heard(now, leader.state(now));
         assert_eq!(served.source(now, TABLE), FeedSource::Store);
     }
-    let now = TimeMs(16 * BEACON_MS);
+    let now = TimeMs(16 * HEARTBEAT_MS);
     assert!(served.should_replace(now));
     assert!(!cut.should_replace(now));
 }
@@ -84,54 +84,54 @@
 /// Guards that a snapshot is asked for only if the store does not bring an announced change.
 #[test]
 fn turned_away() {
-    let (mut giver, mut daemon) = (read(TimeMs(0)), read(TimeMs(0)));
-    giver.answered(TimeMs(100), TABLE, 20, true);
-    daemon.heard(TimeMs(250), giver.state(TimeMs(250)));
+    let (mut leader, mut daemon) = (read(TimeMs(0)), read(TimeMs(0)));
+    leader.answered(TimeMs(100), TABLE, 20, true);
+    daemon.heard(TimeMs(250), leader.state(TimeMs(250)));
     assert!(!daemon.needs_snapshot(TimeMs(500), TABLE));
     assert!(daemon.needs_snapshot(TimeMs(1_000), TABLE));
     daemon.replaced(TimeMs(1_050), TABLE, 20);
     assert!(!daemon.needs_snapshot(TimeMs(1_100), TABLE));
 }
 
-/// Guards that a change is known within 1.5 s whatever becomes of the giver, of its datagrams and
+/// Guards that a change is known within 1.5 s whatever becomes of the leader, of its datagrams and
 /// of its way to the store: upstreams that leave must be known within 2 s.
 #[test]
 fn known_in_time() {
     for seed in 0..2_000 {
         let mut rng = StdRng::seed_from_u64(seed);
-        let (mut giver, mut daemon) = (read(TimeMs(0)), read(TimeMs(0)));
+        let (mut leader, mut daemon) = (read(TimeMs(0)), read(TimeMs(0)));
         let mut newest = (TimeMs(0), 10);
-        let mut giver_base = 10;
-        let (mut giver_frozen, mut giver_cut) = (0, 0);
+        let mut leader_base = 10;
+        let (mut leader_frozen, mut leader_cut) = (0, 0);
         for now in (50..30_000).step_by(50).map(TimeMs) {
             if rng.random_bool(0.01) {
                 newest = (now, newest.1 + 10);
             }
             if rng.random_bool(0.002) {
-                giver_frozen = now.0 + rng.random_range(500..8_000);
+                leader_frozen = now.0 + rng.random_range(500..8_000);
             }
             if rng.random_bool(0.003) {
-                giver_cut = now.0 + rng.random_range(500..8_000);
+                leader_cut = now.0 + rng.random_range(500..8_000);
             }
-            let is_frozen = now.0 < giver_frozen;
+            let is_frozen = now.0 < leader_frozen;
             if !is_frozen && now.0.is_multiple_of(100) {
                 for table in FeedTable::ALL {
-                    if now.0 < giver_cut {
-                        giver.failed(table);
+                    if now.0 < leader_cut {
+                        leader.failed(table);
                         continue;
                     }
-                    let has_changes = table == TABLE && giver.seen(table) < Some(newest.1);
-                    giver.answered(now, table, newest.1, has_changes);
+                    let has_changes = table == TABLE && leader.seen(table) < Some(newest.1);
+                    leader.answered(now, table, newest.1, has_changes);
                     if has_changes {
                         if rng.random_bool(0.8) {
-                            daemon.relayed(now, TABLE, giver_base, newest.1);
+                            daemon.relayed(now, TABLE, leader_base, newest.1);
                         }
-                        giver_base = newest.1;
+                        leader_base = newest.1;
                     }
                 }
             }
-            if !is_frozen && now.0.is_multiple_of(BEACON_MS) && rng.random_bool(0.9) {
-                daemon.heard(now, giver.state(now));
+            if !is_frozen && now.0.is_multiple_of(HEARTBEAT_MS) && rng.random_bool(0.9) {
+                daemon.heard(now, leader.state(now));
             }
             for table in FeedTable::ALL {
                 if daemon.source(now, table) == FeedSource::Store {
--- a/crates/balsam-decide/tests/key_schedules.rs
+++ b/crates/balsam-decide/tests/key_schedules.rs
@@ -13,7 +13,7 @@
 
 /// Schedules in which the removal of a safeguard must be noticed.
 ///
-/// Releases count only after the last order of earlier givers, which covers most of what their
+/// Releases count only after the last order of earlier leaders, which covers most of what their
 /// tokens guard against: without the tokens about one schedule in a thousand is broken.
 const FLAW_SCHEDULES: u64 = 3_000;
 
@@ -58,7 +58,7 @@
 
 /// Guards the same while upstreams start again under their names within seconds.
 ///
-/// A giver that is cut off or frozen may then order a life that has forgotten a release.
+/// A leader that is cut off or frozen may then order a life that has forgotten a release.
 #[test]
 fn reborn_upstreams() {
     let (broken, _) = play(0..SCHEDULES, Flaw::None, Restart::Quick);
--- a/crates/balsam-decide/tests/key_world/kinds.rs
+++ b/crates/balsam-decide/tests/key_world/kinds.rs
@@ -10,26 +10,26 @@
     ReleaseWithoutFence,
     /// The store acknowledges assignments that it does not keep.
     OrderBeforeRow,
-    /// A giver that is cut off from the store renews for ever.
+    /// A leader that is cut off from the store renews for ever.
     EndlessTrust,
-    /// A new giver does not wait long enough for grants of its predecessor.
+    /// A new leader does not wait long enough for grants of its predecessor.
     NoInheritance,
-    /// A release counts although an earlier giver may still order the upstream's next life.
+    /// A release counts although an earlier leader may still order the upstream's next life.
     EarlyReleaseCounts,
     /// A grant without an answer is taken for one that did not arrive.
     LateGrantForgotten,
     /// A refused connection is taken for the end of an upstream.
     RefusalIsEnd,
-    /// Orders of a giver that woke up are sent without a look at the clock.
+    /// Orders of a leader that woke up are sent without a look at the clock.
     NoCheckBeforeSend,
 }
 
 /// How soon a crashed upstream starts again under its name.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Restart {
-    /// Within seconds, while an earlier giver may still order it.
+    /// Within seconds, while an earlier leader may still order it.
     Quick,
-    /// Once no earlier giver can order it any more.
+    /// Once no earlier leader can order it any more.
     Slow,
 }
 
--- a/crates/balsam-decide/tests/key_world/mod.rs
+++ b/crates/balsam-decide/tests/key_world/mod.rs
@@ -1,4 +1,4 @@
-//! A small world of givers, upstreams and a store for random schedules.
+//! A small world of leaders, upstreams and a store for random schedules.
 
 mod kinds;
 mod store;
--- a/crates/balsam-decide/tests/key_world/store.rs
+++ b/crates/balsam-decide/tests/key_world/store.rs
@@ -4,7 +4,7 @@
 use balsam_types::{ServiceName, ServiceRanges};
 use std::sync::Arc;
 
-/// The rows of the giver and of one service's assignments.
+/// The rows of the leader and of one service's assignments.
 #[derive(Clone, Debug)]
 pub struct Store {
     counter: u64,
--- a/crates/balsam-decide/tests/key_world/world.rs
+++ b/crates/balsam-decide/tests/key_world/world.rs
@@ -1,11 +1,11 @@
-//! Random schedules of givers that are cut off, frozen and killed, and of orders that are lost or
+//! Random schedules of leaders that are cut off, frozen and killed, and of orders that are lost or
 //! carried out late.
 
 use super::{Flaw, KEYS, Report, Restart, Store, Upstream};
 use balsam_decide::directory::{Believed, Upstreams};
 use balsam_decide::keys::{
-    Commit, CommitResult, Giver, GiverInput, GiverOutput, KeyTiming, Leader, Order, OrderKind,
-    OrderResult,
+    Assigner, AssignerInput, AssignerOutput, Commit, CommitResult, KeyTiming, Leader, Order,
+    OrderKind, OrderResult,
 };
 use balsam_types::{
     Born, DaemonName, Incarnation, ServiceName, TimeMs, UpstreamEntry, UpstreamName, UpstreamState,
@@ -17,19 +17,19 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-const GIVERS: usize = 3;
+const LEADERS: usize = 3;
 const UPSTREAMS: usize = 3;
 const STEP_MS: u64 = 50;
 
 struct Daemon {
-    giver: Giver,
+    assigner: Assigner,
     incarnation: u64,
     frozen_until: TimeMs,
     store_cut_until: TimeMs,
     /// When it stops, if it is about to.
     stops_at: Option<TimeMs>,
     upstream_cut_until: [TimeMs; UPSTREAMS],
-    waiting: VecDeque<GiverInput>,
+    waiting: VecDeque<AssignerInput>,
     /// Orders that were decided and not sent when the daemon froze.
     unsent: Vec<Order>,
 }
@@ -85,7 +85,7 @@
                 0
             };
         }
-        for at in 0..GIVERS {
+        for at in 0..LEADERS {
             let daemon = world.start(at, at as u64 + 1);
             world.daemons.push(daemon);
         }
@@ -103,7 +103,7 @@
         }
         if self.flaw == Flaw::EarlyReleaseCounts {
             // The waits for silent owners stay right: what the others lack in trust, they add to
-            // the hold. The time in which the first giver may still order is taken for shorter.
+            // the hold. The time in which the first leader may still order is taken for shorter.
             (timing.trust_ms, timing.hold_ms) = if at == 0 {
                 (7_000, 4_000)
             } else {
@@ -111,7 +111,7 @@
             };
         }
         Daemon {
-            giver: Giver::new(self.now, leader(at, incarnation), timing, 40 * at as u64),
+            assigner: Assigner::new(self.now, leader(at, incarnation), timing, 40 * at as u64),
             incarnation,
             frozen_until: TimeMs(0),
             store_cut_until: TimeMs(0),
@@ -129,7 +129,7 @@
         while self.now < end {
             self.disturb();
             self.carry_out_late();
-            for at in 0..GIVERS {
+            for at in 0..LEADERS {
                 self.run_daemon(at);
             }
             self.look(&mut report);
@@ -147,7 +147,7 @@
     }
 
     fn disturb(&mut self) {
-        for at in 0..GIVERS {
+        for at in 0..LEADERS {
             if self.chance(15) {
                 self.daemons[at].frozen_until = self.time(500, 12_000);
             }
@@ -157,7 +157,7 @@
             if self.chance(8) && self.daemons[at].stops_at.is_none() {
                 let stops_at = self.time(0, 6_000);
                 self.daemons[at].stops_at = Some(stops_at);
-                self.answer(at, GiverInput::Leave);
+                self.answer(at, AssignerInput::Leave);
             }
             if self.daemons[at]
                 .stops_at
@@ -227,44 +227,44 @@
         for order in std::mem::take(&mut self.daemons[at].unsent) {
             self.send(at, order);
         }
-        let others: Vec<usize> = (0..GIVERS).filter(|other| *other != at).collect();
+        let others: Vec<usize> = (0..LEADERS).filter(|other| *other != at).collect();
         for other in others {
             let daemon = &self.daemons[other];
             if self.now < daemon.frozen_until {
                 continue;
             }
-            let mut said = vec![GiverInput::Alive(leader(other, daemon.incarnation))];
-            let lead = daemon.giver.lead_version();
+            let mut said = vec![AssignerInput::Alive(leader(other, daemon.incarnation))];
+            let lead = daemon.assigner.lead_version();
             let incarnation = Incarnation(daemon.incarnation);
             let mine = &self.daemons[at];
-            if daemon.giver.is_leading() && lead >= mine.giver.lead_version() {
-                said.push(GiverInput::Heard {
+            if daemon.assigner.is_leading() && lead >= mine.assigner.lead_version() {
+                said.push(AssignerInput::Heard {
                     incarnation,
-                    is_settled: daemon.giver.is_settled(self.now),
+                    is_settled: daemon.assigner.is_settled(self.now),
                     should_replace: daemon.stops_at.is_some()
                         || self.now < daemon.store_cut_until && self.now >= mine.store_cut_until,
                 });
-            } else if daemon.unsent.is_empty() && lead == mine.giver.lead_version() {
-                said.push(GiverInput::Resigned(incarnation));
+            } else if daemon.unsent.is_empty() && lead == mine.assigner.lead_version() {
+                said.push(AssignerInput::Resigned(incarnation));
             }
             self.daemons[at].waiting.extend(said);
         }
         let world = self.believed();
         self.daemons[at].waiting.push_back(world);
-        self.daemons[at].waiting.push_back(GiverInput::Tick);
+        self.daemons[at].waiting.push_back(AssignerInput::Tick);
         // Each answer may lead to further calls; a step has room for some of them.
         for _ in 0..200 {
             let Some(input) = self.daemons[at].waiting.pop_front() else {
                 break;
             };
-            let outputs = self.daemons[at].giver.handle(self.now, input);
+            let outputs = self.daemons[at].assigner.handle(self.now, input);
             for output in outputs {
                 self.act(at, output);
             }
         }
     }
 
-    fn believed(&self) -> GiverInput {
+    fn believed(&self) -> AssignerInput {
         let listed = self.upstreams.iter().enumerate();
         let listed = listed.filter(|(_, upstream)| upstream.is_listed && upstream.is_up);
         let believed = listed.map(|(at, upstream)| {
@@ -286,38 +286,38 @@
                 cold_until: TimeMs(0),
             })
         });
-        GiverInput::World {
+        AssignerInput::World {
             upstreams: Arc::new(Upstreams::new(believed)),
             keyed: vec![self.service.clone()],
         }
     }
 
-    fn act(&mut self, at: usize, output: GiverOutput) {
+    fn act(&mut self, at: usize, output: AssignerOutput) {
         let is_cut = self.now < self.daemons[at].store_cut_until;
         match output {
-            GiverOutput::Commit(commit) => {
+            AssignerOutput::Commit(commit) => {
                 let result = if is_cut {
                     CommitResult::Failed
                 } else {
                     self.commit(&commit)
                 };
-                self.answer(at, GiverInput::Committed(result));
+                self.answer(at, AssignerInput::Committed(result));
             }
-            GiverOutput::Reload if is_cut => self.answer(at, GiverInput::ReloadFailed),
-            GiverOutput::Reload => {
+            AssignerOutput::Reload if is_cut => self.answer(at, AssignerInput::ReloadFailed),
+            AssignerOutput::Reload => {
                 let (lead, ranges) = (self.store.lead(), self.store.ranges());
-                self.answer(at, GiverInput::Lead(lead));
+                self.answer(at, AssignerInput::Lead(lead));
                 if ranges.version.0 > 0 {
-                    self.answer(at, GiverInput::Ranges(ranges));
+                    self.answer(at, AssignerInput::Ranges(ranges));
                 }
-                self.answer(at, GiverInput::Reloaded);
+                self.answer(at, AssignerInput::Reloaded);
             }
-            GiverOutput::Confirm => {
+            AssignerOutput::Confirm => {
                 let asked_at = self.now;
                 let version = (!is_cut).then(|| self.store.lead().version);
-                self.answer(at, GiverInput::Confirmed { asked_at, version });
+                self.answer(at, AssignerInput::Confirmed { asked_at, version });
             }
-            GiverOutput::Order(order) => {
+            AssignerOutput::Order(order) => {
                 // A daemon may freeze between a decision and its order.
                 if self.chance(20) {
                     self.daemons[at].frozen_until = self.time(200, 30_000);
@@ -331,7 +331,7 @@
         }
     }
 
-    fn answer(&mut self, at: usize, input: GiverInput) {
+    fn answer(&mut self, at: usize, input: AssignerInput) {
         self.daemons[at].waiting.push_back(input);
     }
 
@@ -363,7 +363,7 @@
         if self.now >= order.send_before && self.flaw != Flaw::NoCheckBeforeSend {
             return self.answer(
                 at,
-                GiverInput::Ordered {
+                AssignerInput::Ordered {
                     id,
                     result: OrderResult::NotSent,
                 },
@@ -396,7 +396,7 @@
             let keeps_tokens = self.flaw != Flaw::ReleaseWithoutFence;
             self.upstreams[to].apply(now, &order, keeps_tokens)
         };
-        self.answer(at, GiverInput::Ordered { id, result });
+        self.answer(at, AssignerInput::Ordered { id, result });
     }
 
     fn look(&self, report: &mut Report) {
--- a/crates/balsam-decide/tests/giver_leaving.rs
+++ b/crates/balsam-decide/tests/leader_leaving.rs
@@ -1,8 +1,8 @@
-//! Guards what a giver does that is about to stop.
+//! Guards what a leader does that is about to stop.
 
 use balsam_decide::directory::{Believed, Upstreams};
 use balsam_decide::keys::{
-    Commit, CommitResult, Giver, GiverInput, GiverOutput, KeyTiming, Leader, OrderResult,
+    Assigner, AssignerInput, AssignerOutput, Commit, CommitResult, KeyTiming, Leader, OrderResult,
     RowVersion, StoredLead,
 };
 use balsam_types::{
@@ -22,7 +22,7 @@
     }
 }
 
-fn world() -> GiverInput {
+fn world() -> AssignerInput {
     let service = ServiceName::new("keyed").expect("a valid name");
     let upstream = Arc::new(Believed {
         entry: UpstreamEntry {
@@ -37,15 +37,15 @@
         },
         cold_until: TimeMs(0),
     });
-    GiverInput::World {
+    AssignerInput::World {
         upstreams: Arc::new(Upstreams::new([upstream])),
         keyed: vec![service],
     }
 }
 
-/// A giver whose commits and orders succeed, and whose store may be away.
+/// A leader whose commits and orders succeed, and whose store may be away.
 struct Played {
-    giver: Giver,
+    assigner: Assigner,
     now: TimeMs,
     version: u64,
     orders: u32,
@@ -56,16 +56,16 @@
 impl Played {
     fn start() -> Self {
         let now = TimeMs(100_000);
-        let giver = Giver::new(now, leader("d1", 1), KeyTiming::new(10_000), 0);
+        let assigner = Assigner::new(now, leader("d1", 1), KeyTiming::new(10_000), 0);
         let mut played = Self {
-            giver,
+            assigner,
             now,
             version: 0,
             orders: 0,
             attempts: 0,
             is_store_away: false,
         };
-        played.give(GiverInput::Lead(StoredLead {
+        played.give(AssignerInput::Lead(StoredLead {
             version: RowVersion(0),
             leader: None,
         }));
@@ -73,33 +73,33 @@
         played
     }
 
-    fn give(&mut self, input: GiverInput) {
-        for output in self.giver.handle(self.now, input) {
+    fn give(&mut self, input: AssignerInput) {
+        for output in self.assigner.handle(self.now, input) {
             let answer = self.answer(output);
             self.give(answer);
         }
     }
 
-    fn answer(&mut self, output: GiverOutput) -> GiverInput {
+    fn answer(&mut self, output: AssignerOutput) -> AssignerInput {
         match output {
-            GiverOutput::Commit(commit) => {
+            AssignerOutput::Commit(commit) => {
                 self.attempts += u32::from(matches!(commit, Commit::TakeLead { .. }));
                 if self.is_store_away {
-                    return GiverInput::Committed(CommitResult::Failed);
+                    return AssignerInput::Committed(CommitResult::Failed);
                 }
                 self.version += 1;
-                GiverInput::Committed(CommitResult::Done(RowVersion(self.version)))
+                AssignerInput::Committed(CommitResult::Done(RowVersion(self.version)))
             }
-            GiverOutput::Reload if self.is_store_away => GiverInput::ReloadFailed,
-            GiverOutput::Reload => GiverInput::Reloaded,
-            GiverOutput::Confirm => GiverInput::Confirmed {
+            AssignerOutput::Reload if self.is_store_away => AssignerInput::ReloadFailed,
+            AssignerOutput::Reload => AssignerInput::Reloaded,
+            AssignerOutput::Confirm => AssignerInput::Confirmed {
                 asked_at: self.now,
-                version: (!self.is_store_away).then(|| self.giver.lead_version()),
+                version: (!self.is_store_away).then(|| self.assigner.lead_version()),
             },
-            GiverOutput::Order(order) => {
+            AssignerOutput::Order(order) => {
                 self.orders += 1;
                 let (id, result) = (order.id, OrderResult::Granted);
-                GiverInput::Ordered { id, result }
+                AssignerInput::Ordered { id, result }
             }
         }
     }
@@ -110,32 +110,32 @@
         let end = self.now.after(length_ms);
         while self.now < end {
             self.now = self.now.after(STEP_MS);
-            self.give(GiverInput::Tick);
+            self.give(AssignerInput::Tick);
         }
         self.orders - before
     }
 }
 
-/// Guards against keys without an owner when the giver stops while the store is away, so that no
+/// Guards against keys without an owner when the leader stops while the store is away, so that no
 /// other daemon can take its place.
 #[test]
 fn renews_until_replaced() {
     let mut played = Played::start();
     played.play(3_000);
-    assert!(played.giver.is_leading());
-    played.give(GiverInput::Leave);
+    assert!(played.assigner.is_leading());
+    played.give(AssignerInput::Leave);
     played.is_store_away = true;
     assert!(played.play(4_000) > 0, "no renewal in a whole hold");
-    assert!(played.giver.is_leading());
+    assert!(played.assigner.is_leading());
 }
 
-/// Guards against orders of a giver that has been replaced, and against its return to the lead.
+/// Guards against orders of a leader that has been replaced, and against its return to the lead.
 #[test]
 fn stays_replaced() {
     let mut played = Played::start();
     played.play(3_000);
-    played.give(GiverInput::Leave);
-    played.give(GiverInput::Lead(StoredLead {
+    played.give(AssignerInput::Leave);
+    played.give(AssignerInput::Lead(StoredLead {
         version: RowVersion(100),
         leader: Some(leader("d2", 2)),
     }));
--- a/crates/balsam-decide/tests/reused_address.rs
+++ b/crates/balsam-decide/tests/reused_address.rs
@@ -2,8 +2,8 @@
 
 use balsam_decide::directory::{Believed, Upstreams};
 use balsam_decide::keys::{
-    CommitResult, Giver, GiverInput, GiverOutput, KeyTiming, Leader, OrderKind, OrderResult,
-    RowVersion, StoredLead,
+    Assigner, AssignerInput, AssignerOutput, CommitResult, KeyTiming, Leader, OrderKind,
+    OrderResult, RowVersion, StoredLead,
 };
 use balsam_types::{
     Born, DaemonName, Incarnation, KeyRange, ServiceName, TimeMs, UpstreamEntry, UpstreamName,
@@ -38,16 +38,16 @@
     })
 }
 
-fn world(upstreams: Vec<Arc<Believed>>) -> GiverInput {
-    GiverInput::World {
+fn world(upstreams: Vec<Arc<Believed>>) -> AssignerInput {
+    AssignerInput::World {
         upstreams: Arc::new(Upstreams::new(upstreams)),
         keyed: vec![service("keyed")],
     }
 }
 
-/// A giver whose commits succeed; the upstream at port 9,000 answers no order.
+/// A leader whose commits succeed; the upstream at port 9,000 answers no order.
 struct Played {
-    giver: Giver,
+    assigner: Assigner,
     now: TimeMs,
     version: u64,
     /// The ranges that were granted to the upstream that stays.
@@ -55,19 +55,19 @@
 }
 
 impl Played {
-    fn give(&mut self, input: GiverInput) {
-        for output in self.giver.handle(self.now, input) {
+    fn give(&mut self, input: AssignerInput) {
+        for output in self.assigner.handle(self.now, input) {
             let answer = match output {
-                GiverOutput::Commit(_) => {
+                AssignerOutput::Commit(_) => {
                     self.version += 1;
-                    GiverInput::Committed(CommitResult::Done(RowVersion(self.version)))
+                    AssignerInput::Committed(CommitResult::Done(RowVersion(self.version)))
                 }
-                GiverOutput::Reload => GiverInput::Reloaded,
-                GiverOutput::Confirm => GiverInput::Confirmed {
+                AssignerOutput::Reload => AssignerInput::Reloaded,
+                AssignerOutput::Confirm => AssignerInput::Confirmed {
                     asked_at: self.now,
-                    version: Some(self.giver.lead_version()),
+                    version: Some(self.assigner.lead_version()),
                 },
-                GiverOutput::Order(order) => {
+                AssignerOutput::Order(order) => {
                     let is_lost = self.now >= TimeMs(103_000) && order.to.address.port() == 9_000;
                     let result = match (is_lost, &order.kind) {
                         (true, _) => OrderResult::Refused { status: 400 },
@@ -79,7 +79,7 @@
                             OrderResult::Granted
                         }
                     };
-                    GiverInput::Ordered {
+                    AssignerInput::Ordered {
                         id: order.id,
                         result,
                     }
@@ -93,7 +93,7 @@
         let end = self.now.after(length_ms);
         while self.now < end {
             self.now = self.now.after(STEP_MS);
-            self.give(GiverInput::Tick);
+            self.give(AssignerInput::Tick);
         }
     }
 }
@@ -113,12 +113,12 @@
         address: SocketAddr::from(([127, 0, 0, 1], 7_000)),
     };
     let mut played = Played {
-        giver: Giver::new(now, me, KeyTiming::new(10_000), 0),
+        assigner: Assigner::new(now, me, KeyTiming::new(10_000), 0),
         now,
         version: 0,
         granted: Vec::new(),
     };
-    played.give(GiverInput::Lead(StoredLead {
+    played.give(AssignerInput::Lead(StoredLead {
         version: RowVersion(0),
         leader: None,
     }));
--- a/crates/balsam-edge/src/assembly.rs
+++ b/crates/balsam-edge/src/assembly.rs
@@ -36,8 +36,8 @@
 /// How long the platform needs to notice that a daemon is not ready any more.
 const LEAVE_TIME: Duration = Duration::from_millis(2_500);
 
-/// How much later the weakest machine tries to become the giver than a strong one, in milliseconds;
-/// with the rest of a takeover it must fit into the hold of a grant.
+/// How much later the weakest machine tries to become the leader than a strong one, in
+/// milliseconds; with the rest of a takeover it must fit into the hold of a grant.
 const WEAKNESS_MS: f64 = 400.0;
 
 /// The spread of attempts of machines that are equally strong, in milliseconds.
--- a/crates/balsam-edge/src/control/act.rs
+++ b/crates/balsam-edge/src/control/act.rs
@@ -1,4 +1,4 @@
-//! Carries out what the giver decides; each call is a task that reports its end.
+//! Carries out what the leader decides; each call is a task that reports its end.
 
 use super::ControlInput;
 use super::follow::call;
@@ -40,7 +40,7 @@
         });
     }
 
-    /// Starts reading the row of the giver.
+    /// Starts reading the row of the leader.
     pub(super) fn confirm(&self) {
         let actor = self.clone();
         actix_rt::spawn(async move {
--- a/crates/balsam-edge/src/control/lines.rs
+++ b/crates/balsam-edge/src/control/lines.rs
@@ -1,7 +1,7 @@
 //! Log lines of the control path.
 
 use crate::peer::UpstreamNews;
-use balsam_decide::keys::{Commit, CommitResult, GiverOutput, OrderKind, OrderResult};
+use balsam_decide::keys::{AssignerOutput, Commit, CommitResult, OrderKind, OrderResult};
 use balsam_types::{KeyRange, ServiceName, UpstreamName};
 use serde::Serialize;
 
@@ -33,11 +33,11 @@
         version: u64,
         lost_ms: u64,
     },
-    /// A snapshot was taken from the giver because the store did not bring it.
+    /// A snapshot was taken from the leader because the store did not bring it.
     SnapshotTaken { topic: String, version: u64 },
-    /// This daemon tries to become the giver.
+    /// This daemon tries to become the leader.
     TakeLead { expected: u64 },
-    /// This daemon has become the giver, or is it no longer.
+    /// This daemon has become the leader, or is it no longer.
     Leading { leading: bool },
     /// Assignments are committed.
     Assign {
@@ -66,15 +66,15 @@
 }
 
 /// Writes a line for a commit that is about to be sent.
-pub(super) fn deciding(output: &GiverOutput) {
+pub(super) fn deciding(output: &AssignerOutput) {
     match output {
-        GiverOutput::Commit(Commit::TakeLead { expected, .. }) => {
+        AssignerOutput::Commit(Commit::TakeLead { expected, .. }) => {
             ControlLine::TakeLead {
                 expected: expected.0,
             }
             .write();
         }
-        GiverOutput::Commit(Commit::Assign {
+        AssignerOutput::Commit(Commit::Assign {
             expected, ranges, ..
         }) => ControlLine::Assign {
             service: &ranges.service,
@@ -87,7 +87,7 @@
                 .count(),
         }
         .write(),
-        GiverOutput::Order(_) | GiverOutput::Reload | GiverOutput::Confirm => {}
+        AssignerOutput::Order(_) | AssignerOutput::Reload | AssignerOutput::Confirm => {}
     }
 }
 
--- a/crates/balsam-edge/src/control/message.rs
+++ b/crates/balsam-edge/src/control/message.rs
@@ -26,7 +26,7 @@
     Store(FeedTable, Followed),
     /// A commit has ended.
     Committed(CommitResult),
-    /// The row of the giver was read.
+    /// The row of the leader was read.
     Confirmed {
         asked_at: TimeMs,
         version: Option<RowVersion>,
@@ -45,7 +45,7 @@
         service: ServiceName,
         keys: Vec<ShardKey>,
     },
-    /// The daemon is about to stop; it is told when it is not the giver any more.
+    /// The daemon is about to stop; it is told when it is not the leader any more.
     Leave(oneshot::Sender<()>),
     /// The daemon stops now.
     Stop,
--- a/crates/balsam-edge/src/control/peers.rs
+++ b/crates/balsam-edge/src/control/peers.rs
@@ -3,39 +3,41 @@
 use super::task::ControlTask;
 use crate::clock::now;
 use crate::peer::{
-    Beacon, Greeting, PeerMessage, PeerOutput, RangesDelta, UpstreamNews, UpstreamsDelta,
+    Greeting, Heartbeat, PeerMessage, PeerOutput, RangesDelta, UpstreamNews, UpstreamsDelta,
 };
 use balsam_decide::feed::FeedTable;
-use balsam_decide::keys::{GiverInput, RowVersion, StoredLead, StoredRanges, apply_delta, delta};
+use balsam_decide::keys::{
+    AssignerInput, RowVersion, StoredLead, StoredRanges, apply_delta, delta,
+};
 use balsam_types::{Map, ServiceName, ServiceRanges, ShardKey, TimeMs};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use tokio::sync::oneshot;
 
-/// The time between two signs of life of the giver, in milliseconds; several fit into the time
+/// The time between two heartbeats of the leader, in milliseconds; several fit into the time
 /// after which it counts as silent.
-const BEACON_MS: u64 = 250;
+const HEARTBEAT_MS: u64 = 250;
 
-/// The time between two greetings to the giver, in milliseconds.
+/// The time between two greetings to the leader, in milliseconds.
 const HELLO_MS: u64 = 1_000;
 
 /// Changes of upstreams in one datagram at most; an entry takes about 150 bytes.
 const PUSHED_ENTRIES_MAX: usize = 40;
 
 impl ControlTask {
-    /// Sends the signs of life that are due.
+    /// Sends the heartbeats that are due.
     pub(super) fn keep_in_touch(&mut self, now: TimeMs) {
         let peers = self.book.peers(now, self.me.address);
-        if self.giver.is_leading() {
-            if now >= self.beacon_at {
-                self.beacon_at = now.after(BEACON_MS);
+        if self.assigner.is_leading() {
+            if now >= self.heartbeat_at {
+                self.heartbeat_at = now.after(HEARTBEAT_MS);
                 self.daemons = peers.len() as u32 + 1;
                 self.publish_ranges();
-                let beacon = self.beacon(peers.clone());
-                self.send(peers, PeerMessage::Lead(beacon));
+                let heartbeat = self.heartbeat(peers.clone());
+                self.send(peers, PeerMessage::Lead(heartbeat));
             }
         } else if now >= self.hello_at
-            && let Some(leader) = self.giver.leader().cloned()
+            && let Some(leader) = self.assigner.leader().cloned()
         {
             self.hello_at = now.after(HELLO_MS);
             self.send(vec![leader.address], PeerMessage::Hello(self.greeting()));
@@ -45,23 +47,23 @@
     fn greeting(&self) -> Greeting {
         Greeting {
             daemon: self.me.clone(),
-            follows: self.giver.lead_version().0,
+            follows: self.assigner.lead_version().0,
             has_orders: !self.notes.is_empty(),
         }
     }
 
-    fn beacon(&self, peers: Vec<SocketAddr>) -> Beacon {
+    fn heartbeat(&self, peers: Vec<SocketAddr>) -> Heartbeat {
         let keyed = self.view.ranges.keys();
         let ranges = keyed.filter_map(|service| {
-            let stored = self.giver.stored(service)?;
+            let stored = self.assigner.stored(service)?;
             // Assignments that were never written are missing to nobody.
             (stored.version.0 > 0).then(|| (service.clone(), stored.version.0))
         });
-        Beacon {
+        Heartbeat {
             leader: self.me.clone(),
-            version: self.giver.lead_version().0,
+            version: self.assigner.lead_version().0,
             ranges: ranges.collect(),
-            is_settled: self.giver.is_settled(now()),
+            is_settled: self.assigner.is_settled(now()),
             is_leaving: self.is_leaving,
             tables: self.feed.state(now()),
             peers,
@@ -74,14 +76,14 @@
     pub(super) fn leave(&mut self, replaced: oneshot::Sender<()>) {
         self.is_leaving = true;
         self.replaced = Some(replaced);
-        self.beacon_at = now();
-        self.give(GiverInput::Leave);
+        self.heartbeat_at = now();
+        self.give(AssignerInput::Leave);
     }
 
     /// Sends no further order, and lets another daemon follow at once.
     pub(super) fn resign(&mut self) {
-        let was_leading = self.giver.is_leading();
-        self.give(GiverInput::Stop);
+        let was_leading = self.assigner.is_leading();
+        self.give(AssignerInput::Stop);
         if was_leading {
             let peers = self.book.peers(now(), self.me.address);
             self.send(peers, PeerMessage::Resign(self.me.incarnation));
@@ -93,25 +95,26 @@
         self.book.heard(now(), from);
         match message {
             PeerMessage::Hello(greeting) => self.hear_greeting(greeting),
-            PeerMessage::Resign(incarnation) => self.give(GiverInput::Resigned(incarnation)),
-            PeerMessage::Lead(beacon) => self.hear_beacon(beacon),
+            PeerMessage::Resign(incarnation) => self.give(AssignerInput::Resigned(incarnation)),
+            PeerMessage::Lead(heartbeat) => self.hear_heartbeat(heartbeat),
             PeerMessage::Ranges(delta) => self.hear_delta(&delta),
             PeerMessage::Upstreams(delta) => self.hear_upstreams(delta),
             PeerMessage::Ask(topic) => self.answer(from, &topic),
             PeerMessage::Part(part) => self.take_part(part),
             PeerMessage::Sample { service, keys } => {
-                self.give(GiverInput::Sampled { service, keys });
+                self.give(AssignerInput::Sampled { service, keys });
             }
         }
     }
 
     fn hear_greeting(&mut self, greeting: Greeting) {
         let incarnation = greeting.daemon.incarnation;
-        self.give(GiverInput::Alive(greeting.daemon));
-        // A former giver that follows this one gives no order any more.
-        let follows = self.giver.is_leading() && greeting.follows == self.giver.lead_version().0;
+        self.give(AssignerInput::Alive(greeting.daemon));
+        // A former leader that follows this one gives no order any more.
+        let follows =
+            self.assigner.is_leading() && greeting.follows == self.assigner.lead_version().0;
         if follows && !greeting.has_orders {
-            self.give(GiverInput::Resigned(incarnation));
+            self.give(AssignerInput::Resigned(incarnation));
         }
     }
 
@@ -121,7 +124,7 @@
             version,
             changes,
         } = delta;
-        // What does not fit is read from the store once a sign of life names the version.
+        // What does not fit is read from the store once a heartbeat names the version.
         if self
             .feed
             .relayed(now(), FeedTable::Upstreams, base, version)
@@ -132,7 +135,7 @@
 
     /// Passes changes of the list of upstreams on to the other daemons.
     pub(super) fn push_upstreams(&mut self, base: u64, version: u64, news: &[UpstreamNews]) {
-        if !self.giver.is_leading() || news.len() > PUSHED_ENTRIES_MAX {
+        if !self.assigner.is_leading() || news.len() > PUSHED_ENTRIES_MAX {
             return;
         }
         let peers = self.book.peers(now(), self.me.address);
@@ -144,63 +147,63 @@
         self.send(peers, PeerMessage::Upstreams(delta));
     }
 
-    fn hear_beacon(&mut self, beacon: Beacon) {
-        let incarnation = beacon.leader.incarnation;
-        let version = RowVersion(beacon.version);
-        if version < self.giver.lead_version() {
+    fn hear_heartbeat(&mut self, heartbeat: Heartbeat) {
+        let incarnation = heartbeat.leader.incarnation;
+        let version = RowVersion(heartbeat.version);
+        if version < self.assigner.lead_version() {
             return;
         }
-        self.give(GiverInput::Lead(StoredLead {
+        self.give(AssignerInput::Lead(StoredLead {
             version,
-            leader: Some(beacon.leader),
+            leader: Some(heartbeat.leader),
         }));
-        self.feed.heard(now(), beacon.tables);
-        self.give(GiverInput::Heard {
+        self.feed.heard(now(), heartbeat.tables);
+        self.give(AssignerInput::Heard {
             incarnation,
-            is_settled: beacon.is_settled,
+            is_settled: heartbeat.is_settled,
             should_replace: self.feed.should_replace(now())
-                || beacon.is_leaving && beacon.tables.is_fresh(),
+                || heartbeat.is_leaving && heartbeat.tables.is_fresh(),
         });
-        for peer in &beacon.peers {
+        for peer in &heartbeat.peers {
             self.book.heard(now(), *peer);
         }
-        self.daemons = beacon.peers.len() as u32 + 1;
+        self.daemons = heartbeat.peers.len() as u32 + 1;
         let lacks = |(service, version): &(ServiceName, u64)| {
-            let known = self.giver.stored(service);
+            let known = self.assigner.stored(service);
             known
                 .is_none_or(|known| known.version.0 < *version)
                 .then(|| service.clone())
         };
-        let lacking: Vec<ServiceName> = beacon.ranges.iter().filter_map(lacks).collect();
+        let lacking: Vec<ServiceName> = heartbeat.ranges.iter().filter_map(lacks).collect();
         if !lacking.is_empty() {
-            self.give(GiverInput::Behind);
+            self.give(AssignerInput::Behind);
         }
         self.note_lacking(now(), lacking);
         self.publish_ranges();
     }
 
     fn hear_delta(&mut self, delta: &RangesDelta) {
-        let known = self.giver.stored(&delta.changed.service);
+        let known = self.assigner.stored(&delta.changed.service);
         let known = known.filter(|known| known.version.0 == delta.base);
-        // What does not fit is read from the store once a sign of life names the version.
+        // What does not fit is read from the store once a heartbeat names the version.
         if let Some(ranges) = known.and_then(|known| apply_delta(&known.ranges, &delta.changed)) {
             let version = RowVersion(delta.version);
             let ranges = Arc::new(ranges);
-            self.give(GiverInput::Ranges(StoredRanges { version, ranges }));
+            self.give(AssignerInput::Ranges(StoredRanges { version, ranges }));
             self.publish_ranges();
         }
     }
 
     /// Tells the other daemons what a commit of this one has changed.
     pub(super) fn push_ranges(&mut self, before: &Map<ServiceName, (u64, Arc<ServiceRanges>)>) {
-        if !self.giver.is_leading() {
+        if !self.assigner.is_leading() {
             return;
         }
         let peers = self.book.peers(now(), self.me.address);
         let mut deltas = Vec::new();
         for (service, new) in &self.view.ranges {
             let (Some((base, old)), Some(stored)) =
-                (before.get(service), self.giver.stored(service))
+                (before.get(service), self.assigner.stored(service))
             else {
                 continue;
             };
@@ -218,12 +221,12 @@
         }
     }
 
-    /// Passes the keys of this daemon's requests on to the giver.
+    /// Passes the keys of this daemon's requests on to the leader.
     pub(super) fn sampled(&mut self, service: ServiceName, keys: Vec<ShardKey>) {
-        if self.giver.is_leading() {
-            return self.give(GiverInput::Sampled { service, keys });
+        if self.assigner.is_leading() {
+            return self.give(AssignerInput::Sampled { service, keys });
         }
-        if let Some(target) = self.giver.leader().map(|leader| leader.address) {
+        if let Some(target) = self.assigner.leader().map(|leader| leader.address) {
             self.send(vec![target], PeerMessage::Sample { service, keys });
         }
     }
--- a/crates/balsam-edge/src/control/snapshots.rs
+++ b/crates/balsam-edge/src/control/snapshots.rs
@@ -5,7 +5,7 @@
 use crate::clock::now;
 use crate::peer::{Part, PeerMessage, Snapshot, Topic, divide};
 use balsam_decide::feed::FeedTable;
-use balsam_decide::keys::{GiverInput, RowVersion, StoredRanges};
+use balsam_decide::keys::{AssignerInput, RowVersion, StoredRanges};
 use balsam_types::{ServiceName, TimeMs};
 use log::warn;
 use std::net::SocketAddr;
@@ -14,12 +14,12 @@
 /// The time between two requests for snapshots, in milliseconds; lost parts are asked for again.
 const ASK_MS: u64 = 400;
 
-/// How long assignments are awaited from the giver's messages and from the store before a snapshot
+/// How long assignments are awaited from the leader's messages and from the store before a snapshot
 /// is asked for, in milliseconds.
 const LACKING_MS: u64 = 800;
 
-/// Datagrams of a configuration that the giver sends to every daemon; a larger one would fill the
-/// giver's link.
+/// Datagrams of a configuration that the leader sends to every daemon; a larger one would fill the
+/// leader's link.
 const PUSHED_PARTS_MAX: usize = 3;
 
 impl ControlTask {
@@ -31,9 +31,9 @@
         }
     }
 
-    /// Asks the giver for what the store did not bring in time.
+    /// Asks the leader for what the store did not bring in time.
     pub(super) fn ask_for_snapshots(&mut self, now: TimeMs) {
-        if self.giver.is_leading() || now.since(self.asked_at) < ASK_MS {
+        if self.assigner.is_leading() || now.since(self.asked_at) < ASK_MS {
             return;
         }
         let tables = FeedTable::ALL.into_iter();
@@ -42,18 +42,18 @@
         let ranges = ranges.filter(|(_, since)| now.since(**since) >= LACKING_MS);
         let ranges = ranges.map(|(service, _)| Topic::Ranges(service.clone()));
         let topics: Vec<Topic> = tables.map(Topic::Table).chain(ranges).collect();
-        let Some(giver) = self.giver.leader().map(|leader| leader.address) else {
+        let Some(leader) = self.assigner.leader().map(|leader| leader.address) else {
             return;
         };
         for topic in topics {
             self.asked_at = now;
-            self.send(vec![giver], PeerMessage::Ask(topic));
+            self.send(vec![leader], PeerMessage::Ask(topic));
         }
     }
 
     /// Answers another daemon that asks for a snapshot.
     pub(super) fn answer(&self, from: SocketAddr, topic: &Topic) {
-        if !self.giver.is_leading() {
+        if !self.assigner.is_leading() {
             return;
         }
         let Some((version, snapshot)) = self.snapshot(topic) else {
@@ -75,7 +75,7 @@
         let Some((version, snapshot)) = self.snapshot(&topic) else {
             return;
         };
-        if !self.giver.is_leading() {
+        if !self.assigner.is_leading() {
             return;
         }
         let peers = self.book.peers(now(), self.me.address);
@@ -104,7 +104,7 @@
                 Some((self.feed.seen(*table)?, snapshot))
             }
             Topic::Ranges(service) => {
-                let stored = self.giver.stored(service)?;
+                let stored = self.assigner.stored(service)?;
                 let ranges = stored.ranges.as_ref().clone();
                 Some((stored.version.0, Snapshot::Ranges(ranges)))
             }
@@ -139,7 +139,7 @@
             Snapshot::Upstreams(entries) => self.list_upstreams(entries),
             Snapshot::Ranges(ranges) => {
                 let (version, ranges) = (RowVersion(version), Arc::new(ranges));
-                self.give(GiverInput::Ranges(StoredRanges { version, ranges }));
+                self.give(AssignerInput::Ranges(StoredRanges { version, ranges }));
                 self.publish_ranges();
             }
         }
--- a/crates/balsam-edge/src/control/tables.rs
+++ b/crates/balsam-edge/src/control/tables.rs
@@ -10,7 +10,7 @@
 };
 use balsam_decide::directory::{DirectoryInput, Upstreams};
 use balsam_decide::feed::FeedTable;
-use balsam_decide::keys::{GiverInput, RowVersion, StoredLead, StoredRanges};
+use balsam_decide::keys::{AssignerInput, RowVersion, StoredLead, StoredRanges};
 use balsam_decide::routing::RouteTable;
 use balsam_types::{RoutingConfig, UpstreamEntry};
 use std::collections::hash_map::Entry;
@@ -27,12 +27,12 @@
         let has_changes = is_whole || !page.changes.is_empty();
         let base = self.feed.state(now()).of(table).changed;
         self.feed.answered(now(), table, page.version, has_changes);
-        if has_changes && self.giver.is_leading() {
-            // The others fetch what they lack once a sign of life names the version.
-            self.beacon_at = now();
+        if has_changes && self.assigner.is_leading() {
+            // The others fetch what they lack once a heartbeat names the version.
+            self.heartbeat_at = now();
         }
         if let Some(lost_at) = self.lost.remove(&table) {
-            // The giver knows whether the store was lost to others as well.
+            // The leader knows whether the store was lost to others as well.
             self.hello_at = now();
             // What vanishes right after the store's return may only have lapsed meanwhile.
             self.directory.handle(now(), DirectoryInput::StoreFailed);
@@ -145,7 +145,7 @@
         }
     }
 
-    /// Takes changes of the list of upstreams, from the store or from the giver.
+    /// Takes changes of the list of upstreams, from the store or from the leader.
     pub(super) fn change_upstreams(&mut self, news: Vec<UpstreamNews>) {
         let mut newest = None;
         for news in news {
@@ -188,7 +188,7 @@
                 version: RowVersion(0),
                 leader: None,
             };
-            self.give(GiverInput::Lead(lead));
+            self.give(AssignerInput::Lead(lead));
         }
         self.publish_ranges();
     }
@@ -202,11 +202,11 @@
         match (OwnKey::from_text(key), value) {
             (Some(OwnKey::Lead), Some(value)) => {
                 let leader = Some(decode_row(key, value)?);
-                self.give(GiverInput::Lead(StoredLead { version, leader }));
+                self.give(AssignerInput::Lead(StoredLead { version, leader }));
             }
             (Some(OwnKey::Ranges(_)), Some(value)) => {
                 let ranges = Arc::new(decode_ranges(key, value)?);
-                self.give(GiverInput::Ranges(StoredRanges { version, ranges }));
+                self.give(AssignerInput::Ranges(StoredRanges { version, ranges }));
             }
             (_, None) | (None, _) => {}
         }
--- a/crates/balsam-edge/src/control/task.rs
+++ b/crates/balsam-edge/src/control/task.rs
@@ -10,8 +10,8 @@
 use crate::store::StoreRequest;
 use crate::view::View;
 use balsam_decide::directory::{Directory, DirectoryInput};
-use balsam_decide::feed::{FOLLOW_AS_GIVER_MS, FOLLOW_ASIDE_MS, Feed, FeedSource, FeedTable};
-use balsam_decide::keys::{Giver, GiverInput, GiverOutput, KeyTiming, Leader, OrderId};
+use balsam_decide::feed::{FOLLOW_AS_LEADER_MS, FOLLOW_ASIDE_MS, Feed, FeedSource, FeedTable};
+use balsam_decide::keys::{Assigner, AssignerInput, AssignerOutput, KeyTiming, Leader, OrderId};
 use balsam_types::{Map, RoutingConfig, ServiceName, ServiceRanges, TimeMs, new_map};
 use std::sync::Arc;
 use std::time::Duration;
@@ -32,7 +32,7 @@
     pub(super) metrics: EdgeMetrics,
     pub(super) view: View,
     pub(super) directory: Directory,
-    pub(super) giver: Giver,
+    pub(super) assigner: Assigner,
     pub(super) book: PeerBook,
     pub(super) config: Option<RoutingConfig>,
     pub(super) snapshots: Snapshots,
@@ -43,10 +43,10 @@
     pub(super) feed: Feed,
     pub(super) follow_orders: Map<FeedTable, watch::Sender<FollowOrder>>,
     pub(super) lost: Map<FeedTable, TimeMs>,
-    pub(super) beacon_at: TimeMs,
+    pub(super) heartbeat_at: TimeMs,
     pub(super) hello_at: TimeMs,
     pub(super) was_leading: bool,
-    /// Who is told that this leaving daemon is not the giver any more.
+    /// Who is told that this leaving daemon is not the leader any more.
     pub(super) replaced: Option<oneshot::Sender<()>>,
     pub(super) is_leaving: bool,
     pub(super) daemons: u32,
@@ -66,7 +66,7 @@
 impl ControlTask {
     /// Makes the task of a daemon.
     pub(crate) fn new(me: Leader, timing: KeyTiming, stagger_ms: u64, links: ControlLinks) -> Self {
-        let giver = Giver::new(now(), me.clone(), timing, stagger_ms);
+        let assigner = Assigner::new(now(), me.clone(), timing, stagger_ms);
         Self {
             me,
             actor: Actor {
@@ -79,7 +79,7 @@
             metrics: links.metrics,
             view: View::default(),
             directory: Directory::new(),
-            giver,
+            assigner,
             book: PeerBook::new(),
             config: None,
             snapshots: Snapshots::new(),
@@ -89,7 +89,7 @@
             feed: Feed::new(),
             follow_orders: new_map(),
             lost: new_map(),
-            beacon_at: now(),
+            heartbeat_at: now(),
             hello_at: now(),
             was_leading: false,
             replaced: None,
@@ -128,47 +128,47 @@
             ControlInput::Committed(result) => {
                 lines::committed(result);
                 let before = self.known_ranges();
-                self.give(GiverInput::Committed(result));
+                self.give(AssignerInput::Committed(result));
                 self.publish_ranges();
                 self.push_ranges(&before);
             }
             ControlInput::Confirmed { asked_at, version } => {
-                self.give(GiverInput::Confirmed { asked_at, version });
+                self.give(AssignerInput::Confirmed { asked_at, version });
             }
             ControlInput::Reloaded(Ok(page)) => {
                 self.take_own(page);
-                self.give(GiverInput::Reloaded);
+                self.give(AssignerInput::Reloaded);
             }
-            ControlInput::Reloaded(Err(_)) => self.give(GiverInput::ReloadFailed),
+            ControlInput::Reloaded(Err(_)) => self.give(AssignerInput::ReloadFailed),
             ControlInput::Ordered { id, result } => {
                 if let Some(note) = self.notes.remove(&id) {
                     lines::ordered(&note, &result);
                 }
-                self.give(GiverInput::Ordered { id, result });
+                self.give(AssignerInput::Ordered { id, result });
             }
             ControlInput::Peer { from, message } => self.hear(from, message),
             ControlInput::Sampled { service, keys } => self.sampled(service, keys),
             ControlInput::Leave(replaced) => self.leave(replaced),
             ControlInput::Stop => self.resign(),
             ControlInput::NotHeld { service, key } => {
-                self.give(GiverInput::NotHeld { service, key });
+                self.give(AssignerInput::NotHeld { service, key });
             }
         }
     }
 
     /// Tells the followers of the tables whether they are needed.
     fn direct_followers(&self) {
-        let is_giver = self.giver.is_leading();
+        let is_leader = self.assigner.is_leading();
         for (table, orders) in &self.follow_orders {
             let order = FollowOrder {
-                source: if is_giver {
+                source: if is_leader {
                     FeedSource::Store
                 } else {
                     self.feed.source(now(), *table)
                 },
                 seen: self.feed.seen(*table),
-                wait_ms: match (is_giver, self.feed.is_behind(*table)) {
-                    (true, _) => FOLLOW_AS_GIVER_MS,
+                wait_ms: match (is_leader, self.feed.is_behind(*table)) {
+                    (true, _) => FOLLOW_AS_LEADER_MS,
                     (false, true) => 0,
                     (false, false) => FOLLOW_ASIDE_MS,
                 },
@@ -188,7 +188,7 @@
         }
         self.keep_in_touch(now);
         self.ask_for_snapshots(now);
-        self.give(GiverInput::Tick);
+        self.give(AssignerInput::Tick);
     }
 
     pub(super) fn tell_world(&mut self) {
@@ -199,17 +199,17 @@
             .flat_map(|table| table.keyed_services().cloned());
         let keyed = keyed.collect();
         let upstreams = Arc::clone(&self.view.upstreams);
-        self.give(GiverInput::World { upstreams, keyed });
+        self.give(AssignerInput::World { upstreams, keyed });
     }
 
-    pub(super) fn give(&mut self, input: GiverInput) {
-        for output in self.giver.handle(now(), input) {
+    pub(super) fn give(&mut self, input: AssignerInput) {
+        for output in self.assigner.handle(now(), input) {
             lines::deciding(&output);
             match output {
-                GiverOutput::Commit(commit) => self.actor.commit(commit),
-                GiverOutput::Reload => self.actor.reload(),
-                GiverOutput::Confirm => self.actor.confirm(),
-                GiverOutput::Order(order) => {
+                AssignerOutput::Commit(commit) => self.actor.commit(commit),
+                AssignerOutput::Reload => self.actor.reload(),
+                AssignerOutput::Confirm => self.actor.confirm(),
+                AssignerOutput::Order(order) => {
                     let note = OrderNote {
                         upstream: order.to.upstream.clone(),
                         range: order.range,
@@ -221,10 +221,10 @@
                 }
             }
         }
-        let leading = self.giver.is_leading();
+        let leading = self.assigner.is_leading();
         if leading != self.was_leading {
             self.was_leading = leading;
-            self.metrics.giver(leading);
+            self.metrics.leader(leading);
             ControlLine::Leading { leading }.write();
         }
         if let Some(replaced) = self.replaced.take_if(|_| !leading) {
@@ -236,7 +236,7 @@
     /// Returns the assignments that are known, with their versions.
     fn known_ranges(&self) -> Map<ServiceName, (u64, Arc<ServiceRanges>)> {
         let known = self.view.ranges.keys().filter_map(|service| {
-            let stored = self.giver.stored(service)?;
+            let stored = self.assigner.stored(service)?;
             Some((
                 service.clone(),
                 (stored.version.0, Arc::clone(&stored.ranges)),
@@ -255,7 +255,7 @@
         let services: Vec<ServiceName> = services.collect();
         let mut changed = false;
         for service in services {
-            let Some(stored) = self.giver.stored(&service) else {
+            let Some(stored) = self.assigner.stored(&service) else {
                 continue;
             };
             let known = self.view.ranges.get(&service);
--- a/crates/balsam-edge/src/metrics/instruments.rs
+++ b/crates/balsam-edge/src/metrics/instruments.rs
@@ -20,7 +20,7 @@
     lost_lines: Gauge<u64>,
     config_version: Gauge<u64>,
     upstreams: Gauge<u64>,
-    is_giver: Gauge<u64>,
+    is_leader: Gauge<u64>,
     moving: Gauge<u64>,
 }
 
@@ -54,8 +54,8 @@
                 .u64_gauge("balsam.edge.upstreams")
                 .with_description("Upstreams that are believed to exist")
                 .build(),
-            is_giver: meter
-                .u64_gauge("balsam.edge.giver")
+            is_leader: meter
+                .u64_gauge("balsam.edge.leader")
                 .with_description("1 while this daemon assigns keys")
                 .build(),
             moving: meter
@@ -108,7 +108,7 @@
     }
 
     /// Sets whether this daemon assigns keys.
-    pub(crate) fn giver(&self, is_giver: bool) {
-        self.is_giver.record(u64::from(is_giver), &[]);
+    pub(crate) fn leader(&self, is_leader: bool) {
+        self.is_leader.record(u64::from(is_leader), &[]);
     }
 }
--- a/crates/balsam-edge/src/peer/book.rs
+++ b/crates/balsam-edge/src/peer/book.rs
@@ -19,7 +19,7 @@
         Self { heard: new_map() }
     }
 
-    /// Notes that a daemon was heard, or heard of from the giver.
+    /// Notes that a daemon was heard, or heard of from the leader.
     pub(crate) fn heard(&mut self, now: TimeMs, address: SocketAddr) {
         self.heard.insert(address, now);
     }
--- a/crates/balsam-edge/src/peer/message.rs
+++ b/crates/balsam-edge/src/peer/message.rs
@@ -14,16 +14,16 @@
 /// The greatest datagram in bytes; longer ones are neither sent nor read.
 pub(super) const DATAGRAM_MAX_BYTES: usize = 8 << 10;
 
-/// What the giver says of itself several times a second.
+/// What the leader says of itself several times a second.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct Beacon {
-    /// The giver.
+pub(crate) struct Heartbeat {
+    /// The leader.
     pub(crate) leader: Leader,
     /// The version of its row.
     pub(crate) version: u64,
     /// The versions of the assignments by service.
     pub(crate) ranges: Vec<(ServiceName, u64)>,
-    /// Whether no grant of an earlier giver can hold any more.
+    /// Whether no grant of an earlier leader can hold any more.
     pub(crate) is_settled: bool,
     /// Whether it is about to stop and another daemon should take its place.
     pub(crate) is_leaving: bool,
@@ -44,14 +44,14 @@
     pub(crate) changed: ServiceRanges,
 }
 
-/// What a daemon tells the giver that it follows.
+/// What a daemon tells the leader that it follows.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct Greeting {
     /// The daemon in this life.
     pub(crate) daemon: Leader,
-    /// The version of the giver's row that the daemon follows.
+    /// The version of the leader's row that the daemon follows.
     pub(crate) follows: u64,
-    /// Whether orders that it sent as a giver may still be under way.
+    /// Whether orders that it sent as a leader may still be under way.
     pub(crate) has_orders: bool,
 }
 
@@ -64,7 +64,7 @@
     Removed(UpstreamName),
 }
 
-/// Changes of the list of upstreams that the giver passes on.
+/// Changes of the list of upstreams that the leader passes on.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct UpstreamsDelta {
     /// The version of the store that brought the change before.
@@ -75,7 +75,7 @@
     pub(crate) changes: Vec<UpstreamNews>,
 }
 
-/// What a daemon may ask the giver for.
+/// What a daemon may ask the leader for.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub(crate) enum Topic {
     /// The configuration or the list of upstreams.
@@ -110,12 +110,12 @@
 /// What one daemon tells another.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) enum PeerMessage {
-    /// The sender runs and wants to hear of the giver.
+    /// The sender runs and wants to hear of the leader.
     Hello(Greeting),
-    /// The sender was the giver and has sent its last order.
+    /// The sender was the leader and has sent its last order.
     Resign(Incarnation),
-    /// The sender is the giver.
-    Lead(Beacon),
+    /// The sender is the leader.
+    Lead(Heartbeat),
     /// The sender has committed assignments.
     Ranges(RangesDelta),
     /// The sender has read changes of the list of upstreams.
--- a/crates/balsam-edge/src/peer/mod.rs
+++ b/crates/balsam-edge/src/peer/mod.rs
@@ -1,4 +1,4 @@
-//! Datagrams between daemons: signs of life of the giver, its assignments, changes of the store's
+//! Datagrams between daemons: heartbeats of the leader, its assignments, changes of the store's
 //! tables, and samples of busy keys.
 //!
 //! Whatever a lost datagram had said is repeated or read from the store.
@@ -10,7 +10,7 @@
 
 pub(crate) use book::PeerBook;
 pub(crate) use message::{
-    Beacon, Greeting, Part, PeerMessage, PeerOutput, RangesDelta, Topic, UpstreamNews,
+    Greeting, Heartbeat, Part, PeerMessage, PeerOutput, RangesDelta, Topic, UpstreamNews,
     UpstreamsDelta,
 };
 pub(crate) use snapshot::{Snapshot, Snapshots, divide};
--- a/crates/balsam-edge/src/peer/snapshot.rs
+++ b/crates/balsam-edge/src/peer/snapshot.rs
@@ -1,4 +1,4 @@
-//! Snapshots of what the giver knows, in parts that fit into datagrams.
+//! Snapshots of what the leader knows, in parts that fit into datagrams.
 
 use super::message::{Part, Topic};
 use balsam_types::{Map, RoutingConfig, ServiceRanges, UpstreamEntry, new_map};
--- a/crates/balsam-edge/src/settings/file.rs
+++ b/crates/balsam-edge/src/settings/file.rs
@@ -129,11 +129,11 @@
     }
 }
 
-/// The part of an ordinary core that carries the duties of the giver beside requests.
-const GIVER_CORES: f64 = 0.5;
+/// The part of an ordinary core that carries the duties of the leader beside requests.
+const LEADER_CORES: f64 = 0.5;
 
-/// The bandwidth that carries the duties of the giver beside requests.
-const GIVER_MBPS: f64 = 100.0;
+/// The bandwidth that carries the duties of the leader beside requests.
+const LEADER_MBPS: f64 = 100.0;
 
 impl Machine {
     fn check(&self) -> Result<(), SettingsError> {
@@ -155,10 +155,10 @@
         Ok(())
     }
 
-    /// Returns how well the machine can carry the duties of the giver, from 0 to 1.
+    /// Returns how well the machine can carry the duties of the leader, from 0 to 1.
     pub fn strength(&self) -> f64 {
-        let cores = self.cpu_share * self.cpu_speed / GIVER_CORES;
-        cores.min(self.link_mbps / GIVER_MBPS).clamp(0.0, 1.0)
+        let cores = self.cpu_share * self.cpu_speed / LEADER_CORES;
+        cores.min(self.link_mbps / LEADER_MBPS).clamp(0.0, 1.0)
     }
 }
 
--- a/crates/balsam-edge/src/store/rows.rs
+++ b/crates/balsam-edge/src/store/rows.rs
@@ -31,7 +31,7 @@
 /// Which row a key names.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum OwnKey {
-    /// The giver.
+    /// The leader.
     Lead,
     /// The assignments of a service.
     Ranges(ServiceName),
--- a/crates/balsam-edge/tests/support/mod.rs
+++ b/crates/balsam-edge/tests/support/mod.rs
@@ -97,7 +97,7 @@
     });
     let mut services = new_map();
     services.insert(service(), ServicePolicy { is_keyed: false });
-    // A giver is elected only if some service is divided by key.
+    // A leader is elected only if some service is divided by key.
     let keyed = ServiceName::new("keys").expect("a valid name");
     services.insert(keyed, ServicePolicy { is_keyed: true });
     RoutingConfig {
--- a/crates/balsam-edge/tests/table_feed.rs
+++ b/crates/balsam-edge/tests/table_feed.rs
@@ -1,5 +1,5 @@
-//! Guards how daemons learn of changes in the store: from the giver, or from the store if the giver
-//! cannot tell them.
+//! Guards how daemons learn of changes in the store: from the leader, or from the store if the
+//! leader cannot tell them.
 
 mod support;
 
@@ -12,21 +12,21 @@
 /// The stated time within which a leaving upstream or a version must be known.
 const KNOWN_WITHIN: Duration = Duration::from_secs(2);
 
-/// Time for the election of the giver and for its signs of life to reach the others.
+/// Time for the election of the leader and for its heartbeats to reach the others.
 const SETTLE: Duration = Duration::from_millis(2_800);
 
-const GIVER: usize = 1;
+const LEADER: usize = 1;
 const OTHER: usize = 2;
 
-/// Starts two daemons of which the first is the giver.
+/// Starts two daemons of which the first is the leader.
 async fn start_two(store: &Store) -> (Edge, Edge) {
-    let giver = start_at(store, GIVER).await;
-    wait_ready(&giver).await;
+    let leader = start_at(store, LEADER).await;
+    wait_ready(&leader).await;
     sleep(Duration::from_secs(1)).await;
     let other = start_at(store, OTHER).await;
     wait_ready(&other).await;
     sleep(SETTLE).await;
-    (giver, other)
+    (leader, other)
 }
 
 async fn status(edge: &Edge, path: &str) -> u16 {
@@ -48,12 +48,12 @@
     }
 }
 
-/// Guards that a daemon that hears the giver makes no calls, and still learns of changes.
+/// Guards that a daemon that hears the leader makes no calls, and still learns of changes.
 #[actix_rt::test]
-async fn giver_tells() {
+async fn leader_tells() {
     let first = Upstream::start("u1", &[Act::Answer]).await;
     let store = Store::start(rows(&[]));
-    let (_giver, other) = start_two(&store).await;
+    let (_leader, other) = start_two(&store).await;
     let before = store.calls(OTHER).await;
     sleep(Duration::from_secs(1)).await;
     assert_eq!(store.calls(OTHER).await, before);
@@ -66,12 +66,12 @@
     assert_eq!(store.calls(OTHER).await, before);
 }
 
-/// Guards that a daemon that the store turns away gets upstreams and versions from the giver.
+/// Guards that a daemon that the store turns away gets upstreams and versions from the leader.
 #[actix_rt::test]
 async fn turned_away() {
     let first = Upstream::start("u1", &[Act::Answer]).await;
     let store = Store::start(rows(&[]));
-    let (_giver, other) = start_two(&store).await;
+    let (_leader, other) = start_two(&store).await;
     store.set_access(OTHER, Access::Refused);
     store.put(StoreChange::Upstream(entry(&first)));
     wait_status(&other, "/read/x", 200).await;
@@ -79,44 +79,44 @@
     wait_status(&other, "/v2/x", 200).await;
 }
 
-/// Guards that the others follow the store themselves as soon as it turns the giver away, and that
+/// Guards that the others follow the store themselves as soon as it turns the leader away, and that
 /// one of them takes its place.
 #[actix_rt::test]
-async fn giver_turned_away() {
+async fn leader_turned_away() {
     let first = Upstream::start("u1", &[Act::Answer]).await;
     let store = Store::start(rows(&[]));
-    let (giver, other) = start_two(&store).await;
-    store.set_access(GIVER, Access::Refused);
+    let (leader, other) = start_two(&store).await;
+    store.set_access(LEADER, Access::Refused);
     store.put(StoreChange::Upstream(entry(&first)));
     wait_status(&other, "/read/x", 200).await;
-    // The other daemon takes the lead after 3 s and tells the former giver.
+    // The other daemon takes the lead after 3 s and tells the former leader.
     sleep(Duration::from_secs(4)).await;
-    wait_status(&giver, "/read/x", 200).await;
+    wait_status(&leader, "/read/x", 200).await;
     store.put(StoreChange::Config(config(2)));
-    wait_status(&giver, "/v2/x", 200).await;
+    wait_status(&leader, "/v2/x", 200).await;
 }
 
-/// Guards that changes are known although the giver has ended without a word.
+/// Guards that changes are known although the leader has ended without a word.
 #[actix_rt::test]
-async fn giver_lost() {
+async fn leader_lost() {
     let first = Upstream::start("u1", &[Act::Answer]).await;
     let store = Store::start(rows(&[]));
-    let (giver, other) = start_two(&store).await;
-    store.set_access(GIVER, Access::Refused);
-    giver.stop().await;
+    let (leader, other) = start_two(&store).await;
+    store.set_access(LEADER, Access::Refused);
+    leader.stop().await;
     store.put(StoreChange::Upstream(entry(&first)));
     wait_status(&other, "/read/x", 200).await;
 }
 
 /// Guards that an upstream that leaves without notice is dropped at once by a daemon that the store
-/// answers, although it does not answer the giver: that is no outage in which entries only lapse.
+/// answers, although it does not answer the leader: that is no outage in which entries only lapse.
 #[actix_rt::test]
 async fn removed_at_once() {
     let first = Upstream::start("u1", &[Act::Answer]).await;
     let store = Store::start(rows(&[&first]));
-    let (_giver, other) = start_two(&store).await;
+    let (_leader, other) = start_two(&store).await;
     wait_status(&other, "/read/x", 200).await;
-    store.set_access(GIVER, Access::Refused);
+    store.set_access(LEADER, Access::Refused);
     sleep(Duration::from_millis(1_500)).await;
     let removed = entry(&first).name;
     store.put(StoreChange::UpstreamRemoved(removed));
