--- a/crates/balsam-decide/src/directory/machine.rs
+++ b/crates/balsam-decide/src/directory/machine.rs
@@ -73,6 +73,14 @@
             .is_some_and(|at| now.since(at) <= LAPSE_GRACE_MS)
     }
 
+    /// Returns the entries that the store lists; those that are kept although they vanished are left
+    /// out, because nobody else would learn of their end.
+    pub fn listed(&self) -> Vec<UpstreamEntry> {
+        let kept = self.upstreams.iter();
+        let listed = kept.filter(|(name, _)| !self.lapsing.contains_key(*name));
+        listed.map(|(_, believed)| believed.entry.clone()).collect()
+    }
+
     /// Returns when the next entry lapses.
     pub fn next_lapse(&self) -> Option<TimeMs> {
         self.lapsing.values().min().copied()
--- a/crates/balsam-decide/tests/upstream_list.rs
+++ b/crates/balsam-decide/tests/upstream_list.rs
@@ -94,3 +94,17 @@
     let older = DirectoryInput::Changed(entry("a", 5, UpstreamState::Draining));
     assert_eq!(count(directory.handle(TimeMs(1), older)), None);
 }
+
+/// Guards against passing on entries that are only kept in case they come back: whoever takes them
+/// over would not learn that they did not.
+#[test]
+fn kept_entries_stay() {
+    let mut directory = Directory::new();
+    directory.handle(
+        TimeMs(0),
+        DirectoryInput::Listed(vec![ready("a"), ready("b")]),
+    );
+    directory.handle(TimeMs(1_000), DirectoryInput::StoreFailed);
+    assert_eq!(count(directory.handle(TimeMs(1_100), removed("a"))), None);
+    assert_eq!(directory.listed(), [ready("b")]);
+}
--- a/crates/balsam-edge/src/control/snapshots.rs
+++ b/crates/balsam-edge/src/control/snapshots.rs
@@ -96,10 +96,7 @@
             Topic::Table(table) => {
                 let snapshot = match table {
                     FeedTable::Config => Snapshot::Config(self.config.clone()?),
-                    FeedTable::Upstreams => {
-                        let all = self.view.upstreams.iter();
-                        Snapshot::Upstreams(all.map(|believed| believed.entry.clone()).collect())
-                    }
+                    FeedTable::Upstreams => Snapshot::Upstreams(self.directory.listed()),
                 };
                 Some((self.feed.seen(*table)?, snapshot))
             }
