--- a/crates/balsam-decide/src/keys/assigner.rs
+++ b/crates/balsam-decide/src/keys/assigner.rs
@@ -160,7 +160,7 @@
                 self.reload_at = Some(now.after(RELOAD_RETRY_MS));
             }
             AssignerInput::Confirmed { asked_at, version } => {
-                self.confirmed(now, asked_at, version)
+                self.confirmed(now, asked_at, version);
             }
             AssignerInput::Heard {
                 incarnation,
