Name some of the daemons in each heartbeat, and divide large assignments

The limit of the decoder also counts memory, of which a list of 256 other daemons claims more than 8 KiB: heartbeats of 300 daemons could not be read at all.

Ruled out: greater datagrams, because each heartbeat goes to all daemons and would load the leader's link with the square of their number.

--- a/crates/balsam-decide/src/lib.rs
+++ b/crates/balsam-decide/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod membership;
 pub mod node;
 pub mod orders;
+pub mod peers;
 pub mod placement;
 pub mod placer;
 pub mod pool;
--- /dev/null
+++ b/crates/balsam-decide/src/peers/mod.rs
@@ -0,0 +1,5 @@
+//! Which other daemons there are.
+
+mod book;
+
+pub use book::PeerBook;
--- a/crates/balsam-edge/src/control/peers.rs
+++ b/crates/balsam-edge/src/control/peers.rs
@@ -3,7 +3,7 @@
 use super::task::ControlTask;
 use crate::clock::now;
 use crate::peer::{
-    Greeting, Heartbeat, PeerMessage, PeerOutput, RangesDelta, UpstreamNews, UpstreamsDelta,
+    Greeting, Heartbeat, PeerMessage, PeerOutput, RangesDelta, Topic, UpstreamNews, UpstreamsDelta,
 };
 use balsam_decide::feed::FeedTable;
 use balsam_decide::keys::{
@@ -21,6 +21,14 @@
 /// The time between two greetings to the leader, in milliseconds.
 const HELLO_MS: u64 = 1_000;
 
+/// Changed assignments in one datagram at most; one takes about 90 bytes, and more with former
+/// owners.
+const PUSHED_ASSIGNMENTS_MAX: usize = 64;
+
+/// Other daemons that one heartbeat names. All heartbeats go to all daemons, so that their length
+/// loads the leader's link with the square of this.
+const PEERS_NAMED_MAX: usize = 24;
+
 /// Changes of upstreams in one datagram at most; an entry takes about 150 bytes.
 const PUSHED_ENTRIES_MAX: usize = 40;
 
@@ -33,7 +41,8 @@
                 self.heartbeat_at = now.after(HEARTBEAT_MS);
                 self.daemons = peers.len() as u32 + 1;
                 self.publish_ranges();
-                let heartbeat = self.heartbeat(peers.clone());
+                let named = self.book.next_named(&peers, PEERS_NAMED_MAX);
+                let heartbeat = self.heartbeat(named);
                 self.send(peers, PeerMessage::Lead(heartbeat));
             }
         } else if now >= self.hello_at
@@ -66,6 +75,7 @@
             is_settled: self.assigner.is_settled(now()),
             is_leaving: self.is_leaving,
             tables: self.feed.state(now()),
+            daemons: self.daemons,
             peers,
         }
     }
@@ -167,7 +177,7 @@
         for peer in &heartbeat.peers {
             self.book.heard(now(), *peer);
         }
-        self.daemons = heartbeat.peers.len() as u32 + 1;
+        self.daemons = heartbeat.daemons;
         let lacks = |(service, version): &(ServiceName, u64)| {
             let known = self.assigner.stored(service);
             known
@@ -217,7 +227,11 @@
             }
         }
         for delta in deltas {
-            self.send(peers.clone(), PeerMessage::Ranges(delta));
+            if delta.changed.assignments.len() <= PUSHED_ASSIGNMENTS_MAX {
+                self.send(peers.clone(), PeerMessage::Ranges(delta));
+            } else {
+                self.push_snapshot(&Topic::Ranges(delta.changed.service));
+            }
         }
     }
 
--- a/crates/balsam-edge/src/control/snapshots.rs
+++ b/crates/balsam-edge/src/control/snapshots.rs
@@ -18,9 +18,9 @@
 /// is asked for, in milliseconds.
 const LACKING_MS: u64 = 800;
 
-/// Datagrams of a configuration that the leader sends to every daemon; a larger one would fill the
-/// leader's link.
-const PUSHED_PARTS_MAX: usize = 3;
+/// Datagrams of a snapshot that the leader sends to every daemon unasked; a larger one would fill
+/// the leader's link.
+const PUSHED_PARTS_MAX: usize = 4;
 
 impl ControlTask {
     /// Notes the services whose newest assignments this daemon lacks.
@@ -65,21 +65,20 @@
                     self.send(vec![from], PeerMessage::Part(part));
                 }
             }
-            Err(error) => warn!("snapshot of {topic:?} not sent to {from}: {error}"),
+            Err(error) => warn!("snapshot of {topic} not sent to {from}: {error}"),
         }
     }
 
-    /// Passes a configuration that fits into a few datagrams on to the other daemons.
-    pub(super) fn push_config(&mut self) {
-        let topic = Topic::Table(FeedTable::Config);
-        let Some((version, snapshot)) = self.snapshot(&topic) else {
+    /// Passes a snapshot that fits into a few datagrams on to the other daemons.
+    pub(super) fn push_snapshot(&mut self, topic: &Topic) {
+        let Some((version, snapshot)) = self.snapshot(topic) else {
             return;
         };
         if !self.assigner.is_leading() {
             return;
         }
         let peers = self.book.peers(now(), self.me.address);
-        match divide(&topic, version, &snapshot) {
+        match divide(topic, version, &snapshot) {
             Ok(parts) if parts.len() <= PUSHED_PARTS_MAX => {
                 for part in parts {
                     self.send(peers.clone(), PeerMessage::Part(part));
@@ -87,7 +86,7 @@
             }
             // The others read a larger one from the store.
             Ok(_) => {}
-            Err(error) => warn!("configuration not passed on: {error}"),
+            Err(error) => warn!("snapshot of {topic} not passed on: {error}"),
         }
     }
 
@@ -114,7 +113,7 @@
         match self.snapshots.take(part) {
             Ok(Some((version, snapshot))) => self.take_snapshot(&topic, version, snapshot),
             Ok(None) => {}
-            Err(error) => warn!("snapshot of {topic:?} dropped: {error}"),
+            Err(error) => warn!("snapshot of {topic} dropped: {error}"),
         }
     }
 
--- a/crates/balsam-edge/src/control/tables.rs
+++ b/crates/balsam-edge/src/control/tables.rs
@@ -4,7 +4,7 @@
 use super::lines::{self, ControlLine};
 use super::task::ControlTask;
 use crate::clock::now;
-use crate::peer::UpstreamNews;
+use crate::peer::{Topic, UpstreamNews};
 use crate::store::{
     OwnKey, Page, RowError, StoreChange, StoreError, StoreTable, decode_ranges, decode_row,
 };
@@ -48,7 +48,7 @@
             FeedTable::Config => {
                 self.take_configs(page);
                 if has_changes {
-                    self.push_config();
+                    self.push_snapshot(&Topic::Table(FeedTable::Config));
                 }
             }
             FeedTable::Upstreams => self.take_upstreams(page, base, is_whole),
--- a/crates/balsam-edge/src/peer/message.rs
+++ b/crates/balsam-edge/src/peer/message.rs
@@ -8,12 +8,17 @@
 use bincode::config::{Configuration, Fixint, Limit, LittleEndian, standard};
 use bincode::error::{DecodeError, EncodeError};
 use serde::{Deserialize, Serialize};
+use snafu::{ResultExt, Snafu, ensure};
 use std::fmt;
 use std::net::SocketAddr;
 
 /// The greatest datagram in bytes; longer ones are neither sent nor read.
 pub(super) const DATAGRAM_MAX_BYTES: usize = 8 << 10;
 
+/// Memory that a decoded datagram may claim, in bytes. Decoded entries are several times as large
+/// as their encoding, so that a full datagram would exceed its own length.
+const DECODED_MAX_BYTES: usize = 128 << 10;
+
 /// What the leader says of itself several times a second.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct Heartbeat {
@@ -29,7 +34,10 @@
     pub(crate) is_leaving: bool,
     /// How far it knows the tables that it follows for all.
     pub(crate) tables: FeedState,
-    /// The other daemons that it knows of, one of which may follow it.
+    /// Daemons of the deployment, the leader included.
+    pub(crate) daemons: u32,
+    /// Some of the other daemons that it knows of, one of which may follow it; heartbeats in a row
+    /// name all of them.
     pub(crate) peers: Vec<SocketAddr>,
 }
 
@@ -145,21 +153,39 @@
     message: PeerMessage,
 }
 
-const fn config() -> Configuration<LittleEndian, Fixint, Limit<DATAGRAM_MAX_BYTES>> {
+const fn config() -> Configuration<LittleEndian, Fixint, Limit<DECODED_MAX_BYTES>> {
     standard()
         .with_fixed_int_encoding()
-        .with_limit::<DATAGRAM_MAX_BYTES>()
+        .with_limit::<DECODED_MAX_BYTES>()
+}
+
+/// Why a message is not sent.
+#[derive(Debug, Snafu)]
+pub(super) enum UnsentError {
+    /// The message has no encoding.
+    #[snafu(display("{source}"))]
+    Encode {
+        /// Why.
+        source: EncodeError,
+    },
+    /// The message does not fit into a datagram.
+    #[snafu(display("{bytes} bytes, more than {DATAGRAM_MAX_BYTES}"))]
+    TooLong {
+        /// Its length.
+        bytes: usize,
+    },
 }
 
 /// Encodes a message for daemons that share `credential`.
-pub(super) fn encode(credential: u64, message: PeerMessage) -> Result<Vec<u8>, EncodeError> {
-    bincode::serde::encode_to_vec(
-        Datagram {
-            credential,
-            message,
-        },
-        config(),
-    )
+pub(super) fn encode(credential: u64, message: PeerMessage) -> Result<Vec<u8>, UnsentError> {
+    let datagram = Datagram {
+        credential,
+        message,
+    };
+    let encoded = bincode::serde::encode_to_vec(datagram, config()).context(EncodeSnafu)?;
+    let bytes = encoded.len();
+    ensure!(bytes <= DATAGRAM_MAX_BYTES, TooLongSnafu { bytes });
+    Ok(encoded)
 }
 
 /// Decodes a datagram; `None` if it was sent with another credential.
--- a/crates/balsam-edge/src/peer/mod.rs
+++ b/crates/balsam-edge/src/peer/mod.rs
@@ -3,12 +3,10 @@
 //!
 //! Whatever a lost datagram had said is repeated or read from the store.
 
-mod book;
 mod message;
 mod snapshot;
 mod task;
 
-pub(crate) use book::PeerBook;
 pub(crate) use message::{
     Greeting, Heartbeat, Part, PeerMessage, PeerOutput, RangesDelta, Topic, UpstreamNews,
     UpstreamsDelta,
--- a/crates/balsam-edge/tests/support/store.rs
+++ b/crates/balsam-edge/tests/support/store.rs
@@ -25,6 +25,7 @@
     Put(StoreChange),
     Access(usize, Access),
     Calls(usize, oneshot::Sender<u64>),
+    HasOwn(Arc<str>, oneshot::Sender<bool>),
 }
 
 struct Row {
@@ -93,6 +94,13 @@
         drop(self.commands.send(Command::Access(client, access)));
     }
 
+    /// Returns whether the daemons have written one of their own rows.
+    pub async fn has_own(&self, key: &str) -> bool {
+        let (reply, found) = oneshot::channel();
+        drop(self.commands.send(Command::HasOwn(Arc::from(key), reply)));
+        found.await.expect("a running store")
+    }
+
     /// Returns the calls that a daemon has made.
     pub async fn calls(&self, client: usize) -> u64 {
         let (reply, count) = oneshot::channel();
@@ -132,6 +140,10 @@
                 let count = self.calls.get(&client).copied().unwrap_or(0);
                 reply.send(count).expect("a test that waits");
             }
+            Command::HasOwn(key, reply) => {
+                let found = self.rows.contains_key(&("own", key));
+                reply.send(found).expect("a test that waits");
+            }
             Command::Call(client, request) => {
                 *self.calls.entry(client).or_default() += 1;
                 self.call(client, request);
--- a/crates/balsam-edge/tests/table_feed.rs
+++ b/crates/balsam-edge/tests/table_feed.rs
@@ -5,6 +5,7 @@
 
 use balsam_edge::Edge;
 use balsam_edge::store::StoreChange;
+use balsam_types::{ServiceName, UpstreamName};
 use std::time::Duration;
 use support::{Access, Act, Caller, Store, Upstream, config, entry, rows, start_at, wait_ready};
 use tokio::time::{Instant, sleep};
@@ -15,6 +16,17 @@
 /// Time for the election of the leader and for its heartbeats to reach the others.
 const SETTLE: Duration = Duration::from_millis(2_800);
 
+/// Upstreams of a service that is divided by key; their assignments exceed a datagram.
+const KEYED_UPSTREAMS: usize = 60;
+
+/// Changes of upstreams that the leader passes on in one datagram, and the time in which it gathers
+/// them.
+const PUSHED_MAX: usize = 30;
+const GATHERED: Duration = Duration::from_millis(600);
+
+/// Time for the first assignment of keys, and for daemons that lack it to ask for it.
+const ASSIGNED_WITHIN: Duration = Duration::from_secs(3);
+
 const LEADER: usize = 1;
 const OTHER: usize = 2;
 
@@ -66,6 +78,30 @@
     assert_eq!(store.calls(OTHER).await, before);
 }
 
+/// Guards that assignments too many for one datagram reach the others without calls to the store:
+/// as one cut datagram they were dropped, and all daemons read the row at once.
+#[actix_rt::test]
+async fn many_assignments() {
+    let first = Upstream::start("u1", &[Act::Answer]).await;
+    let store = Store::start(rows(&[]));
+    let (_leader, other) = start_two(&store).await;
+    let before = store.calls(OTHER).await;
+    for number in 0..KEYED_UPSTREAMS {
+        let mut keyed = entry(&first);
+        keyed.name = UpstreamName::new(format!("keyed-{number}")).expect("a valid name");
+        keyed.service = ServiceName::new("keys").expect("a valid name");
+        store.put(StoreChange::Upstream(keyed));
+        if number % PUSHED_MAX == PUSHED_MAX - 1 {
+            sleep(GATHERED).await;
+        }
+    }
+    store.put(StoreChange::Upstream(entry(&first)));
+    wait_status(&other, "/read/x", 200).await;
+    sleep(ASSIGNED_WITHIN).await;
+    assert!(store.has_own("ranges/keys").await, "keys are assigned");
+    assert_eq!(store.calls(OTHER).await, before);
+}
+
 /// Guards that a daemon that the store turns away gets upstreams and versions from the leader.
 #[actix_rt::test]
 async fn turned_away() {
