Refuse requests that crash upstreams, over all daemons

Cause: the platform counts retries of a request that has crashed three upstreams, and each daemon only knew its own attempts.

Change: decide/crashes counts the lives of upstreams that ended a connection under a request before any byte of an answer; daemons report to the leader, which tells all from the second crash on; after the third, equal requests are refused as not run. The verdict reset is apart from broken, and lowers the limit of the upstream like a late answer; a request with a key waits 60 ms before it goes to the same owner again.

Ruled out: the quarantine of balsamswitchd, which commits entries to the table and needs the settings tree; its fingerprint is used.

--- a/crates/balsam-decide/src/attempts/ledger.rs
+++ b/crates/balsam-decide/src/attempts/ledger.rs
@@ -108,7 +108,7 @@
                     Step::Deliver
                 }
             }
-            Verdict::Broken => {
+            Verdict::Broken | Verdict::Reset => {
                 self.may_have_run = true;
                 if self.may_go_on() {
                     Step::Again
--- /dev/null
+++ b/crates/balsam-decide/src/crashes/mod.rs
@@ -0,0 +1,11 @@
+//! Requests that seem to crash the upstreams that run them.
+//!
+//! An upstream that crashes tells nobody why, and callers repeat the request at any daemon. Daemons
+//! therefore share what they saw, and refuse a request that several upstreams did not survive.
+//! See [the platform page](../../../../docs/platform.md#requests-that-crash-upstreams).
+
+mod list;
+mod suspects;
+
+pub use list::SuspectList;
+pub use suspects::{Crash, Crashed, Suspects};
--- /dev/null
+++ b/crates/balsam-decide/src/crashes/suspects.rs
@@ -0,0 +1,160 @@
+//! Counts the upstreams that a request crashed.
+
+use super::SuspectList;
+use balsam_types::{Born, Fingerprint, Map, TimeMs, UpstreamName, new_map};
+use serde::{Deserialize, Serialize};
+
+/// Upstreams that a request may crash before it is refused.
+///
+/// One or two are often lost by chance with many requests in flight. The platform allows three
+/// repeats after the third crash, which daemons need until they know of it.
+const CRASHES_MAX: usize = 3;
+
+/// Crashes from which on all daemons are told of a suspect; most requests that lose one upstream
+/// are served by the next.
+const SHARED_FROM: usize = 2;
+
+/// How long a request is refused, in milliseconds; callers repeat it for long.
+const REFUSED_MS: u64 = 600_000;
+
+/// How long a request is suspected after its last crash, in milliseconds.
+const SUSPECTED_MS: u64 = 120_000;
+
+/// Suspects at once; the one whose last crash is oldest makes room.
+const SUSPECTS_MAX: usize = 1_024;
+
+/// How much later than its end a crash may be noted, in milliseconds; daemons tell each other within
+/// a few.
+const TOLD_LATE_MS: u64 = 10;
+
+/// The end of an upstream's connection under a request, before any byte of an answer.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Crash {
+    /// The request.
+    pub fingerprint: Fingerprint,
+    /// The upstream.
+    pub upstream: Crashed,
+    /// The time from sending the request to the end of the connection, in milliseconds.
+    pub took_ms: u64,
+}
+
+/// The life of an upstream that did not survive a request.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Crashed {
+    /// The upstream.
+    pub name: UpstreamName,
+    /// Its life.
+    pub born: Born,
+}
+
+#[derive(Debug)]
+struct Suspect {
+    crashed: Vec<Crashed>,
+    last_at: TimeMs,
+}
+
+impl Suspect {
+    fn lapses_at(&self) -> TimeMs {
+        self.refused_until()
+            .unwrap_or_else(|| self.last_at.after(SUSPECTED_MS))
+    }
+
+    fn refused_until(&self) -> Option<TimeMs> {
+        (self.crashed.len() >= CRASHES_MAX).then(|| self.last_at.after(REFUSED_MS))
+    }
+}
+
+/// The requests that this daemon suspects.
+#[derive(Debug)]
+pub struct Suspects(Map<Fingerprint, Suspect>);
+
+impl Suspects {
+    /// Makes a machine without suspects.
+    pub fn new() -> Self {
+        Self(new_map())
+    }
+
+    /// Notes a crash that this daemon or another one saw; returns whether it counts.
+    ///
+    /// A request that was sent before its last crash was lost by the same incident, which says
+    /// nothing of the request. An upstream counts once: a reset by one that still lives may come
+    /// from a full queue.
+    pub fn crashed(&mut self, now: TimeMs, crash: &Crash) -> bool {
+        let known = self.0.get(&crash.fingerprint);
+        let counts = known.is_none_or(|suspect| {
+            now.since(suspect.last_at) + TOLD_LATE_MS >= crash.took_ms
+                && !suspect.crashed.contains(&crash.upstream)
+        });
+        if counts {
+            self.add(now, crash.fingerprint, vec![crash.upstream.clone()]);
+        }
+        counts
+    }
+
+    /// Takes over the crashes of a request that the leader tells.
+    pub fn told(&mut self, now: TimeMs, fingerprint: Fingerprint, crashed: Vec<Crashed>) {
+        self.add(now, fingerprint, crashed);
+    }
+
+    /// Notes that an upstream served a request; returns whether it was suspected.
+    pub fn served(&mut self, fingerprint: Fingerprint) -> bool {
+        self.0.remove(&fingerprint).is_some()
+    }
+
+    /// Returns the crashes of a request, if all daemons should know them.
+    pub fn to_share(&self, fingerprint: Fingerprint) -> Option<&[Crashed]> {
+        let crashed = self.0.get(&fingerprint)?.crashed.as_slice();
+        (crashed.len() >= SHARED_FROM).then_some(crashed)
+    }
+
+    /// Returns until when a request is refused, if it is.
+    pub fn refused_until(&self, fingerprint: Fingerprint) -> Option<TimeMs> {
+        self.0.get(&fingerprint)?.refused_until()
+    }
+
+    /// Forgets suspects whose time is over; returns whether there were any.
+    pub fn expire(&mut self, now: TimeMs) -> bool {
+        let before = self.0.len();
+        self.0.retain(|_, suspect| now < suspect.lapses_at());
+        self.0.len() < before
+    }
+
+    /// Returns the list to publish.
+    pub fn list(&self) -> SuspectList {
+        let suspects = self.0.iter();
+        SuspectList::new(
+            suspects.map(|(fingerprint, suspect)| (*fingerprint, suspect.refused_until())),
+        )
+    }
+
+    fn add(&mut self, now: TimeMs, fingerprint: Fingerprint, crashed: Vec<Crashed>) {
+        self.make_room(fingerprint);
+        let suspect = self.0.entry(fingerprint).or_insert_with(|| Suspect {
+            crashed: Vec::new(),
+            last_at: now,
+        });
+        for crashed in crashed {
+            if !suspect.crashed.contains(&crashed) {
+                suspect.crashed.push(crashed);
+                suspect.last_at = now;
+            }
+        }
+    }
+
+    fn make_room(&mut self, fingerprint: Fingerprint) {
+        if self.0.len() < SUSPECTS_MAX || self.0.contains_key(&fingerprint) {
+            return;
+        }
+        let oldest = self.0.iter();
+        let oldest = oldest.min_by_key(|(fingerprint, suspect)| (suspect.last_at, **fingerprint));
+        if let Some(oldest) = oldest.map(|(fingerprint, _)| *fingerprint) {
+            self.0.remove(&oldest);
+        }
+    }
+}
+
+impl Default for Suspects {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- a/crates/balsam-decide/src/lib.rs
+++ b/crates/balsam-decide/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod attempts;
 pub mod budget;
 pub mod control;
+pub mod crashes;
 pub mod directory;
 pub mod dispatch;
 pub mod entry;
--- a/crates/balsam-decide/src/pool/lane.rs
+++ b/crates/balsam-decide/src/pool/lane.rs
@@ -137,6 +137,11 @@
             Verdict::Broken => {
                 self.slowness = mean(self.slowness, 2.0);
             }
+            Verdict::Reset => {
+                self.slowness = mean(self.slowness, 2.0);
+                self.lower(LATE_FACTOR);
+                self.paused_until = self.paused_until.max(now.after(SHED_PAUSE_MS));
+            }
             Verdict::NotHeld | Verdict::Dropped => {}
         }
     }
--- a/crates/balsam-decide/src/pool/message.rs
+++ b/crates/balsam-decide/src/pool/message.rs
@@ -47,8 +47,11 @@
     Replaced,
     /// No connection could be opened.
     Unreachable,
-    /// The connection broke, or the answer cannot be used.
+    /// The connection broke during an answer, or the answer cannot be used.
     Broken,
+    /// The connection ended after the request and before any byte of an answer: the upstream
+    /// crashed, or has more connections than it takes.
+    Reset,
     /// There was no answer in time.
     TimedOut,
     /// The caller went away or the request was not sent.
--- a/crates/balsam-decide/src/quarantine/fingerprint.rs
+++ b/crates/balsam-decide/src/quarantine/fingerprint.rs
@@ -1,6 +1,6 @@
 //! What equal requests have in common.
 
-use balsam_types::{Fingerprint, KeyHash, MemberName};
+use balsam_types::{Fingerprint, KeyHash};
 
 /// The bytes that are hashed at once; the digest must not depend on how a body was cut up.
 const BLOCK_BYTES: usize = 1 << 10;
@@ -61,15 +61,17 @@
 }
 
 /// Returns the fingerprint of a request; it is the same on every daemon.
+///
+/// `sender` tells apart who sends it, or to which host, as far as the interface names them.
 pub fn fingerprint(
-    member: &MemberName,
+    sender: impl AsRef<str>,
     method: impl AsRef<str>,
     path: impl AsRef<str>,
     key: KeyHash,
     body_digest: u64,
 ) -> Fingerprint {
     let mut bytes = Vec::new();
-    for text in [member.as_str(), method.as_ref(), path.as_ref()] {
+    for text in [sender.as_ref(), method.as_ref(), path.as_ref()] {
         // The length keeps the end of one text from being taken for the start of the next.
         bytes.extend_from_slice(&(text.len() as u64).to_le_bytes());
         bytes.extend_from_slice(text.as_bytes());
--- a/crates/balsam-decide/tests/crash_quarantine.rs
+++ b/crates/balsam-decide/tests/crash_quarantine.rs
@@ -191,7 +191,7 @@
 
     let member = |name: &str| MemberName::new(name).expect("member name");
     let print = |name: &str, method: &str, path: &str, key: &str, digest: u64| {
-        fingerprint(&member(name), method, path, KeyHash::of(key), digest)
+        fingerprint(member(name), method, path, KeyHash::of(key), digest)
     };
     let all = [
         print("a", "GET", "/p", "k", 1),
--- /dev/null
+++ b/crates/balsam-decide/tests/crash_suspects.rs
@@ -0,0 +1,129 @@
+//! Guards that a request that crashes upstreams is refused by all daemons, and no other request is.
+
+use balsam_decide::crashes::{Crash, Crashed, Suspects};
+use balsam_types::{Born, Fingerprint, TimeMs, UpstreamName};
+
+const POISON: Fingerprint = Fingerprint(7);
+const START: TimeMs = TimeMs(1_000);
+
+/// How long a request takes until it crashes an upstream, in milliseconds.
+const TOOK_MS: u64 = 5;
+
+fn upstream(number: u64) -> Crashed {
+    Crashed {
+        name: UpstreamName::new(format!("u{number}")).expect("a valid name"),
+        born: Born(number),
+    }
+}
+
+fn crash(fingerprint: Fingerprint, number: u64) -> Crash {
+    Crash {
+        fingerprint,
+        upstream: upstream(number),
+        took_ms: TOOK_MS,
+    }
+}
+
+/// Notes crashes of different upstreams, one after the other.
+fn crash_each(suspects: &mut Suspects, numbers: std::ops::Range<u64>) -> TimeMs {
+    let mut now = START;
+    for number in numbers {
+        now = now.after(TOOK_MS * 2);
+        assert!(suspects.crashed(now, &crash(POISON, number)));
+    }
+    now
+}
+
+/// Guards against a request that goes on to crash upstreams after the third one, and against one
+/// that is refused after a crash or two.
+#[test]
+fn refused_after_third() {
+    let mut suspects = Suspects::new();
+    let now = crash_each(&mut suspects, 0..2);
+    assert_eq!(suspects.list().refused_until(now, POISON), None);
+    let now = now.after(TOOK_MS);
+    assert!(suspects.crashed(now, &crash(POISON, 2)));
+    assert!(suspects.list().refused_until(now, POISON).is_some());
+    let other = Fingerprint(8);
+    assert_eq!(suspects.list().refused_until(now, other), None);
+}
+
+/// Guards against counting one incident several times: upstreams that are lost together lose many
+/// equal requests of popular paths.
+#[test]
+fn lost_together() {
+    let mut suspects = Suspects::new();
+    assert!(suspects.crashed(START, &crash(POISON, 0)));
+    for number in 1..9 {
+        let mut late = crash(POISON, number);
+        late.took_ms = 300;
+        assert!(!suspects.crashed(START.after(number), &late));
+    }
+    assert!(suspects.to_share(POISON).is_none());
+}
+
+/// Guards against suspecting the requests of an upstream that resets connections and still lives.
+#[test]
+fn same_upstream() {
+    let mut suspects = Suspects::new();
+    let mut now = START;
+    assert!(suspects.crashed(now, &crash(POISON, 0)));
+    for _ in 0..9 {
+        now = now.after(TOOK_MS * 2);
+        assert!(!suspects.crashed(now, &crash(POISON, 0)));
+    }
+}
+
+/// Guards against refusing a request that upstreams serve in between.
+#[test]
+fn served_between() {
+    let mut suspects = Suspects::new();
+    crash_each(&mut suspects, 0..2);
+    assert!(suspects.served(POISON));
+    let now = crash_each(&mut suspects, 3..5);
+    assert_eq!(suspects.list().refused_until(now, POISON), None);
+}
+
+/// Guards that crashes that different daemons saw add up at each of them.
+#[test]
+fn crashes_shared() {
+    let mut leader = Suspects::new();
+    let mut other = Suspects::new();
+    let mut now = crash_each(&mut other, 0..1);
+    // Each daemon reports its crash to the leader, which tells the others from the second on.
+    for number in 0..3 {
+        now = now.after(TOOK_MS * 2);
+        assert!(leader.crashed(now, &crash(POISON, number)));
+        if let Some(crashed) = leader.to_share(POISON) {
+            other.told(now, POISON, crashed.to_vec());
+        }
+    }
+    assert!(other.list().refused_until(now, POISON).is_some());
+}
+
+/// Guards that a suspect is forgotten, one that is refused after ten minutes and not before.
+#[test]
+fn suspects_lapse() {
+    let mut suspects = Suspects::new();
+    let now = crash_each(&mut suspects, 0..1);
+    assert!(!suspects.expire(now.after(100_000)));
+    assert!(suspects.expire(now.after(130_000)));
+    let now = crash_each(&mut suspects, 0..3);
+    assert!(!suspects.expire(now.after(590_000)));
+    assert!(suspects.expire(now.after(610_000)));
+    assert!(suspects.list().is_empty());
+}
+
+/// Guards against memory that grows with the number of requests that lose an upstream.
+#[test]
+fn suspects_bounded() {
+    let mut suspects = Suspects::new();
+    for number in 0..5_000 {
+        let lost = crash(Fingerprint(number), 0);
+        assert!(suspects.crashed(START.after(number), &lost));
+    }
+    let list = suspects.list();
+    let kept = (0..5_000).filter(|number| list.contains(Fingerprint(*number)));
+    assert_eq!(kept.count(), 1_024);
+    assert!(list.contains(Fingerprint(4_999)));
+}
--- a/crates/balsam-edge/src/control/lines.rs
+++ b/crates/balsam-edge/src/control/lines.rs
@@ -35,6 +35,14 @@
     },
     /// A snapshot was taken from the leader because the store did not bring it.
     SnapshotTaken { topic: String, version: u64 },
+    /// A request seems to crash upstreams; it is refused if a time is given.
+    Suspect {
+        fingerprint: String,
+        crashed: &'a UpstreamName,
+        refused_ms: Option<u64>,
+    },
+    /// An upstream has served a request that was suspected.
+    SuspectCleared { fingerprint: String },
     /// This daemon tries to become the leader.
     TakeLead { expected: u64 },
     /// This daemon has become the leader, or is it no longer.
--- a/crates/balsam-edge/src/control/mod.rs
+++ b/crates/balsam-edge/src/control/mod.rs
@@ -6,6 +6,7 @@
 mod message;
 mod peers;
 mod snapshots;
+mod suspects;
 mod tables;
 mod task;
 
--- a/crates/balsam-edge/src/control/peers.rs
+++ b/crates/balsam-edge/src/control/peers.rs
@@ -111,6 +111,12 @@
             PeerMessage::Upstreams(delta) => self.hear_upstreams(delta),
             PeerMessage::Ask(topic) => self.answer(from, &topic),
             PeerMessage::Part(part) => self.take_part(part),
+            PeerMessage::Crash(crash) => self.suspect(crash),
+            PeerMessage::Suspect {
+                fingerprint,
+                crashed,
+            } => self.hear_suspect(fingerprint, crashed),
+            PeerMessage::Cleared(fingerprint) => self.clear(fingerprint),
             PeerMessage::Sample { service, keys } => {
                 self.give(AssignerInput::Sampled { service, keys });
             }
--- a/crates/balsam-edge/src/control/task.rs
+++ b/crates/balsam-edge/src/control/task.rs
@@ -9,6 +9,7 @@
 use crate::peer::{PeerOutput, Snapshots};
 use crate::store::StoreRequest;
 use crate::view::View;
+use balsam_decide::crashes::Suspects;
 use balsam_decide::directory::{Directory, DirectoryInput};
 use balsam_decide::feed::{FOLLOW_AS_LEADER_MS, FOLLOW_ASIDE_MS, Feed, FeedSource, FeedTable};
 use balsam_decide::keys::{Assigner, AssignerInput, AssignerOutput, KeyTiming, Leader, OrderId};
@@ -37,6 +38,9 @@
     pub(super) book: PeerBook,
     pub(super) config: Option<RoutingConfig>,
     pub(super) snapshots: Snapshots,
+    pub(super) suspects: Suspects,
+    /// Whether the published list of suspects is outdated.
+    pub(super) has_new_suspects: bool,
     /// Services whose newest assignments are missing, and since when.
     pub(super) lacking: Map<ServiceName, TimeMs>,
     pub(super) asked_at: TimeMs,
@@ -84,6 +88,8 @@
             book: PeerBook::new(),
             config: None,
             snapshots: Snapshots::new(),
+            suspects: Suspects::new(),
+            has_new_suspects: false,
             lacking: new_map(),
             asked_at: now(),
             notes: new_map(),
@@ -151,6 +157,8 @@
             ControlInput::Sampled { service, keys } => self.sampled(service, keys),
             ControlInput::Leave(replaced) => self.leave(replaced),
             ControlInput::Stop => self.resign(),
+            ControlInput::Crashed(crash) => self.suspect(crash),
+            ControlInput::Cleared(fingerprint) => self.clear(fingerprint),
             ControlInput::NotHeld { service, key } => {
                 self.give(AssignerInput::NotHeld { service, key });
             }
@@ -189,6 +197,7 @@
         }
         self.keep_in_touch(now);
         self.ask_for_snapshots(now);
+        self.publish_suspects(now);
         self.give(AssignerInput::Tick);
     }
 
--- a/crates/balsam-edge/src/http/error.rs
+++ b/crates/balsam-edge/src/http/error.rs
@@ -39,3 +39,10 @@
     #[snafu(display("no answer in time"))]
     TimedOut,
 }
+
+impl ExchangeError {
+    /// Returns whether the peer or the network has ended the connection.
+    pub const fn has_ended(&self) -> bool {
+        matches!(self, Self::Io { .. } | Self::Closed)
+    }
+}
--- a/crates/balsam-edge/src/peer/message.rs
+++ b/crates/balsam-edge/src/peer/message.rs
@@ -1,9 +1,10 @@
 //! Messages between daemons and their encoding.
 
+use balsam_decide::crashes::{Crash, Crashed};
 use balsam_decide::feed::{FeedState, FeedTable};
 use balsam_decide::keys::Leader;
 use balsam_types::{
-    Incarnation, ServiceName, ServiceRanges, ShardKey, UpstreamEntry, UpstreamName,
+    Fingerprint, Incarnation, ServiceName, ServiceRanges, ShardKey, UpstreamEntry, UpstreamName,
 };
 use bincode::config::{Configuration, Fixint, Limit, LittleEndian, standard};
 use bincode::error::{DecodeError, EncodeError};
@@ -132,6 +133,16 @@
     Ask(Topic),
     /// A part of what the receiver has asked for.
     Part(Part),
+    /// An upstream's connection ended under a request at the sender.
+    Crash(Crash),
+    /// The sender, which is the leader, suspects a request.
+    Suspect {
+        fingerprint: Fingerprint,
+        /// The upstreams that did not survive it.
+        crashed: Vec<Crashed>,
+    },
+    /// An upstream has served a request that was suspected.
+    Cleared(Fingerprint),
     /// Requests were made on keys at the sender.
     Sample {
         service: ServiceName,
--- a/crates/balsam-edge/src/request/forward.rs
+++ b/crates/balsam-edge/src/request/forward.rs
@@ -92,8 +92,8 @@
     let Some(bytes) = encode(names, routed, &lease, left_ms) else {
         return end(lease, Verdict::Dropped, None, Some(connection));
     };
-    let mut sent = Sent::Nothing;
-    let exchange = exchange(names, routed, &mut connection, &bytes, &mut sent);
+    let mut progress = Progress::default();
+    let exchange = exchange(names, routed, &mut connection, &bytes, &mut progress);
     let (head, body) = match timeout_at(instant_at(routed.deadline), exchange).await {
         Err(_) => {
             connection.reset();
@@ -104,17 +104,23 @@
                 "{} at {}: {error}",
                 routed.attempt_id, lease.upstream.entry.name
             );
-            connection.reset();
-            let verdict = if sent == Sent::Nothing {
-                Verdict::Unreachable
-            } else {
-                Verdict::Broken
+            let verdict = match progress {
+                Progress {
+                    sent: Sent::Nothing,
+                    ..
+                } => Verdict::Unreachable,
+                Progress {
+                    sent: Sent::Whole,
+                    has_head: false,
+                } if error.has_ended() && !connection.has_unread() => Verdict::Reset,
+                Progress { .. } => Verdict::Broken,
             };
+            connection.reset();
             return end(lease, verdict, None, None);
         }
         Ok(Ok(answer)) => answer,
     };
-    let keep = head.keep_alive && sent == Sent::Whole;
+    let keep = head.keep_alive && progress.sent == Sent::Whole;
     match body {
         Collected::Whole(body) => {
             let verdict = judge(names, &head, &lease);
@@ -243,6 +249,23 @@
     }
 }
 
+/// How far an exchange has come.
+#[derive(Clone, Copy, Debug)]
+struct Progress {
+    sent: Sent,
+    /// Whether the head of an answer was read.
+    has_head: bool,
+}
+
+impl Default for Progress {
+    fn default() -> Self {
+        Self {
+            sent: Sent::Nothing,
+            has_head: false,
+        }
+    }
+}
+
 /// The part of a body that was collected.
 enum Collected {
     /// The whole body.
@@ -256,10 +279,12 @@
     routed: &Routed,
     connection: &mut Connection,
     bytes: &[u8],
-    sent: &mut Sent,
+    progress: &mut Progress,
 ) -> Result<(AnswerHead, Collected), ExchangeError> {
     let to_head = routed.request.head.method.as_ref() == b"HEAD";
+    let sent = &mut progress.sent;
     let mut head = connection.start(bytes, to_head, sent).await?;
+    progress.has_head = true;
     let mut strays = 0;
     // An answer to an earlier request may arrive late; its id tells it apart.
     while head
--- a/crates/balsam-edge/src/request/record.rs
+++ b/crates/balsam-edge/src/request/record.rs
@@ -198,6 +198,7 @@
         Verdict::Replaced => "replaced",
         Verdict::Unreachable => "unreachable",
         Verdict::Broken => "broken",
+        Verdict::Reset => "reset",
         Verdict::TimedOut => "timed-out",
         Verdict::Dropped => "dropped",
     }
--- a/crates/balsam-edge/src/request/route.rs
+++ b/crates/balsam-edge/src/request/route.rs
@@ -3,8 +3,9 @@
 use super::HeaderNames;
 use super::read::CallerRequest;
 use crate::view::View;
+use balsam_decide::quarantine::{BodyDigest, fingerprint};
 use balsam_decide::routing::RouteTable;
-use balsam_types::{Route, ShardKey, TimeMs};
+use balsam_types::{Fingerprint, KeyHash, Route, ShardKey, TimeMs};
 use std::sync::Arc;
 
 /// A request with its route.
@@ -21,6 +22,22 @@
     pub(super) caller_deadline: TimeMs,
 }
 
+impl Routed {
+    /// Returns what equal requests have in common.
+    pub(super) fn fingerprint(&self) -> Fingerprint {
+        let CallerRequest { head, body, .. } = &self.request;
+        let mut digest = BodyDigest::new();
+        digest.update(body);
+        let host = head.fields.text("host").unwrap_or_default();
+        let (method, target) = (
+            String::from_utf8_lossy(&head.method),
+            String::from_utf8_lossy(&head.target),
+        );
+        let key = KeyHash(self.key.map_or(0, |key| u64::from(key.0) + 1));
+        fingerprint(host, method, target, key, digest.finish())
+    }
+}
+
 /// Why a request has no way.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Unrouted {
--- a/crates/balsam-edge/src/request/serve.rs
+++ b/crates/balsam-edge/src/request/serve.rs
@@ -11,8 +11,10 @@
 use crate::pool::{PoolClient, Refused, Wanted};
 use crate::view::View;
 use balsam_decide::attempts::{Ending, Ledger, Step};
+use balsam_decide::crashes::{Crash, Crashed};
+use balsam_decide::directory::Believed;
 use balsam_decide::pool::Verdict;
-use balsam_types::UpstreamName;
+use balsam_types::{TimeMs, UpstreamEntry, UpstreamName};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot, watch};
@@ -25,6 +27,10 @@
 /// When callers of a daemon without a configuration are told to come back, in milliseconds.
 const NO_CONFIG_RETRY_MS: u64 = 300;
 
+/// The pause before a request goes once more to the only upstream that may run it, after that one
+/// has ended the connection: a busy one resets connections until its queue is shorter.
+const RESET_PAUSE: Duration = Duration::from_millis(60);
+
 /// When callers are told to come back after all attempts were refused by upstreams, in
 /// milliseconds.
 const REFUSED_RETRY_MS: u64 = 150;
@@ -111,6 +117,10 @@
 
     async fn run(mut self, reply: oneshot::Sender<Reply>) {
         loop {
+            if let Some(until) = self.refused_until() {
+                let retry_ms = until.since(now());
+                return self.refuse_suspect(reply, retry_ms);
+            }
             let wanted = self.want();
             let deadline = instant_at(self.routed.deadline);
             let lease = match timeout_at(deadline, self.chain.pool.want(wanted)).await {
@@ -118,10 +128,11 @@
                 Ok(Err(refused)) => return self.refuse(reply, refused),
                 Err(_) => return self.end(reply, self.ledger.ending(), "deadline", None),
             };
-            let upstream = lease.upstream.entry.name.clone();
+            let upstream = Arc::clone(&lease.upstream);
             self.record.sent(&lease);
             match forward(&self.chain.names, &self.routed, lease).await {
                 Forwarded::Streaming(streaming) => {
+                    self.clear_suspicion();
                     let (answer, feed) = streaming.split();
                     // A caller that left ends the stream as well.
                     drop(reply.send(answer));
@@ -152,11 +163,17 @@
     async fn note(
         &mut self,
         ended: Ended,
-        upstream: UpstreamName,
+        upstream: Arc<Believed>,
     ) -> Option<(Step, Option<Reply>)> {
         let verdict = ended.verdict;
-        self.record.attempt(&upstream, verdict, ended.took_ms);
-        self.avoid.push(upstream);
+        let entry = &upstream.entry;
+        self.record.attempt(&entry.name, verdict, ended.took_ms);
+        self.avoid.push(entry.name.clone());
+        match verdict {
+            Verdict::Served => self.clear_suspicion(),
+            Verdict::Reset => self.suspect(entry, ended.took_ms),
+            _ => {}
+        }
         let step = self.ledger.note(verdict);
         match step {
             Step::Deliver | Step::End(_) => return Some((step, ended.reply)),
@@ -174,9 +191,55 @@
             );
             sleep(NOT_HELD_PAUSE).await;
         }
+        if verdict == Verdict::Reset && self.routed.key.is_some() {
+            sleep(RESET_PAUSE).await;
+        }
         None
     }
 
+    /// Returns until when the request is refused because equal ones crashed upstreams.
+    fn refused_until(&self) -> Option<TimeMs> {
+        let suspects = Arc::clone(&self.chain.views.borrow().suspects);
+        if suspects.is_empty() {
+            return None;
+        }
+        suspects.refused_until(now(), self.routed.fingerprint())
+    }
+
+    /// Tells that an upstream's connection ended under the request.
+    fn suspect(&self, entry: &UpstreamEntry, took_ms: u64) {
+        let crash = Crash {
+            fingerprint: self.routed.fingerprint(),
+            upstream: Crashed {
+                name: entry.name.clone(),
+                born: entry.born,
+            },
+            took_ms,
+        };
+        // A busy control task misses one crash of several.
+        drop(self.chain.control.try_send(ControlInput::Crashed(crash)));
+    }
+
+    /// Tells that an upstream has served the request, if equal ones are suspected.
+    fn clear_suspicion(&self) {
+        let suspects = Arc::clone(&self.chain.views.borrow().suspects);
+        if suspects.is_empty() {
+            return;
+        }
+        let fingerprint = self.routed.fingerprint();
+        if suspects.contains(fingerprint) {
+            // Equal requests follow and tell it again.
+            let cleared = ControlInput::Cleared(fingerprint);
+            drop(self.chain.control.try_send(cleared));
+        }
+    }
+
+    fn refuse_suspect(mut self, reply: oneshot::Sender<Reply>, retry_after_ms: u64) {
+        let ending = self.ledger.ending();
+        let retry = (ending == Ending::NotRun).then_some(retry_after_ms);
+        self.end(reply, ending, "crashes-upstreams", retry);
+    }
+
     fn finish(mut self, reply: oneshot::Sender<Reply>, (step, answer): (Step, Option<Reply>)) {
         match (step, answer) {
             (Step::End(ending), _) => {
--- a/crates/balsam-edge/src/view.rs
+++ b/crates/balsam-edge/src/view.rs
@@ -1,5 +1,6 @@
 //! What a daemon believes, as its request tasks see it.
 
+use balsam_decide::crashes::SuspectList;
 use balsam_decide::directory::Upstreams;
 use balsam_decide::pool::PoolWorld;
 use balsam_decide::routing::RouteTable;
@@ -21,6 +22,8 @@
     pub daemons: u32,
     /// Whether the list of upstreams was read.
     pub has_upstreams: bool,
+    /// Requests that seem to crash upstreams.
+    pub suspects: Arc<SuspectList>,
 }
 
 impl Default for View {
@@ -32,6 +35,7 @@
             ranges: new_map(),
             daemons: 1,
             has_upstreams: false,
+            suspects: Arc::new(SuspectList::default()),
         }
     }
 }
--- a/crates/balsam-edge/tests/support/upstream.rs
+++ b/crates/balsam-edge/tests/support/upstream.rs
@@ -19,6 +19,8 @@
     AnswerTwice,
     /// Closes the connection after it has read the request.
     Close,
+    /// Ends: closes the connection and takes no other one.
+    Crash,
     /// Closes the connection in the middle of the answer.
     CutShort,
     /// Says that it did not run the request.
@@ -49,7 +51,9 @@
             loop {
                 let (stream, _) = listener.accept().await.expect("a connection");
                 // One connection at a time keeps the script in order.
-                serve(stream, &own, &mut taken, last, &seen).await;
+                if serve(stream, &own, &mut taken, last, &seen).await == Served::Crashed {
+                    return;
+                }
             }
         });
         Self {
@@ -74,13 +78,20 @@
     }
 }
 
+/// What has become of an upstream after a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Served {
+    Runs,
+    Crashed,
+}
+
 async fn serve(
     mut stream: TcpStream,
     name: &str,
     acts: &mut mpsc::UnboundedReceiver<Act>,
     last: Act,
     seen: &mpsc::UnboundedSender<String>,
-) {
+) -> Served {
     let mut buffer = BytesMut::new();
     loop {
         let head: RequestHead = loop {
@@ -88,7 +99,7 @@
                 break head;
             }
             if !matches!(stream.read_buf(&mut buffer).await, Ok(read) if read > 0) {
-                return;
+                return Served::Runs;
             }
         };
         let id = head
@@ -110,7 +121,8 @@
         let text = match act {
             Act::Answer => answer(&id),
             Act::AnswerTwice => answer(&id) + &answer("another"),
-            Act::Close => return,
+            Act::Close => return Served::Runs,
+            Act::Crash => return Served::Crashed,
             Act::CutShort => answer(&id)[..answer(&id).len() - 3].to_owned(),
             Act::Refuse => {
                 "HTTP/1.1 503 Full\r\nTest-Not-Run: 1\r\nContent-Length: 0\r\n\r\n".to_owned()
@@ -121,13 +133,13 @@
                     () = sleep(pause) => answer(&id),
                     _ = stream.read_buf(&mut rest) => {
                         seen.send(format!("{id} cancelled")).expect("a listening test");
-                        return;
+                        return Served::Runs;
                     }
                 }
             }
         };
         if stream.write_all(text.as_bytes()).await.is_err() || matches!(act, Act::CutShort) {
-            return;
+            return Served::Runs;
         }
     }
 }
--- a/crates/balsam-standins/tests/crash_limit.rs
+++ b/crates/balsam-standins/tests/crash_limit.rs
@@ -9,7 +9,7 @@
 use balsam_standins::harness::cluster::{Cluster, UpstreamProcess, wait_until};
 use balsam_standins::harness::{ChildBuilder, Client, Program, Sent};
 use balsam_standins::load::{LoadPlan, LoadReport, run_load};
-use balsam_types::KeyHash;
+use balsam_types::{KeyHash, MemberName};
 use balsam_wire::operator::{IdText, QuarantineResponse};
 use deployment::{DEADLINE, load, start};
 use futures_util::future::{Either, join, select};
@@ -127,9 +127,9 @@
     let (before, kept) = (in_deadline(&without.report), in_deadline(&with.report));
     assert!(kept * 100 >= before * KEPT_PERCENT, "{kept} of {before}");
 
-    let member = "poisoner".parse().expect("valid name");
+    let member: MemberName = "poisoner".parse().expect("valid name");
     let (key, digest) = (KeyHash::of("poison"), BodyDigest::new().finish());
-    let poisoned = IdText::from(fingerprint(&member, "GET", POISON_PATH, key, digest));
+    let poisoned = IdText::from(fingerprint(member, "GET", POISON_PATH, key, digest));
     let entry = wait_until("an entry", DEADLINE, || async {
         let mut entries = listed(&cluster).await.entries.into_iter();
         entries.find(|entry| entry.fingerprint == poisoned)
--- a/crates/balsam-types/src/names/mod.rs
+++ b/crates/balsam-types/src/names/mod.rs
@@ -88,6 +88,12 @@
             }
         }
 
+        impl AsRef<str> for $name {
+            fn as_ref(&self) -> &str {
+                &self.0
+            }
+        }
+
         impl fmt::Display for $name {
             fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
                 f.write_str(&self.0)
