Assign the keys of thousands of upstreams

The leader also planned and looked for due orders on each greeting and each renewal, and compared all owners with all candidates, so that it would not have kept up with renewals.

Change: assignments are divided over rows of as many as fit, written in one call and joined if all are of one write; the row tells of holds longer than usual, which grow with the ranges above 400 so that renewals stay at 220 a second, and which the next leader waits for; routine inputs wait for the next tick; owners are found by hash.

Ruled out: a compact encoding, with which 2,000 owners exceed the row as well; a share of the upstreams for each daemon, as long as one machine can do it.

The shared settings of two test files are in one place.

--- a/crates/balsam-decide/src/keys/assigner.rs
+++ b/crates/balsam-decide/src/keys/assigner.rs
@@ -33,6 +33,8 @@
         confirmed_at: TimeMs,
         /// When no grant of an earlier leader can hold any more.
         inherited_until: TimeMs,
+        /// The hold of those grants.
+        inherited_hold_ms: u64,
         /// Whether the rows were read since this daemon became the leader.
         is_loaded: bool,
     },
@@ -145,15 +147,14 @@
 
     /// Takes one input and returns what is to be done.
     pub fn handle(&mut self, now: TimeMs, input: AssignerInput) -> Vec<AssignerOutput> {
+        let is_routine = self.is_routine(&input);
         match input {
             AssignerInput::Lead(stored) => self.see_lead(now, stored),
             AssignerInput::Ranges(stored) => self.see_ranges(stored),
             AssignerInput::Reloaded => {
                 self.is_reloading = false;
                 self.reload_at = None;
-                if let Lead::Mine { is_loaded, .. } = &mut self.lead {
-                    *is_loaded = true;
-                }
+                self.loaded();
             }
             AssignerInput::ReloadFailed => {
                 self.is_reloading = false;
@@ -179,6 +180,9 @@
             AssignerInput::World { upstreams, keyed } => {
                 self.upstreams = upstreams;
                 self.keyed = keyed;
+                for service in self.services.values_mut() {
+                    service.plan_soon();
+                }
             }
             AssignerInput::Committed(result) => self.committed(now, result),
             AssignerInput::Ordered { id, result } => self.ordered(now, id, &result),
@@ -191,9 +195,30 @@
             AssignerInput::NotHeld { service, key } => self.service(&service).not_held(key),
             AssignerInput::Tick => {}
         }
+        if is_routine {
+            return Vec::new();
+        }
         self.act(now)
     }
 
+    /// Returns whether what follows from an input can wait for the next tick.
+    ///
+    /// In a large deployment the leader takes hundreds of greetings and renewals in a second, and
+    /// looks at hundreds of ranges to find what is due.
+    fn is_routine(&self, input: &AssignerInput) -> bool {
+        self.is_leading()
+            && match input {
+                AssignerInput::Alive(_)
+                | AssignerInput::Resigned(_)
+                | AssignerInput::Heard { .. } => true,
+                AssignerInput::Ordered { id, result } => {
+                    *result == OrderResult::Granted
+                        && self.sent.get(id).is_some_and(|sent| sent.is_renewal)
+                }
+                _ => false,
+            }
+    }
+
     fn service(&mut self, name: &ServiceName) -> &mut ServiceState {
         let state = self.services.entry(name.clone());
         state.or_insert_with(|| ServiceState::new(name.clone()))
@@ -219,7 +244,7 @@
                 let inherited_ms = if is_first {
                     0
                 } else {
-                    self.timing.inherited_ms()
+                    self.timing.inherited_ms(self.longest_hold_ms())
                 };
                 self.lead_taken(now, version, sent_at, now.after(inherited_ms));
             }
@@ -322,7 +347,7 @@
             let upstreams = Arc::clone(&self.upstreams);
             let state = self.services.entry(name.clone());
             let state = state.or_insert_with(|| ServiceState::new(name));
-            if let Some(ranges) = state.propose(now, &upstreams, &self.reach, moves) {
+            if let Some(ranges) = state.propose(now, &self.timing, &upstreams, &self.reach, moves) {
                 let expected = state.stored().version;
                 self.pending = Some(Pending::Ranges {
                     sent_at: now,
@@ -363,13 +388,18 @@
             });
             for due in due {
                 let id = Tenures::next_id(&mut self.last_order);
-                self.sent.insert(
-                    id,
-                    Sent::new(now, name, &due.to, tenure_key(&due), &due.kind),
-                );
+                let sent = Sent {
+                    left_at: now,
+                    service: name.clone(),
+                    to: due.to.clone(),
+                    key: tenure_key(&due),
+                    is_grant: matches!(due.kind, OrderKind::Grant { .. }),
+                    is_renewal: due.is_renewal,
+                };
+                self.sent.insert(id, sent);
                 let timeout_ms = match due.kind {
-                    OrderKind::Grant { .. } => {
-                        self.holds.sent(id, name, &due.to, due.range);
+                    OrderKind::Grant { hold_ms, .. } => {
+                        self.holds.sent(id, name, &due.to, due.range, hold_ms);
                         self.timing.grant_timeout_ms
                     }
                     OrderKind::Release => self.timing.release_timeout_ms,
--- a/crates/balsam-decide/src/keys/delta.rs
+++ b/crates/balsam-decide/src/keys/delta.rs
@@ -13,6 +13,7 @@
     ServiceRanges {
         service: new.service.clone(),
         next_fence: new.next_fence,
+        long_hold_ms: new.long_hold_ms,
         assignments: new.assignments.iter().filter(is_new).cloned().collect(),
     }
 }
@@ -31,6 +32,7 @@
     let new = ServiceRanges {
         service: delta.service.clone(),
         next_fence: delta.next_fence,
+        long_hold_ms: delta.long_hold_ms,
         assignments,
     };
     (old.service == delta.service && new.is_sound()).then_some(new)
--- a/crates/balsam-decide/src/keys/holds.rs
+++ b/crates/balsam-decide/src/keys/holds.rs
@@ -9,6 +9,7 @@
     service: ServiceName,
     owner: Owner,
     range: KeyRange,
+    hold_ms: u64,
     /// When its keys are free again; `None` while the order is under way.
     until: Option<TimeMs>,
     is_answered: bool,
@@ -28,12 +29,14 @@
         service: &ServiceName,
         owner: &Owner,
         range: KeyRange,
+        hold_ms: u64,
     ) {
         self.grants.push(Grant {
             id,
             service: service.clone(),
             owner: owner.clone(),
             range,
+            hold_ms,
             until: None,
             is_answered: false,
         });
@@ -41,10 +44,10 @@
 
     /// Notes the end of a grant.
     pub(super) fn ended(&mut self, now: TimeMs, timing: &KeyTiming, id: OrderId, answered: bool) {
-        let until = now.after(timing.lapse_ms());
         let Some(at) = self.grants.iter().position(|grant| grant.id == id) else {
             return;
         };
+        let until = now.after(timing.lapse_ms(self.grants[at].hold_ms));
         self.grants[at].until = Some(until);
         self.grants[at].is_answered = answered;
         if answered {
--- a/crates/balsam-decide/src/keys/orders.rs
+++ b/crates/balsam-decide/src/keys/orders.rs
@@ -1,7 +1,9 @@
 //! The orders of one service that are under way, and what they have achieved.
 
-use super::{OrderId, OrderKind};
-use balsam_types::{Assignment, Fence, KeyRange, Map, Owner, ServiceName, TimeMs, new_map};
+use super::OrderId;
+use balsam_types::{
+    Assignment, Fence, KeyRange, Map, Owner, ServiceName, TimeMs, new_map, new_set,
+};
 use std::sync::Arc;
 
 /// An order that was sent and has not ended.
@@ -11,28 +13,11 @@
     pub(super) to: Owner,
     pub(super) key: TenureKey,
     pub(super) is_grant: bool,
+    /// Whether the owner had acknowledged a grant of the same keys before.
+    pub(super) is_renewal: bool,
     pub(super) left_at: TimeMs,
 }
 
-impl Sent {
-    /// Makes the note of an order.
-    pub(super) fn new(
-        left_at: TimeMs,
-        service: &ServiceName,
-        to: &Owner,
-        key: TenureKey,
-        kind: &OrderKind,
-    ) -> Self {
-        Self {
-            left_at,
-            service: service.clone(),
-            to: to.clone(),
-            key,
-            is_grant: matches!(kind, OrderKind::Grant { .. }),
-        }
-    }
-}
-
 /// Names an assignment: its range and its token.
 pub(super) type TenureKey = (KeyRange, Fence);
 
@@ -83,11 +68,10 @@
 
     /// Drops what does not belong to an assignment.
     pub(super) fn retain(&mut self, assignments: &[Assignment]) {
-        self.0.retain(|(range, fence), _| {
-            assignments
-                .iter()
-                .any(|found| found.range == *range && found.fence == *fence)
-        });
+        let keys = assignments.iter().map(|found| (found.range, found.fence));
+        let mut kept = new_set();
+        kept.extend(keys);
+        self.0.retain(|key, _| kept.contains(key));
     }
 
     /// Returns the tenure of an assignment.
--- a/crates/balsam-decide/src/keys/plan.rs
+++ b/crates/balsam-decide/src/keys/plan.rs
@@ -1,7 +1,7 @@
 //! Where ranges of keys should be.
 
 use super::load::keys_in;
-use balsam_types::{Assignment, KeyRange, Owner, ServiceRanges, ShardKey};
+use balsam_types::{Assignment, KeyRange, Map, Owner, ServiceRanges, ShardKey, new_map};
 
 /// Ranges that each upstream gets when keys are assigned for the first time.
 ///
@@ -64,9 +64,13 @@
     if candidates.is_empty() {
         return None;
     }
+    let mut places = new_map();
+    let owners = candidates.iter().enumerate();
+    places.extend(owners.map(|(at, candidate)| (&candidate.owner, at)));
     let mut draft = Draft {
         ranges: ranges.clone(),
         candidates,
+        places,
         keys,
         loads: vec![0.0; candidates.len()],
     };
@@ -84,6 +88,8 @@
 struct Draft<'a> {
     ranges: ServiceRanges,
     candidates: &'a [Candidate],
+    /// The places of the candidates by owner.
+    places: Map<&'a Owner, usize>,
     keys: &'a [ShardKey],
     loads: Vec<f64>,
 }
@@ -124,9 +130,7 @@
     }
 
     fn candidate(&self, owner: &Owner) -> Option<usize> {
-        self.candidates
-            .iter()
-            .position(|candidate| candidate.owner == *owner)
+        self.places.get(owner).copied()
     }
 
     fn load(&self, range: KeyRange) -> f64 {
--- a/crates/balsam-decide/src/keys/service.rs
+++ b/crates/balsam-decide/src/keys/service.rs
@@ -7,7 +7,7 @@
 };
 use crate::directory::Upstreams;
 use balsam_types::{
-    Assignment, Fence, KeyRange, Owner, ServiceName, ServiceRanges, ShardKey, TimeMs,
+    Assignment, Fence, KeyRange, Owner, ServiceName, ServiceRanges, ShardKey, TimeMs, new_set,
 };
 use std::sync::Arc;
 
@@ -42,6 +42,8 @@
     pub(super) range: KeyRange,
     pub(super) fence: Fence,
     pub(super) kind: OrderKind,
+    /// Whether the owner has acknowledged a grant of the same keys before.
+    pub(super) is_renewal: bool,
 }
 
 /// What the orders of a moment depend on.
@@ -79,6 +81,8 @@
     load: KeyLoad,
     tenures: Tenures,
     planned_at: TimeMs,
+    /// Whether something has changed that the next plan should heed at once.
+    wants_plan: bool,
     settled_at: TimeMs,
     /// The number of candidates and since when it is the same.
     candidates: (usize, TimeMs),
@@ -95,6 +99,7 @@
             load: KeyLoad::new(),
             tenures: Tenures::new(),
             planned_at: TimeMs(0),
+            wants_plan: true,
             settled_at: TimeMs(0),
             candidates: (0, TimeMs(0)),
         }
@@ -105,6 +110,7 @@
         if stored.version > self.stored.version {
             self.tenures.retain(&stored.ranges.assignments);
             self.stored = stored;
+            self.wants_plan = true;
         }
     }
 
@@ -118,6 +124,11 @@
         self.tenures = Tenures::new();
     }
 
+    /// Makes the next plan due at once.
+    pub(super) const fn plan_soon(&mut self) {
+        self.wants_plan = true;
+    }
+
     /// Adds requests to the sample.
     pub(super) fn sample(&mut self, now: TimeMs, keys: Vec<ShardKey>) {
         self.load.add(now, keys);
@@ -192,6 +203,7 @@
             range: assignment.range,
             fence: assignment.fence,
             kind: OrderKind::Release,
+            is_renewal: false,
         })
     }
 
@@ -201,9 +213,10 @@
         if believed.entry.born != assignment.owner.born {
             return None;
         }
+        let hold_ms = at.timing.hold_ms(self.stored.ranges.long_hold_ms);
         let tenure = self.tenures.of(assignment);
         let wait_ms = if tenure.is_granted {
-            at.timing.renew_ms
+            at.timing.renew_ms(hold_ms)
         } else {
             GRANT_RETRY_MS
         };
@@ -224,10 +237,8 @@
             to: assignment.owner.clone(),
             range: assignment.range,
             fence: assignment.fence,
-            kind: OrderKind::Grant {
-                hold_ms: at.timing.hold_ms,
-                handover,
-            },
+            kind: OrderKind::Grant { hold_ms, handover },
+            is_renewal: tenure.is_granted,
         })
     }
 
@@ -236,6 +247,7 @@
         let Some(tenure) = self.tenures.get_mut(&sent.key) else {
             return;
         };
+        self.wants_plan |= !sent.is_renewal;
         if sent.is_grant {
             tenure.is_granting = false;
             match result {
@@ -268,10 +280,16 @@
     pub(super) fn propose(
         &mut self,
         now: TimeMs,
+        timing: &KeyTiming,
         upstreams: &Upstreams,
         reach: &Reach,
         moves: Moves,
     ) -> Option<Arc<ServiceRanges>> {
+        let is_due = self.wants_plan || now.since(self.planned_at) >= PLAN_MS;
+        if !is_due && !self.stored.ranges.assignments.is_empty() {
+            return None;
+        }
+        self.wants_plan = false;
         let mut draft = ServiceRanges::clone(&self.stored.ranges);
         let is_settled = self.settle(&mut draft);
         let mut changed = is_settled && now.since(self.settled_at) >= SETTLE_MS;
@@ -282,12 +300,13 @@
         if draft.assignments.is_empty() && now.since(self.candidates.1) < FIRST_WAIT_MS {
             return None;
         }
+        let mut owners = new_set();
+        owners.extend(candidates.iter().map(|candidate| &candidate.owner));
         let lacks_owner = draft.assignments.is_empty()
-            || draft.assignments.iter().any(|found| {
-                !candidates
-                    .iter()
-                    .any(|candidate| candidate.owner == found.owner)
-            });
+            || draft
+                .assignments
+                .iter()
+                .any(|found| !owners.contains(&found.owner));
         if lacks_owner || now.since(self.planned_at) >= PLAN_MS {
             self.planned_at = now;
             let keys = self.load.sorted(now);
@@ -296,6 +315,11 @@
                 changed = true;
             }
         }
+        let long_hold_ms = timing.long_hold_ms(draft.assignments.len());
+        if long_hold_ms > draft.long_hold_ms {
+            draft.long_hold_ms = long_hold_ms;
+            changed = true;
+        }
         if changed && is_settled {
             self.settled_at = now;
         }
--- a/crates/balsam-decide/src/keys/succession.rs
+++ b/crates/balsam-decide/src/keys/succession.rs
@@ -15,7 +15,7 @@
         }
         // A lost answer to this daemon's own commit is settled here.
         if stored.leader.as_ref() == Some(&self.me) {
-            let inherited_until = now.after(self.timing.inherited_ms());
+            let inherited_until = now.after(self.timing.inherited_ms(self.longest_hold_ms()));
             self.lead_taken(now, stored.version, now, inherited_until);
             return;
         }
@@ -46,6 +46,7 @@
             version,
             confirmed_at,
             inherited_until,
+            inherited_hold_ms: self.longest_hold_ms(),
             is_loaded: false,
         };
         if self.followed.has_ended {
@@ -121,12 +122,43 @@
     /// Earlier leaders may still give orders unless the predecessor had waited for them.
     pub(super) fn predecessor_ended(&mut self, now: TimeMs) {
         if let Lead::Mine {
-            inherited_until, ..
+            inherited_until,
+            inherited_hold_ms,
+            ..
         } = &mut self.lead
             && self.followed.is_settled
         {
             self.predecessor = None;
-            *inherited_until = now.after(self.timing.ended_ms()).min(*inherited_until);
+            let ended_ms = self.timing.ended_ms(*inherited_hold_ms);
+            *inherited_until = now.after(ended_ms).min(*inherited_until);
+        }
+    }
+
+    /// Returns the longest hold of any grant, as far as the rows are known.
+    pub(super) fn longest_hold_ms(&self) -> u64 {
+        let long = self.services.values();
+        let long = long.map(|service| service.stored().ranges.long_hold_ms);
+        self.timing.hold_ms(long.max().unwrap_or(0))
+    }
+
+    /// Goes on with the rows as they were read after this daemon became the leader.
+    ///
+    /// The rows may tell of longer holds than were known when the lead was taken.
+    pub(super) fn loaded(&mut self) {
+        let longest_ms = self.longest_hold_ms();
+        if let Lead::Mine {
+            inherited_until,
+            inherited_hold_ms,
+            is_loaded: is_loaded @ false,
+            ..
+        } = &mut self.lead
+        {
+            let longest_ms = longest_ms.max(*inherited_hold_ms);
+            let longer_ms =
+                self.timing.lapse_ms(longest_ms) - self.timing.lapse_ms(*inherited_hold_ms);
+            *inherited_until = inherited_until.after(longer_ms);
+            *inherited_hold_ms = longest_ms;
+            *is_loaded = true;
         }
     }
 
@@ -163,11 +195,13 @@
 
     /// Returns when no order of an earlier leader can arrive any more.
     pub(super) fn stale_until(&self) -> TimeMs {
-        TimeMs(
-            self.inherited_until()
-                .0
-                .saturating_sub(self.timing.lapse_ms()),
-        )
+        let lapse_ms = match self.lead {
+            Lead::Mine {
+                inherited_hold_ms, ..
+            } => self.timing.lapse_ms(inherited_hold_ms),
+            Lead::Unread | Lead::Stopped | Lead::Other(_) => 0,
+        };
+        TimeMs(self.inherited_until().0.saturating_sub(lapse_ms))
     }
 
     pub(super) fn take_lead(&mut self, now: TimeMs, stored: &StoredLead) -> Option<AssignerOutput> {
--- a/crates/balsam-decide/src/keys/timing.rs
+++ b/crates/balsam-decide/src/keys/timing.rs
@@ -3,10 +3,15 @@
 /// The times of a leader; all in milliseconds.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct KeyTiming {
-    /// How long an upstream holds keys after a grant has arrived.
+    /// How long an upstream usually holds keys after a grant has arrived.
     pub hold_ms: u64,
-    /// The time between two grants of the same keys.
+    /// The time between two grants of the same keys with usual holds.
     pub renew_ms: u64,
+    /// How long it may hold them at most.
+    pub hold_max_ms: u64,
+    /// Ranges of a service that the leader can renew within usual holds; with more, holds are
+    /// longer.
+    pub usual_ranges: usize,
     /// How long a leader goes on renewing after the store last confirmed that it is the leader.
     pub trust_ms: u64,
     /// The time between two such confirmations.
@@ -23,6 +28,9 @@
 /// An upstream's clock may run this much slow, in thousandths, with a little room.
 const SLOW_CLOCK_PERMILLE: u64 = 25;
 
+/// Ranges that a leader renews every 1.8 s with a small part of a core: about 220 orders a second.
+const USUAL_RANGES: usize = 400;
+
 /// Room for delays between this daemon's clock readings and its sockets, in milliseconds.
 const MARGIN_MS: u64 = 100;
 
@@ -41,6 +49,8 @@
             hold_ms,
             // A renewal that is lost leaves time for two more.
             renew_ms: hold_ms * 45 / 100,
+            hold_max_ms,
+            usual_ranges: USUAL_RANGES,
             trust_ms: 8_000,
             confirm_ms: 1_500,
             grant_timeout_ms: 700,
@@ -49,19 +59,41 @@
         }
     }
 
+    /// Returns the hold that a service with so many ranges needs beyond the usual one, or 0.
+    ///
+    /// The leader sends the same number of renewals in a second, however many ranges there are, up
+    /// to the longest hold.
+    pub fn long_hold_ms(&self, ranges: usize) -> u64 {
+        if ranges <= self.usual_ranges {
+            return 0;
+        }
+        let needed_ms = self.hold_ms * ranges as u64 / self.usual_ranges.max(1) as u64;
+        needed_ms.min(self.hold_max_ms)
+    }
+
+    /// Returns the hold of grants of a service, given its stored long hold.
+    pub fn hold_ms(&self, long_hold_ms: u64) -> u64 {
+        self.hold_ms.max(long_hold_ms)
+    }
+
+    /// Returns the time between two grants of the same keys, the same part of every hold.
+    pub const fn renew_ms(&self, hold_ms: u64) -> u64 {
+        self.renew_ms * hold_ms / self.hold_ms
+    }
+
     /// Returns how long keys may be held after the answer to a grant, or the end of the wait for
     /// it.
-    pub const fn lapse_ms(&self) -> u64 {
-        self.hold_ms + self.hold_ms * SLOW_CLOCK_PERMILLE / 1_000 + MARGIN_MS
+    pub const fn lapse_ms(&self, hold_ms: u64) -> u64 {
+        hold_ms + hold_ms * SLOW_CLOCK_PERMILLE / 1_000 + MARGIN_MS
     }
 
     /// Returns how long grants of a leader may hold after it has ended.
-    pub const fn ended_ms(&self) -> u64 {
-        self.grant_timeout_ms + self.lapse_ms()
+    pub const fn ended_ms(&self, hold_ms: u64) -> u64 {
+        self.grant_timeout_ms + self.lapse_ms(hold_ms)
     }
 
     /// Returns how long grants of an earlier leader may hold after another daemon took its place.
-    pub const fn inherited_ms(&self) -> u64 {
-        self.trust_ms + self.ended_ms()
+    pub const fn inherited_ms(&self, hold_ms: u64) -> u64 {
+        self.trust_ms + self.ended_ms(hold_ms)
     }
 }
--- a/crates/balsam-decide/tests/key_schedules.rs
+++ b/crates/balsam-decide/tests/key_schedules.rs
@@ -65,6 +65,32 @@
     assert_eq!(broken, 0, "schedules with two owners of a key");
 }
 
+/// Ranges from which on holds are longer in schedules that guard these; the first plan makes nine.
+const USUAL_RANGES: usize = 3;
+
+fn play_long_holds(seeds: std::ops::Range<u64>, flaw: Flaw) -> u64 {
+    let broken = seeds.filter(|seed| {
+        let world = World::new(*seed, flaw, Restart::Slow).with_usual_ranges(USUAL_RANGES);
+        world.play(LENGTH_MS).double_holds > 0
+    });
+    broken.count() as u64
+}
+
+/// Guards the same with holds that grow with the number of ranges.
+#[test]
+fn long_holds() {
+    let broken = play_long_holds(0..SCHEDULES, Flaw::None);
+    assert_eq!(broken, 0, "schedules with two owners of a key");
+}
+
+/// Guards that the schedules notice a next leader that does not know of longer holds.
+#[test]
+fn long_hold_flaw() {
+    let broken = play_long_holds(0..FLAW_SCHEDULES, Flaw::LongHoldNotStored);
+    println!("{broken} of {FLAW_SCHEDULES}");
+    assert!(broken > 0, "not noticed in {FLAW_SCHEDULES} schedules");
+}
+
 /// Guards that the schedules notice each safeguard when it is removed.
 #[rstest]
 #[case::hold(Flaw::HoldNotWaitedFor, Restart::Slow)]
--- a/crates/balsam-decide/tests/key_world/kinds.rs
+++ b/crates/balsam-decide/tests/key_world/kinds.rs
@@ -20,6 +20,8 @@
     LateGrantForgotten,
     /// A refused connection is taken for the end of an upstream.
     RefusalIsEnd,
+    /// The rows do not tell the next leader of holds that are longer than usual.
+    LongHoldNotStored,
     /// Orders of a leader that woke up are sent without a look at the clock.
     NoCheckBeforeSend,
 }
--- a/crates/balsam-decide/tests/key_world/world.rs
+++ b/crates/balsam-decide/tests/key_world/world.rs
@@ -39,6 +39,7 @@
     now: TimeMs,
     flaw: Flaw,
     restart: Restart,
+    usual_ranges: usize,
     service: ServiceName,
     store: Store,
     daemons: Vec<Daemon>,
@@ -68,6 +69,7 @@
             now: TimeMs(100_000),
             flaw,
             restart,
+            usual_ranges: usize::MAX,
             store: Store::new(&service),
             service,
             daemons: Vec::new(),
@@ -92,8 +94,23 @@
         world
     }
 
+    /// Makes holds longer from so many ranges on.
+    pub fn with_usual_ranges(mut self, usual_ranges: usize) -> Self {
+        self.usual_ranges = usual_ranges;
+        for at in 0..LEADERS {
+            self.daemons[at] = self.start(at, at as u64 + 1);
+        }
+        self
+    }
+
     fn start(&self, at: usize, incarnation: u64) -> Daemon {
         let mut timing = KeyTiming::new(10_000);
+        timing.usual_ranges = self.usual_ranges;
+        if self.usual_ranges < usize::MAX {
+            // Leaders that trust themselves for longer than most holds would cover a hold that the
+            // next one does not know.
+            (timing.trust_ms, timing.confirm_ms) = (2_000, 400);
+        }
         if self.flaw == Flaw::EndlessTrust && at == 0 {
             timing.trust_ms = 1_000_000;
         }
@@ -174,9 +191,10 @@
         }
         for at in 0..UPSTREAMS {
             let down_ms = self.now.since(self.upstreams[at].down_at);
+            let timing = KeyTiming::new(10_000);
             let may_start = match self.restart {
                 Restart::Quick => true,
-                Restart::Slow => down_ms > KeyTiming::new(10_000).inherited_ms(),
+                Restart::Slow => down_ms > timing.inherited_ms(timing.hold_max_ms),
             };
             if self.chance(10) && self.upstreams[at].is_up {
                 self.upstreams[at].is_up = false;
@@ -305,7 +323,10 @@
             }
             AssignerOutput::Reload if is_cut => self.answer(at, AssignerInput::ReloadFailed),
             AssignerOutput::Reload => {
-                let (lead, ranges) = (self.store.lead(), self.store.ranges());
+                let (lead, mut ranges) = (self.store.lead(), self.store.ranges());
+                if self.flaw == Flaw::LongHoldNotStored {
+                    Arc::make_mut(&mut ranges.ranges).long_hold_ms = 0;
+                }
                 self.answer(at, AssignerInput::Lead(lead));
                 if ranges.version.0 > 0 {
                     self.answer(at, AssignerInput::Ranges(ranges));
--- a/crates/balsam-edge/src/assembly.rs
+++ b/crates/balsam-edge/src/assembly.rs
@@ -43,6 +43,10 @@
 /// The spread of attempts of machines that are equally strong, in milliseconds.
 const STAGGER_MS: u64 = 150;
 
+/// Bytes of a row for each of its assignments at most: the encoding of one with its owner and a
+/// former one.
+const ROW_BYTES_PER_ASSIGNMENT: usize = 256;
+
 /// The time for the last messages to other daemons.
 const LAST_WORDS_TIME: Duration = Duration::from_millis(20);
 
@@ -162,6 +166,7 @@
         let weakness = 1.0 - settings.machine.strength();
         let stagger_ms = (WEAKNESS_MS * weakness) as u64 + rand::random_range(0..STAGGER_MS);
         let own = (control.clone(), metrics.clone());
+        let row_assignments_max = (settings.row_max_bytes / ROW_BYTES_PER_ASSIGNMENT).max(1);
         let credential = settings.peer_credential.clone();
         let connect = adapter.connect;
         // On a thread of its own the control path gets its turns also while requests fill the
@@ -181,6 +186,7 @@
                 peers,
                 views: publisher,
                 metrics,
+                row_assignments_max,
             };
             let task = ControlTask::new(me, timing, stagger_ms, links);
             actix_rt::spawn(control::run(task, inputs));
--- a/crates/balsam-edge/src/control/act.rs
+++ b/crates/balsam-edge/src/control/act.rs
@@ -10,6 +10,7 @@
 };
 use balsam_decide::keys::{Commit, CommitResult, Order, OrderResult, RowVersion};
 use log::error;
+use std::sync::Arc;
 use tokio::sync::{mpsc, oneshot};
 
 /// Where calls go and where their ends are told.
@@ -18,6 +19,8 @@
     pub(super) store: mpsc::Sender<StoreRequest>,
     pub(super) orders: mpsc::Sender<OrderRequest>,
     pub(super) control: mpsc::Sender<ControlInput>,
+    /// Assignments that fit into one row.
+    pub(super) row_assignments_max: usize,
 }
 
 impl Actor {
@@ -74,7 +77,7 @@
     }
 
     async fn write(&self, commit: Commit) -> CommitResult {
-        let (expected, row) = match encode(&commit) {
+        let (expected, rows) = match encode(&commit, self.row_assignments_max) {
             Ok(encoded) => encoded,
             Err(failure) => {
                 error!("commit not sent: {failure}");
@@ -83,7 +86,7 @@
         };
         let written = call(&self.store, |reply| StoreRequest::Write {
             expected,
-            rows: vec![row],
+            rows,
             removed: Vec::new(),
             reply,
         });
@@ -97,17 +100,17 @@
     }
 }
 
-type Expected = Vec<(std::sync::Arc<str>, u64)>;
-type Row = (std::sync::Arc<str>, bytes::Bytes);
+type Expected = Vec<(Arc<str>, u64)>;
+type Row = (Arc<str>, bytes::Bytes);
 
-fn encode(commit: &Commit) -> Result<(Expected, Row), RowError> {
+fn encode(commit: &Commit, row_assignments_max: usize) -> Result<(Expected, Vec<Row>), RowError> {
     let lead_key = OwnKey::Lead.text();
     match commit {
         Commit::TakeLead { expected, leader } => {
             let value = encode_row(&lead_key, leader)?;
             Ok((
-                vec![(std::sync::Arc::clone(&lead_key), expected.0)],
-                (lead_key, value),
+                vec![(Arc::clone(&lead_key), expected.0)],
+                vec![(lead_key, value)],
             ))
         }
         Commit::Assign {
@@ -115,13 +118,14 @@
             expected,
             ranges,
         } => {
-            let key = OwnKey::Ranges(ranges.service.clone()).text();
-            let value = encode_row(&key, &RangesRow::from(ranges.as_ref()))?;
-            let conditions = vec![
-                (lead_key, lead.0),
-                (std::sync::Arc::clone(&key), expected.0),
-            ];
-            Ok((conditions, (key, value)))
+            let parts = RangesRow::divide(ranges, expected.0, row_assignments_max);
+            let rows = parts.iter().enumerate().map(|(part, row)| {
+                let key = OwnKey::Ranges(ranges.service.clone(), part as u16).text();
+                Ok((Arc::clone(&key), encode_row(&key, row)?))
+            });
+            let rows = rows.collect::<Result<Vec<Row>, RowError>>()?;
+            let first = OwnKey::Ranges(ranges.service.clone(), 0).text();
+            Ok((vec![(lead_key, lead.0), (first, expected.0)], rows))
         }
     }
 }
--- a/crates/balsam-edge/src/control/tables.rs
+++ b/crates/balsam-edge/src/control/tables.rs
@@ -6,13 +6,14 @@
 use crate::clock::now;
 use crate::peer::{Topic, UpstreamNews};
 use crate::store::{
-    OwnKey, Page, RowError, StoreChange, StoreError, StoreTable, decode_ranges, decode_row,
+    OwnKey, Page, RangesRow, RowError, StoreChange, StoreError, StoreTable, decode_row,
 };
 use balsam_decide::directory::{DirectoryInput, Upstreams};
 use balsam_decide::feed::FeedTable;
 use balsam_decide::keys::{AssignerInput, RowVersion, StoredLead, StoredRanges};
 use balsam_decide::routing::RouteTable;
-use balsam_types::{RoutingConfig, UpstreamEntry};
+use balsam_types::{RoutingConfig, ServiceName, UpstreamEntry};
+use std::collections::BTreeMap;
 use std::collections::hash_map::Entry;
 use std::sync::Arc;
 
@@ -169,6 +170,8 @@
 
     pub(super) fn take_own(&mut self, page: Page) {
         let mut has_lead = false;
+        let mut parts: BTreeMap<ServiceName, BTreeMap<u16, (RowVersion, RangesRow)>> =
+            BTreeMap::new();
         for change in page.changes {
             let StoreChange::Own {
                 key,
@@ -179,10 +182,21 @@
                 continue;
             };
             has_lead |= key == OwnKey::Lead.text();
-            if let Err(failure) = self.take_row(&key, RowVersion(version), value.as_deref()) {
-                Self::unreadable(StoreTable::Own, &key, &failure.to_string());
+            let version = RowVersion(version);
+            match self.take_row(&key, version, value.as_deref()) {
+                Ok(Some((service, part, row))) => {
+                    parts
+                        .entry(service)
+                        .or_default()
+                        .insert(part, (version, row));
+                }
+                Ok(None) => {}
+                Err(failure) => Self::unreadable(StoreTable::Own, &key, &failure.to_string()),
             }
         }
+        for (service, rows) in parts {
+            self.take_ranges(service, rows);
+        }
         if !has_lead {
             let lead = StoredLead {
                 version: RowVersion(0),
@@ -198,18 +212,37 @@
         key: &Arc<str>,
         version: RowVersion,
         value: Option<&[u8]>,
-    ) -> Result<(), RowError> {
+    ) -> Result<Option<(ServiceName, u16, RangesRow)>, RowError> {
         match (OwnKey::from_text(key), value) {
             (Some(OwnKey::Lead), Some(value)) => {
                 let leader = Some(decode_row(key, value)?);
                 self.give(AssignerInput::Lead(StoredLead { version, leader }));
             }
-            (Some(OwnKey::Ranges(_)), Some(value)) => {
-                let ranges = Arc::new(decode_ranges(key, value)?);
-                self.give(AssignerInput::Ranges(StoredRanges { version, ranges }));
+            (Some(OwnKey::Ranges(service, part)), Some(value)) => {
+                return Ok(Some((service, part, decode_row(key, value)?)));
             }
             (_, None) | (None, _) => {}
         }
-        Ok(())
+        Ok(None)
+    }
+
+    /// Takes the assignments of a service from its rows.
+    fn take_ranges(&mut self, service: ServiceName, rows: BTreeMap<u16, (RowVersion, RangesRow)>) {
+        // Each write changes the first row.
+        let Some((version, _)) = rows.get(&0) else {
+            return;
+        };
+        let version = *version;
+        let rows: Vec<RangesRow> = rows.into_values().map(|(_, row)| row).collect();
+        match RangesRow::join(&rows) {
+            Ok(ranges) => {
+                let ranges = Arc::new(ranges);
+                self.give(AssignerInput::Ranges(StoredRanges { version, ranges }));
+            }
+            Err(failure) => {
+                let key = OwnKey::Ranges(service, 0).text();
+                Self::unreadable(StoreTable::Own, &key, &failure.to_string());
+            }
+        }
     }
 }
--- a/crates/balsam-edge/src/control/task.rs
+++ b/crates/balsam-edge/src/control/task.rs
@@ -66,6 +66,8 @@
     pub(crate) peers: mpsc::Sender<PeerOutput>,
     pub(crate) views: watch::Sender<Arc<View>>,
     pub(crate) metrics: EdgeMetrics,
+    /// Assignments that fit into one row of the store.
+    pub(crate) row_assignments_max: usize,
 }
 
 impl ControlTask {
@@ -78,6 +80,7 @@
                 store: links.store,
                 orders: links.orders,
                 control: links.control,
+                row_assignments_max: links.row_assignments_max,
             },
             peers: links.peers,
             views: links.views,
--- a/crates/balsam-edge/src/settings/file.rs
+++ b/crates/balsam-edge/src/settings/file.rs
@@ -26,6 +26,8 @@
     pub peer_credential: String,
     /// The address of the platform's store.
     pub store: SocketAddr,
+    /// Bytes that a row of the store may have.
+    pub row_max_bytes: usize,
     /// What the deployment promises.
     pub bounds: Bounds,
     /// The least level of log lines.
@@ -106,6 +108,7 @@
                 self.peer_credential != next.peer_credential,
             ),
             ("store", self.store != next.store),
+            ("row_max_bytes", self.row_max_bytes != next.row_max_bytes),
             (
                 "bounds.hold_max_s",
                 self.bounds.hold_max_ms() != next.bounds.hold_max_ms(),
@@ -124,11 +127,23 @@
                 accepted: "one character or more",
             }
         );
+        ensure!(
+            (ROW_MIN_BYTES..=ROW_MAX_BYTES).contains(&self.row_max_bytes),
+            OutOfRangeSnafu {
+                field: "row_max_bytes",
+                value: self.row_max_bytes.to_string(),
+                accepted: "4096 to 1048576",
+            }
+        );
         self.machine.check()?;
         self.bounds.check()
     }
 }
 
+/// The bounds of the length of rows; a call that writes rows has at most 1 MB.
+const ROW_MIN_BYTES: usize = 4 << 10;
+const ROW_MAX_BYTES: usize = 1 << 20;
+
 /// The part of an ordinary core that carries the duties of the leader beside requests.
 const LEADER_CORES: f64 = 0.5;
 
--- a/crates/balsam-edge/src/store/mod.rs
+++ b/crates/balsam-edge/src/store/mod.rs
@@ -4,6 +4,4 @@
 mod rows;
 
 pub use message::{Page, StoreChange, StoreError, StoreRequest, StoreTable, Written};
-pub use rows::{
-    OwnKey, RangesRow, RangesRowError, RowError, decode_ranges, decode_row, encode_row,
-};
+pub use rows::{OwnKey, RangesRow, RangesRowError, RowError, decode_row, encode_row};
--- a/crates/balsam-edge/src/store/rows.rs
+++ b/crates/balsam-edge/src/store/rows.rs
@@ -18,14 +18,6 @@
         /// What is wrong.
         source: serde_json::Error,
     },
-    /// The assignments cannot be right.
-    #[snafu(display("row {key}: {source}"))]
-    Ranges {
-        /// The row.
-        key: Arc<str>,
-        /// What is wrong.
-        source: RangesRowError,
-    },
 }
 
 /// Which row a key names.
@@ -33,8 +25,8 @@
 pub enum OwnKey {
     /// The leader.
     Lead,
-    /// The assignments of a service.
-    Ranges(ServiceName),
+    /// The assignments of a service, divided over rows that are numbered from 0.
+    Ranges(ServiceName, u16),
 }
 
 const LEAD: &str = "lead";
@@ -45,7 +37,8 @@
     pub fn text(&self) -> Arc<str> {
         match self {
             Self::Lead => Arc::from(LEAD),
-            Self::Ranges(service) => Arc::from(format!("{RANGES}{service}")),
+            Self::Ranges(service, 0) => Arc::from(format!("{RANGES}{service}")),
+            Self::Ranges(service, part) => Arc::from(format!("{RANGES}{service}/{part}")),
         }
     }
 
@@ -54,19 +47,29 @@
         if text == LEAD {
             return Some(Self::Lead);
         }
-        let service = text.strip_prefix(RANGES)?;
-        ServiceName::new(service).ok().map(Self::Ranges)
+        let rest = text.strip_prefix(RANGES)?;
+        let (service, part) = match rest.split_once('/') {
+            Some((service, part)) => (service, part.parse().ok()?),
+            None => (rest, 0),
+        };
+        let service = ServiceName::new(service).ok()?;
+        Some(Self::Ranges(service, part))
     }
 }
 
-/// The row of a service's assignments.
+/// A row of a service's assignments; many of them are divided over several rows, which are written
+/// together.
 ///
-/// Owners are listed once and named by their place: a deployment with hundreds of upstreams must
-/// fit into one row.
+/// Owners are listed once in each row and named by their place.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RangesRow {
     service: ServiceName,
     next_fence: Fence,
+    long_hold_ms: u64,
+    /// The version of the first row before this write, which all rows of one write share.
+    base: u64,
+    /// The number of rows.
+    parts: u16,
     owners: Vec<Owner>,
     assignments: Vec<RowAssignment>,
 }
@@ -76,72 +79,89 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 struct RowAssignment(u16, Fence, usize, Vec<usize>);
 
-impl From<&ServiceRanges> for RangesRow {
-    fn from(ranges: &ServiceRanges) -> Self {
-        let mut owners: Vec<Owner> = Vec::new();
-        let mut places: Map<Owner, usize> = new_map();
-        let mut place = |owner: &Owner| {
-            *places.entry(owner.clone()).or_insert_with(|| {
-                owners.push(owner.clone());
-                owners.len() - 1
-            })
+impl RangesRow {
+    /// Divides assignments over rows of at most `max` each; `base` is the version of the first row
+    /// before the write.
+    pub fn divide(ranges: &ServiceRanges, base: u64, max: usize) -> Vec<Self> {
+        let pieces = ranges.assignments.chunks(max.max(1));
+        let parts = pieces.len().max(1) as u16;
+        let row = |assignments: &[Assignment]| {
+            let mut owners: Vec<Owner> = Vec::new();
+            let mut places: Map<Owner, usize> = new_map();
+            let mut place = |owner: &Owner| {
+                *places.entry(owner.clone()).or_insert_with(|| {
+                    owners.push(owner.clone());
+                    owners.len() - 1
+                })
+            };
+            let assignments = assignments.iter().map(|found| {
+                let owner = place(&found.owner);
+                let former = found.former.iter().map(&mut place).collect();
+                RowAssignment(found.range.first, found.fence, owner, former)
+            });
+            let assignments = assignments.collect();
+            Self {
+                service: ranges.service.clone(),
+                next_fence: ranges.next_fence,
+                long_hold_ms: ranges.long_hold_ms,
+                base,
+                parts,
+                owners,
+                assignments,
+            }
         };
-        let assignments = ranges.assignments.iter().map(|found| {
-            let owner = place(&found.owner);
-            let former = found.former.iter().map(&mut place).collect();
-            RowAssignment(found.range.first, found.fence, owner, former)
-        });
-        let assignments = assignments.collect();
-        Self {
-            service: ranges.service.clone(),
-            next_fence: ranges.next_fence,
-            owners,
-            assignments,
+        if ranges.assignments.is_empty() {
+            return vec![row(&[])];
         }
+        pieces.map(row).collect()
     }
-}
 
-impl TryFrom<RangesRow> for ServiceRanges {
-    type Error = RangesRowError;
-
-    fn try_from(row: RangesRow) -> Result<Self, RangesRowError> {
-        let owner = |place: usize| {
-            row.owners
-                .get(place)
-                .cloned()
-                .context(NoOwnerSnafu { place })
-        };
+    /// Puts assignments together from their rows, the first one first; rows beyond the number that
+    /// the first one tells are left from earlier writes.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`RangesRowError`] if rows are missing or the assignments cannot be right.
+    pub fn join(rows: &[Self]) -> Result<ServiceRanges, RangesRowError> {
+        let first = rows.first().context(IncompleteSnafu)?;
+        let rows = rows.get(..usize::from(first.parts));
+        let rows = rows.context(IncompleteSnafu)?;
+        let is_same = |row: &Self| row.base == first.base && row.parts == first.parts;
+        ensure!(rows.iter().all(is_same), IncompleteSnafu);
         let mut last = u16::MAX;
-        let mut assignments = Vec::with_capacity(row.assignments.len());
-        for RowAssignment(first, fence, place, former) in row.assignments.iter().rev() {
-            let former = former
-                .iter()
-                .map(|place| owner(*place))
-                .collect::<Result<_, _>>()?;
-            let (first, range) = (
-                *first,
-                KeyRange {
-                    first: *first,
-                    last,
-                },
-            );
-            assignments.push(Assignment {
-                range,
-                fence: *fence,
-                owner: owner(*place)?,
-                former,
-            });
-            last = first.wrapping_sub(1);
+        let mut assignments = Vec::new();
+        for row in rows.iter().rev() {
+            for RowAssignment(first, fence, place, former) in row.assignments.iter().rev() {
+                let former = former.iter().map(|place| row.owner(*place));
+                assignments.push(Assignment {
+                    range: KeyRange {
+                        first: *first,
+                        last,
+                    },
+                    fence: *fence,
+                    owner: row.owner(*place)?,
+                    former: former.collect::<Result<_, _>>()?,
+                });
+                last = first.wrapping_sub(1);
+            }
         }
         assignments.reverse();
-        let ranges = Self {
-            service: row.service.clone(),
-            next_fence: row.next_fence,
+        let ranges = ServiceRanges {
+            service: first.service.clone(),
+            next_fence: first.next_fence,
+            long_hold_ms: first.long_hold_ms,
             assignments,
         };
         ensure!(ranges.is_sound(), UnsoundSnafu);
         Ok(ranges)
     }
+
+    fn owner(&self, place: usize) -> Result<Owner, RangesRowError> {
+        self.owners
+            .get(place)
+            .cloned()
+            .context(NoOwnerSnafu { place })
+    }
 }
 
 /// Assignments that cannot be right.
@@ -153,6 +173,9 @@
         /// The place.
         place: usize,
     },
+    /// Not all rows of one write are there.
+    #[snafu(display("not all rows of one write"))]
+    Incomplete,
     /// The ranges do not cover all keys in order, or a token is not below the next one.
     #[snafu(display("the ranges do not cover all keys in order"))]
     Unsound,
@@ -180,15 +203,3 @@
         key: Arc::clone(key),
     })
 }
-
-/// Decodes the row of a service's assignments.
-///
-/// # Errors
-///
-/// Returns a [`RowError`] if the bytes are no assignments of all keys.
-pub fn decode_ranges(key: &Arc<str>, value: &[u8]) -> Result<ServiceRanges, RowError> {
-    let row: RangesRow = decode_row(key, value)?;
-    ServiceRanges::try_from(row).context(RangesSnafu {
-        key: Arc::clone(key),
-    })
-}
--- /dev/null
+++ b/crates/balsam-edge/tests/range_rows.rs
@@ -0,0 +1,110 @@
+//! Guards that assignments are read as they were written, also when one row cannot hold them.
+
+use balsam_edge::store::{OwnKey, RangesRow, RangesRowError, encode_row};
+use balsam_types::{
+    Assignment, Born, Fence, KeyRange, Owner, ServiceName, ServiceRanges, UpstreamName,
+};
+use rstest::rstest;
+use std::net::SocketAddr;
+
+/// Bytes that a row of the store may have on the users' platform.
+const ROW_MAX_BYTES: usize = 65_536;
+
+/// Assignments that the daemon puts into such a row.
+const PER_ROW: usize = 256;
+
+fn service() -> ServiceName {
+    ServiceName::new("keys").expect("a valid name")
+}
+
+fn owner(number: u16) -> Owner {
+    let name = format!("an-upstream-with-a-long-name-{number:05}");
+    Owner {
+        upstream: UpstreamName::new(name).expect("a valid name"),
+        born: Born(1_780_000_000_000 + u64::from(number)),
+        address: SocketAddr::from(([10, 200, 100, 200], 30_000 + number)),
+    }
+}
+
+/// Returns as many assignments, each of them with an owner and a former owner of its own.
+fn ranges(count: u16) -> ServiceRanges {
+    let width = (u32::from(u16::MAX) + 1) / u32::from(count.max(1));
+    let assignments = (0..count).map(|at| Assignment {
+        range: KeyRange {
+            first: (u32::from(at) * width) as u16,
+            last: if at + 1 == count {
+                u16::MAX
+            } else {
+                ((u32::from(at) + 1) * width - 1) as u16
+            },
+        },
+        fence: Fence(u64::from(at) + 1_000_000),
+        owner: owner(at),
+        former: vec![owner(at + count)],
+    });
+    ServiceRanges {
+        service: service(),
+        next_fence: Fence(2_000_000),
+        long_hold_ms: 9_000,
+        assignments: assignments.collect(),
+    }
+}
+
+/// Guards against losing assignments between rows, and against rows that the store refuses.
+#[rstest]
+#[case(0, 1)]
+#[case(1, 1)]
+#[case(256, 1)]
+#[case(257, 2)]
+#[case(2_100, 9)]
+fn written_and_read(#[case] count: u16, #[case] rows_expected: usize) {
+    let ranges = ranges(count);
+    let rows = RangesRow::divide(&ranges, 7, PER_ROW);
+    assert_eq!(rows.len(), rows_expected);
+    for (part, row) in rows.iter().enumerate() {
+        let key = OwnKey::Ranges(service(), part as u16).text();
+        let bytes = encode_row(&key, row).expect("a row").len();
+        assert!(bytes <= ROW_MAX_BYTES, "{bytes} bytes");
+    }
+    assert_eq!(RangesRow::join(&rows).expect("assignments"), ranges);
+}
+
+/// Guards against taking rows of different writes for one.
+#[test]
+fn mixed_writes() {
+    let (before, after) = (ranges(600), ranges(700));
+    let before = RangesRow::divide(&before, 7, PER_ROW);
+    let mut rows = RangesRow::divide(&after, 8, PER_ROW);
+    rows[1] = before[1].clone();
+    let failure = RangesRow::join(&rows).expect_err("a refusal");
+    assert!(matches!(failure, RangesRowError::Incomplete), "{failure}");
+}
+
+/// Guards against rows that are missing, and against those that are left from earlier writes.
+#[test]
+fn other_number() {
+    let rows = RangesRow::divide(&ranges(700), 7, PER_ROW);
+    for rows in [&rows[..2], &[]] {
+        let failure = RangesRow::join(rows).expect_err("a refusal");
+        assert!(matches!(failure, RangesRowError::Incomplete), "{failure}");
+    }
+    let fewer = ranges(300);
+    let mut left = RangesRow::divide(&fewer, 8, PER_ROW);
+    left.push(rows[2].clone());
+    assert_eq!(RangesRow::join(&left).expect("assignments"), fewer);
+}
+
+/// Guards that the keys of rows are told apart.
+#[rstest]
+#[case("ranges/keys", Some(0))]
+#[case("ranges/keys/1", Some(1))]
+#[case("ranges/keys/12", Some(12))]
+#[case("ranges/keys/x", None)]
+#[case("ranges/keys/70000", None)]
+fn row_keys(#[case] text: &str, #[case] part: Option<u16>) {
+    let expected = part.map(|part| OwnKey::Ranges(service(), part));
+    assert_eq!(OwnKey::from_text(text), expected);
+    if let Some(key) = expected {
+        assert_eq!(key.text().as_ref(), text);
+    }
+}
--- a/crates/balsam-edge/tests/settings_change.rs
+++ b/crates/balsam-edge/tests/settings_change.rs
@@ -1,26 +1,14 @@
 //! Guards that a settings file that changes while the daemon runs is noticed, and that a bad one
 //! changes nothing.
 
+#[path = "support/settings.rs"]
+mod settings;
+
 use balsam_edge::settings::{Settings, SettingsWatch};
 use serde_json::{Value, json};
+use settings::settings_json;
 use std::path::Path;
 
-fn settings() -> Value {
-    json!({
-        "daemon": "d1", "zone": "a",
-        "listen": {
-            "callers": "127.0.0.1:1", "readiness": "127.0.0.1:2", "peers": "127.0.0.1:3",
-            "metrics": "127.0.0.1:4"
-        },
-        "machine": {"cpu_share": 0.2, "cpu_speed": 1, "link_mbps": 1000},
-        "peer_credential": "word", "store": "127.0.0.1:5",
-        "bounds": {
-            "grace_s": 6, "retry_budget_ratio": 0.2, "budget_window_s": 10,
-            "budget_slack": 60, "hold_max_s": 10
-        }
-    })
-}
-
 fn write(path: &Path, settings: &Value) {
     std::fs::write(path, settings.to_string()).expect("a written file");
 }
@@ -29,11 +17,11 @@
 #[test]
 fn silent_change() {
     let file = tempfile::NamedTempFile::new().expect("a file");
-    write(file.path(), &settings());
+    write(file.path(), &settings_json());
     let first = Settings::read(file.path()).expect("settings");
     let mut watch = SettingsWatch::new(file.path());
     assert!(watch.look().expect("readable").is_none());
-    let mut changed = settings();
+    let mut changed = settings_json();
     changed["bounds"]["grace_s"] = json!(9);
     changed["store"] = json!("127.0.0.1:6");
     write(file.path(), &changed);
@@ -47,11 +35,11 @@
 #[test]
 fn bad_change() {
     let file = tempfile::NamedTempFile::new().expect("a file");
-    write(file.path(), &settings());
+    write(file.path(), &settings_json());
     let mut watch = SettingsWatch::new(file.path());
     std::fs::write(file.path(), "{").expect("a written file");
     watch.look().unwrap_err();
     assert!(watch.look().expect("reported before").is_none());
-    write(file.path(), &settings());
+    write(file.path(), &settings_json());
     assert!(watch.look().expect("readable").is_some());
 }
--- a/crates/balsam-edge/tests/settings_check.rs
+++ b/crates/balsam-edge/tests/settings_check.rs
@@ -1,25 +1,12 @@
 //! Guards the settings file: a bad value names its field and what is accepted.
 
+#[path = "support/settings.rs"]
+mod settings;
+
 use balsam_edge::settings::{Settings, SettingsError};
 use rstest::rstest;
 use serde_json::{Value, json};
-
-fn settings() -> Value {
-    json!({
-        "daemon": "d1", "zone": "a",
-        "listen": {
-            "callers": "127.0.0.1:1", "readiness": "127.0.0.1:2", "peers": "127.0.0.1:3",
-            "metrics": "127.0.0.1:4"
-        },
-        "machine": {"cpu_share": 0.2, "cpu_speed": 1, "link_mbps": 1000},
-        "peer_credential": "word", "store": "127.0.0.1:5",
-        "bounds": {
-            "grace_s": 6, "retry_budget_ratio": 0.2, "budget_window_s": 10,
-            "budget_slack": 60, "hold_max_s": 10
-        },
-        "log_level": "info"
-    })
-}
+use settings::settings_json;
 
 fn read(settings: &Value) -> Result<Settings, SettingsError> {
     let file = tempfile::NamedTempFile::new().expect("a file");
@@ -29,8 +16,8 @@
 
 /// Guards that good settings are taken, in milliseconds.
 #[test]
-fn good_settings() {
-    let settings = read(&settings()).expect("settings");
+fn good_settings_json() {
+    let settings = read(&settings_json()).expect("settings");
     assert_eq!(
         (settings.bounds.hold_max_ms(), settings.bounds.grace_ms()),
         (10_000, 6_000)
@@ -44,10 +31,11 @@
 #[case::hold("/bounds/hold_max_s", json!(99999), "bounds.hold_max_s")]
 #[case::ratio("/bounds/retry_budget_ratio", json!(-0.1), "bounds.retry_budget_ratio")]
 #[case::cpu("/machine/cpu_share", json!(0), "machine.cpu_share")]
+#[case::row("/row_max_bytes", json!(100), "row_max_bytes")]
 #[case::name("/daemon", json!("a b"), "daemon")]
 #[case::address("/store", json!("nowhere"), "socket address")]
 fn bad_value(#[case] field: &str, #[case] value: Value, #[case] named: &str) {
-    let mut settings = settings();
+    let mut settings = settings_json();
     *settings.pointer_mut(field).expect("the field") = value;
     let error = read(&settings).expect_err("a refusal").to_string();
     assert!(error.contains(named), "{error}");
@@ -59,7 +47,7 @@
 #[case::slow_processor(0.1, 1_000.0, 0.2)]
 #[case::narrow_link(0.5, 10.0, 0.1)]
 fn weak_machine(#[case] cpu_share: f64, #[case] link_mbps: f64, #[case] strength: f64) {
-    let mut settings = settings();
+    let mut settings = settings_json();
     settings["machine"] = json!({"cpu_share": cpu_share, "cpu_speed": 1, "link_mbps": link_mbps});
     let machine = read(&settings).expect("settings").machine;
     assert!((machine.strength() - strength).abs() < 1e-9);
@@ -68,7 +56,7 @@
 /// Guards that a misspelt field is not ignored.
 #[test]
 fn unknown_field() {
-    let mut settings = settings();
+    let mut settings = settings_json();
     settings["lgo_level"] = json!("info");
     read(&settings).unwrap_err();
 }
--- a/crates/balsam-edge/tests/support/mod.rs
+++ b/crates/balsam-edge/tests/support/mod.rs
@@ -56,6 +56,7 @@
         },
         peer_credential: "test".to_owned(),
         store: ANY,
+        row_max_bytes: 65_536,
         bounds: Bounds {
             grace_s: 4.0,
             retry_budget_ratio: 0.2,
--- a/crates/balsam-types/src/ranges.rs
+++ b/crates/balsam-types/src/ranges.rs
@@ -103,6 +103,8 @@
     pub service: ServiceName,
     /// A token above all that were ever used for the service.
     pub next_fence: Fence,
+    /// The longest hold of any grant so far in milliseconds, if it is longer than usual, or 0.
+    pub long_hold_ms: u64,
     /// The assignments in the order of their keys; they cover all keys or none.
     pub assignments: Vec<Assignment>,
 }
@@ -113,6 +115,7 @@
         Self {
             service,
             next_fence: Fence(1),
+            long_hold_ms: 0,
             assignments: Vec::new(),
         }
     }
