--- a/crates/balsam-decide/src/budget/window.rs
+++ b/crates/balsam-decide/src/budget/window.rs
@@ -84,6 +84,16 @@
         allowed * USED_PERCENT as f64 / 100.0 - f64::from(repeats)
     }
 
+    /// Returns the repeats that are left in the window, by service.
+    pub fn all_left(&mut self, now: TimeMs) -> Vec<(ServiceName, f64)> {
+        let services: Vec<ServiceName> = self.services.keys().cloned().collect();
+        let left = services.into_iter().map(|service| {
+            let left = self.left(now, &service);
+            (service, left)
+        });
+        left.collect()
+    }
+
     fn part(&mut self, now: TimeMs, service: &ServiceName) -> &mut Part {
         let length_ms = (self.terms.window_ms / WINDOW_PARTS).max(1);
         let at = now.0 / length_ms;
--- a/crates/balsam-decide/src/crashes/list.rs
+++ b/crates/balsam-decide/src/crashes/list.rs
@@ -24,6 +24,11 @@
         self.0.contains_key(&fingerprint)
     }
 
+    /// Returns how many requests are refused.
+    pub fn refused(&self) -> usize {
+        self.0.values().flatten().count()
+    }
+
     /// Returns until when a request is refused, if it is.
     pub fn refused_until(&self, now: TimeMs, fingerprint: Fingerprint) -> Option<TimeMs> {
         let until = self.0.get(&fingerprint).copied().flatten();
--- a/crates/balsam-decide/src/feed/machine.rs
+++ b/crates/balsam-decide/src/feed/machine.rs
@@ -158,6 +158,15 @@
         age(&self.config).max(age(&self.upstreams))
     }
 
+    /// Returns how old this daemon's knowledge of the tables is, from the store or from the leader.
+    pub fn known_age_ms(&self, now: TimeMs) -> u64 {
+        let told = self.heard.as_ref();
+        let told = told.map_or(UNKNOWN_AGE_MS, |(heard_at, said)| {
+            now.since(*heard_at).saturating_add(said.age_ms)
+        });
+        self.age_ms(now).min(told)
+    }
+
     /// Returns from where a daemon that is not the leader learns of a table's changes.
     pub fn source(&self, now: TimeMs, table: FeedTable) -> FeedSource {
         let Some((heard_at, said)) = &self.heard else {
--- a/crates/balsam-decide/src/pool/machine.rs
+++ b/crates/balsam-decide/src/pool/machine.rs
@@ -55,6 +55,11 @@
         }
     }
 
+    /// Returns the repeats that the budget has left, by service.
+    pub fn budget_left(&mut self, now: TimeMs) -> Vec<(ServiceName, f64)> {
+        self.budget.all_left(now)
+    }
+
     /// Takes one input and returns what follows from it.
     pub fn handle(&mut self, now: TimeMs, input: PoolInput) -> Vec<PoolOutput> {
         let mut outputs = Vec::new();
--- a/crates/balsam-edge/src/assembly.rs
+++ b/crates/balsam-edge/src/assembly.rs
@@ -7,7 +7,7 @@
 use crate::pool::{PoolClient, PoolTask};
 use crate::probe::{self, Probe};
 use crate::request::{Chain, HeaderNames, Phase, Recorder, run_listener};
-use crate::settings::Settings;
+use crate::settings::{Listen, Settings};
 use crate::store::StoreRequest;
 use crate::view::View;
 use actix_rt::Arbiter;
@@ -110,6 +110,42 @@
     pub metrics: SocketAddr,
 }
 
+/// The bound sockets of a daemon that no task owns yet.
+struct Listeners {
+    callers: TcpListener,
+    readiness: TcpListener,
+    peers: PeerSocket,
+    metrics: TcpListener,
+    addresses: Addresses,
+}
+
+impl Listeners {
+    async fn bind(listen: Listen) -> Result<Self, StartError> {
+        let bind = |address| async move {
+            let bound = TcpListener::bind(address).await;
+            let bound = bound.and_then(|listener| Ok((listener.local_addr()?, listener)));
+            bound.context(ListenSnafu { address })
+        };
+        let (callers_at, callers) = bind(listen.callers).await?;
+        let (readiness_at, readiness) = bind(listen.readiness).await?;
+        let (metrics_at, metrics) = bind(listen.metrics).await?;
+        let address = listen.peers;
+        let peers = PeerSocket::bind(address).context(ListenSnafu { address })?;
+        let addresses = Addresses {
+            callers: callers_at,
+            readiness: readiness_at,
+            metrics: metrics_at,
+        };
+        Ok(Self {
+            callers,
+            readiness,
+            peers,
+            metrics,
+            addresses,
+        })
+    }
+}
+
 /// A running daemon.
 #[derive(Debug)]
 pub struct Edge {
@@ -130,22 +166,13 @@
     ///
     /// Returns a [`StartError`] if an address cannot be bound.
     pub async fn start(settings: &Settings, adapter: Adapter) -> Result<Self, StartError> {
-        let bind = |address| async move {
-            TcpListener::bind(address)
-                .await
-                .context(ListenSnafu { address })
-        };
-        let callers = bind(settings.listen.callers).await?;
-        let readiness = bind(settings.listen.readiness).await?;
-        let exports = bind(settings.listen.metrics).await?;
-        let local = |listener: &TcpListener, address| {
-            listener.local_addr().context(ListenSnafu { address })
-        };
-        let addresses = Addresses {
-            callers: local(&callers, settings.listen.callers)?,
-            readiness: local(&readiness, settings.listen.readiness)?,
-            metrics: local(&exports, settings.listen.metrics)?,
-        };
+        let Listeners {
+            callers,
+            readiness,
+            peers: peer_socket,
+            metrics: exports,
+            addresses,
+        } = Listeners::bind(settings.listen).await?;
         let (meter, text) = balsam_metrics::start().context(MetricsSnafu)?;
         let metrics = EdgeMetrics::new(&meter);
         let (control, inputs) = mpsc::channel(CHANNEL_MESSAGES);
@@ -153,14 +180,10 @@
         let (messages, wanted) = mpsc::channel(CHANNEL_MESSAGES);
         let (publisher, views) = watch::channel(Arc::new(View::default()));
         let (phase, phases) = watch::channel(Phase::Running);
-        let address = settings.listen.peers;
-        let peer_socket = PeerSocket::bind(address).context(ListenSnafu { address })?;
-        let address = peer_socket.address();
-
         let me = Leader {
             daemon: settings.daemon.clone(),
             incarnation: Incarnation(rand::random()),
-            address,
+            address: peer_socket.address(),
         };
         let timing = KeyTiming::new(settings.bounds.hold_max_ms());
         let weakness = 1.0 - settings.machine.strength();
@@ -196,7 +219,13 @@
             zone: settings.zone.clone(),
             budget: settings.bounds.budget(),
         };
-        actix_rt::spawn(PoolTask::run(pool, wanted, views.clone(), control.clone()));
+        actix_rt::spawn(PoolTask::run(
+            pool,
+            wanted,
+            views.clone(),
+            control.clone(),
+            metrics.clone(),
+        ));
         let pool = PoolClient::new(messages);
         let chain = Chain {
             names: adapter.names,
--- a/crates/balsam-edge/src/control/act.rs
+++ b/crates/balsam-edge/src/control/act.rs
@@ -1,12 +1,11 @@
 //! Carries out what the leader decides; each call is a task that reports its end.
 
 use super::ControlInput;
-use super::follow::call;
 use crate::clock::now;
 use crate::order::OrderRequest;
 use crate::store::{
-    OwnKey, Page, RangesRow, RowError, StoreChange, StoreError, StoreRequest, StoreTable, Written,
-    encode_row,
+    OwnKey, Page, RangesRow, RowError, StoreChange, StoreError, StoreLink, StoreRequest,
+    StoreTable, Written, encode_row,
 };
 use balsam_decide::keys::{Commit, CommitResult, Order, OrderResult, RowVersion};
 use log::error;
@@ -16,7 +15,7 @@
 /// Where calls go and where their ends are told.
 #[derive(Clone, Debug)]
 pub(super) struct Actor {
-    pub(super) store: mpsc::Sender<StoreRequest>,
+    pub(super) store: StoreLink,
     pub(super) orders: mpsc::Sender<OrderRequest>,
     pub(super) control: mpsc::Sender<ControlInput>,
     /// Assignments that fit into one row.
@@ -38,7 +37,10 @@
         let actor = self.clone();
         actix_rt::spawn(async move {
             let table = StoreTable::Own;
-            let read = call(&actor.store, |reply| StoreRequest::Read { table, reply }).await;
+            let read = actor
+                .store
+                .call(|reply| StoreRequest::Read { table, reply })
+                .await;
             actor.report(ControlInput::Reloaded(read)).await;
         });
     }
@@ -49,7 +51,10 @@
         actix_rt::spawn(async move {
             let asked_at = now();
             let key = OwnKey::Lead.text();
-            let read = call(&actor.store, |reply| StoreRequest::ReadOwn { key, reply }).await;
+            let read = actor
+                .store
+                .call(|reply| StoreRequest::ReadOwn { key, reply })
+                .await;
             let version = read.ok().map(|page| own_version(&page));
             actor
                 .report(ControlInput::Confirmed { asked_at, version })
@@ -84,7 +89,7 @@
                 return CommitResult::Failed;
             }
         };
-        let written = call(&self.store, |reply| StoreRequest::Write {
+        let written = self.store.call(|reply| StoreRequest::Write {
             expected,
             rows,
             removed: Vec::new(),
--- a/crates/balsam-edge/src/control/follow.rs
+++ b/crates/balsam-edge/src/control/follow.rs
@@ -1,10 +1,10 @@
 //! Follows one table of the store while the control task wants it.
 
 use super::{ControlInput, Followed};
-use crate::store::{Page, StoreError, StoreRequest, StoreTable};
+use crate::store::{Page, StoreError, StoreLink, StoreRequest, StoreTable};
 use balsam_decide::feed::{FOLLOW_ASIDE_MS, FeedSource, FeedTable};
 use std::time::Duration;
-use tokio::sync::{mpsc, oneshot, watch};
+use tokio::sync::{mpsc, watch};
 use tokio::time::sleep;
 
 /// How long further changes are gathered after one, in milliseconds.
@@ -49,7 +49,7 @@
 #[derive(Debug)]
 pub(super) struct Follower {
     table: FeedTable,
-    store: mpsc::Sender<StoreRequest>,
+    store: StoreLink,
     orders: watch::Receiver<FollowOrder>,
     version: Option<u64>,
     pause_ms: u64,
@@ -62,7 +62,7 @@
     /// Makes a follower that has read nothing.
     pub(super) const fn new(
         table: FeedTable,
-        store: mpsc::Sender<StoreRequest>,
+        store: StoreLink,
         orders: watch::Receiver<FollowOrder>,
     ) -> Self {
         Self {
@@ -140,28 +140,19 @@
 
     async fn read(&self) -> Result<Page, StoreError> {
         let table = StoreTable::from(self.table);
-        call(&self.store, |reply| StoreRequest::Read { table, reply }).await
+        self.store
+            .call(|reply| StoreRequest::Read { table, reply })
+            .await
     }
 
     async fn follow(&self, after: u64, wait_ms: u64) -> Result<Page, StoreError> {
-        call(&self.store, |reply| StoreRequest::Follow {
-            table: StoreTable::from(self.table),
+        let table = StoreTable::from(self.table);
+        let follow = |reply| StoreRequest::Follow {
+            table,
             after,
             wait_ms,
             reply,
-        })
-        .await
-    }
-}
-
-/// Sends a call to the store's task and waits for its end.
-pub(super) async fn call<T>(
-    store: &mpsc::Sender<StoreRequest>,
-    request: impl FnOnce(oneshot::Sender<Result<T, StoreError>>) -> StoreRequest,
-) -> Result<T, StoreError> {
-    let (reply, answer) = oneshot::channel();
-    if store.send(request(reply)).await.is_err() {
-        return Err(StoreError::Stopped);
+        };
+        self.store.call(follow).await
     }
-    answer.await.unwrap_or(Err(StoreError::Stopped))
 }
--- a/crates/balsam-edge/src/control/peers.rs
+++ b/crates/balsam-edge/src/control/peers.rs
@@ -39,6 +39,7 @@
         if self.assigner.is_leading() {
             if now >= self.heartbeat_at {
                 self.heartbeat_at = now.after(HEARTBEAT_MS);
+                self.metrics.knowledge_age(self.feed.known_age_ms(now));
                 self.daemons = peers.len() as u32 + 1;
                 self.publish_ranges();
                 let named = self.book.next_named(&peers, PEERS_NAMED_MAX);
@@ -49,6 +50,7 @@
             && let Some(leader) = self.assigner.leader().cloned()
         {
             self.hello_at = now.after(HELLO_MS);
+            self.metrics.knowledge_age(self.feed.known_age_ms(now));
             self.send(vec![leader.address], PeerMessage::Hello(self.greeting()));
         }
     }
@@ -225,10 +227,14 @@
             };
             if !Arc::ptr_eq(old, new) {
                 let version = stored.version.0;
+                let changed = delta(old, new);
+                let moving = changed.assignments.iter().filter(|found| found.is_moving());
+                let keys = moving.map(|found| u64::from(found.range.len())).sum();
+                self.metrics.keys_moved(service, keys);
                 deltas.push(RangesDelta {
                     base: *base,
                     version,
-                    changed: delta(old, new),
+                    changed,
                 });
             }
         }
--- a/crates/balsam-edge/src/control/suspects.rs
+++ b/crates/balsam-edge/src/control/suspects.rs
@@ -54,7 +54,9 @@
     pub(super) fn publish_suspects(&mut self, now: TimeMs) {
         let has_expired = self.suspects.expire(now);
         if std::mem::take(&mut self.has_new_suspects) || has_expired {
-            self.view.suspects = Arc::new(self.suspects.list());
+            let suspects = self.suspects.list();
+            self.metrics.suspects(suspects.refused());
+            self.view.suspects = Arc::new(suspects);
             self.publish();
         }
     }
--- a/crates/balsam-edge/src/control/task.rs
+++ b/crates/balsam-edge/src/control/task.rs
@@ -7,7 +7,7 @@
 use crate::clock::now;
 use crate::metrics::EdgeMetrics;
 use crate::peer::{PeerOutput, Snapshots};
-use crate::store::StoreRequest;
+use crate::store::{StoreLink, StoreRequest};
 use crate::view::View;
 use balsam_decide::crashes::Suspects;
 use balsam_decide::directory::{Directory, DirectoryInput};
@@ -77,7 +77,7 @@
         Self {
             me,
             actor: Actor {
-                store: links.store,
+                store: StoreLink::new(links.store, links.metrics.clone()),
                 orders: links.orders,
                 control: links.control,
                 row_assignments_max: links.row_assignments_max,
@@ -296,8 +296,10 @@
             .values()
             .flat_map(|ranges| &ranges.assignments);
         let moving = assignments.filter(|found| found.is_moving()).count();
-        self.metrics
-            .beliefs(version, self.view.upstreams.len(), moving);
+        let ranges = self.view.ranges.values();
+        let ranges = ranges.map(|ranges| ranges.assignments.len()).sum();
+        let upstreams = self.view.upstreams.len();
+        self.metrics.beliefs(version, upstreams, ranges, moving);
         self.views.send_replace(Arc::new(self.view.clone()));
     }
 }
--- a/crates/balsam-edge/src/metrics/instruments.rs
+++ b/crates/balsam-edge/src/metrics/instruments.rs
@@ -3,6 +3,7 @@
 use balsam_types::ServiceName;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Gauge, Histogram, Meter};
+use std::sync::Arc;
 
 /// The upper bounds of the latency buckets in milliseconds; objectives lie between 100 ms and some
 /// seconds.
@@ -13,7 +14,10 @@
 
 /// The instruments; cheap to clone.
 #[derive(Clone, Debug)]
-pub(crate) struct EdgeMetrics {
+pub(crate) struct EdgeMetrics(Arc<Instruments>);
+
+#[derive(Debug)]
+struct Instruments {
     requests: Counter<u64>,
     latency: Histogram<f64>,
     attempts: Counter<u64>,
@@ -21,13 +25,19 @@
     config_version: Gauge<u64>,
     upstreams: Gauge<u64>,
     is_leader: Gauge<u64>,
+    ranges: Gauge<u64>,
     moving: Gauge<u64>,
+    keys_moved: Counter<u64>,
+    knowledge_age: Gauge<u64>,
+    store_calls: Counter<u64>,
+    budget_left: Gauge<f64>,
+    suspects: Gauge<u64>,
 }
 
 impl EdgeMetrics {
     /// Makes the instruments of `meter`.
     pub(crate) fn new(meter: &Meter) -> Self {
-        Self {
+        Self(Arc::new(Instruments {
             requests: meter
                 .u64_counter("balsam.edge.requests")
                 .with_description("Requests by service, rank, outcome and reason")
@@ -58,11 +68,36 @@
                 .u64_gauge("balsam.edge.leader")
                 .with_description("1 while this daemon assigns keys")
                 .build(),
+            ranges: meter
+                .u64_gauge("balsam.edge.ranges")
+                .with_description("Ranges of keys with an owner")
+                .build(),
             moving: meter
                 .u64_gauge("balsam.edge.ranges.moving")
                 .with_description("Ranges of keys that are on their way to another owner")
                 .build(),
-        }
+            keys_moved: meter
+                .u64_counter("balsam.edge.keys.moved")
+                .with_description("Keys that this daemon gave another owner, by service")
+                .build(),
+            knowledge_age: meter
+                .u64_gauge("balsam.edge.knowledge.age")
+                .with_description("Age of what is known of the store's tables")
+                .with_unit("ms")
+                .build(),
+            store_calls: meter
+                .u64_counter("balsam.edge.store.calls")
+                .with_description("Calls to the store by kind and outcome")
+                .build(),
+            budget_left: meter
+                .f64_gauge("balsam.edge.budget.left")
+                .with_description("Repeats that the budget has left in its window, by service")
+                .build(),
+            suspects: meter
+                .u64_gauge("balsam.edge.requests.suspect")
+                .with_description("Requests that are refused because they crashed upstreams")
+                .build(),
+        }))
     }
 
     /// Counts a finished request and its latency.
@@ -79,36 +114,75 @@
             service.map_or("", ServiceName::as_str).to_owned(),
         );
         let labels = [service, KeyValue::new("rank", i64::from(rank))];
-        self.latency.record(took_ms as f64, &labels);
+        self.0.latency.record(took_ms as f64, &labels);
         let [service, rank] = labels;
         let (outcome, reason) = (
             KeyValue::new("outcome", outcome),
             KeyValue::new("reason", reason),
         );
-        self.requests.add(1, &[service, rank, outcome, reason]);
+        self.0.requests.add(1, &[service, rank, outcome, reason]);
     }
 
     /// Counts a request that was sent to an upstream.
     pub(crate) fn attempt(&self, service: &ServiceName, verdict: &'static str) {
         let service = KeyValue::new("service", service.as_str().to_owned());
-        self.attempts
+        self.0
+            .attempts
             .add(1, &[service, KeyValue::new("verdict", verdict)]);
     }
 
     /// Sets the number of log lines that were dropped.
     pub(crate) fn lost_lines(&self, lines: usize) {
-        self.lost_lines.record(lines as u64, &[]);
+        self.0.lost_lines.record(lines as u64, &[]);
     }
 
     /// Sets what the daemon believes.
-    pub(crate) fn beliefs(&self, config_version: u64, upstreams: usize, moving: usize) {
-        self.config_version.record(config_version, &[]);
-        self.upstreams.record(upstreams as u64, &[]);
-        self.moving.record(moving as u64, &[]);
+    pub(crate) fn beliefs(
+        &self,
+        config_version: u64,
+        upstreams: usize,
+        ranges: usize,
+        moving: usize,
+    ) {
+        self.0.config_version.record(config_version, &[]);
+        self.0.upstreams.record(upstreams as u64, &[]);
+        self.0.ranges.record(ranges as u64, &[]);
+        self.0.moving.record(moving as u64, &[]);
+    }
+
+    /// Counts keys that this daemon gave another owner.
+    pub(crate) fn keys_moved(&self, service: &ServiceName, keys: u64) {
+        let service = KeyValue::new("service", service.as_str().to_owned());
+        self.0.keys_moved.add(keys, &[service]);
+    }
+
+    /// Sets the age of what is known of the store's tables, in milliseconds.
+    pub(crate) fn knowledge_age(&self, age_ms: u64) {
+        self.0.knowledge_age.record(age_ms, &[]);
+    }
+
+    /// Counts a call to the store.
+    pub(crate) fn store_call(&self, kind: &'static str, outcome: &'static str) {
+        let labels = [
+            KeyValue::new("kind", kind),
+            KeyValue::new("outcome", outcome),
+        ];
+        self.0.store_calls.add(1, &labels);
+    }
+
+    /// Sets the repeats that the budget has left.
+    pub(crate) fn budget_left(&self, service: &ServiceName, left: f64) {
+        let service = KeyValue::new("service", service.as_str().to_owned());
+        self.0.budget_left.record(left, &[service]);
+    }
+
+    /// Sets how many requests are refused because they crashed upstreams.
+    pub(crate) fn suspects(&self, refused: usize) {
+        self.0.suspects.record(refused as u64, &[]);
     }
 
     /// Sets whether this daemon assigns keys.
     pub(crate) fn leader(&self, is_leader: bool) {
-        self.is_leader.record(u64::from(is_leader), &[]);
+        self.0.is_leader.record(u64::from(is_leader), &[]);
     }
 }
--- a/crates/balsam-edge/src/pool/task.rs
+++ b/crates/balsam-edge/src/pool/task.rs
@@ -5,6 +5,7 @@
 use super::{Lease, PoolMessage, Refused};
 use crate::clock::now;
 use crate::control::ControlInput;
+use crate::metrics::EdgeMetrics;
 use crate::view::View;
 use balsam_decide::pool::{Ask, AskId, Pool, PoolInput, PoolOutput, PoolSettings};
 use balsam_types::{Map, Route, ServiceName, ShardKey, new_map};
@@ -31,6 +32,7 @@
     last_id: u64,
     ends: mpsc::UnboundedSender<LeaseEnd>,
     control: mpsc::Sender<ControlInput>,
+    metrics: EdgeMetrics,
 }
 
 impl PoolTask {
@@ -40,6 +42,7 @@
         mut messages: mpsc::Receiver<PoolMessage>,
         mut views: watch::Receiver<Arc<View>>,
         control: mpsc::Sender<ControlInput>,
+        metrics: EdgeMetrics,
     ) {
         let (ends, mut ended) = mpsc::unbounded_channel();
         let mut task = Self {
@@ -50,6 +53,7 @@
             last_id: 0,
             ends,
             control,
+            metrics,
         };
         let mut reports = interval(SAMPLE_TIME);
         reports.set_missed_tick_behavior(MissedTickBehavior::Delay);
@@ -166,6 +170,9 @@
 
     fn report(&mut self) {
         self.idle.prune();
+        for (service, left) in self.pool.budget_left(now()) {
+            self.metrics.budget_left(&service, left);
+        }
         for (service, keys) in self.samples.drain() {
             // A busy control task misses a sample; the next one follows soon.
             drop(
--- /dev/null
+++ b/crates/balsam-edge/src/store/link.rs
@@ -0,0 +1,40 @@
+//! Calls to the store, which are counted.
+
+use super::{StoreError, StoreRequest};
+use crate::metrics::EdgeMetrics;
+use tokio::sync::{mpsc, oneshot};
+
+/// Sends calls to the store's task; cheap to clone.
+#[derive(Clone, Debug)]
+pub(crate) struct StoreLink {
+    requests: mpsc::Sender<StoreRequest>,
+    metrics: EdgeMetrics,
+}
+
+impl StoreLink {
+    /// Makes a link to the task that takes `requests`.
+    pub(crate) const fn new(requests: mpsc::Sender<StoreRequest>, metrics: EdgeMetrics) -> Self {
+        Self { requests, metrics }
+    }
+
+    /// Sends a call and waits for its end.
+    ///
+    /// # Errors
+    ///
+    /// Returns the [`StoreError`] of the call, or [`StoreError::Stopped`] without a task.
+    pub(crate) async fn call<T>(
+        &self,
+        request: impl FnOnce(oneshot::Sender<Result<T, StoreError>>) -> StoreRequest,
+    ) -> Result<T, StoreError> {
+        let (reply, answer) = oneshot::channel();
+        let request = request(reply);
+        let kind = request.kind();
+        if self.requests.send(request).await.is_err() {
+            return Err(StoreError::Stopped);
+        }
+        let ended = answer.await.unwrap_or(Err(StoreError::Stopped));
+        let outcome = ended.as_ref().err().map_or("answered", StoreError::as_str);
+        self.metrics.store_call(kind, outcome);
+        ended
+    }
+}
--- a/crates/balsam-edge/src/store/message.rs
+++ b/crates/balsam-edge/src/store/message.rs
@@ -114,6 +114,18 @@
 }
 
 impl StoreError {
+    /// Returns the text used in metrics.
+    pub const fn as_str(&self) -> &'static str {
+        match self {
+            Self::Refused { .. } => "refused",
+            Self::HistoryLost => "history-lost",
+            Self::Unreachable => "unreachable",
+            Self::NoAnswer => "no-answer",
+            Self::BadAnswer { .. } => "bad-answer",
+            Self::Stopped => "stopped",
+        }
+    }
+
     /// Returns whether a write that ended so was certainly not made.
     pub const fn is_undone(&self) -> bool {
         matches!(self, Self::Refused { .. } | Self::Unreachable)
@@ -160,3 +172,15 @@
         reply: oneshot::Sender<Result<Written, StoreError>>,
     },
 }
+
+impl StoreRequest {
+    /// Returns the text used in metrics.
+    pub const fn kind(&self) -> &'static str {
+        match self {
+            Self::Read { .. } => "read",
+            Self::ReadOwn { .. } => "read-row",
+            Self::Follow { .. } => "follow",
+            Self::Write { .. } => "write",
+        }
+    }
+}
