Tell operators what an entry daemon believes

balsamctl entry state, owner and upstreams read the metrics address with a credential; the answers tell the age of what is known. The control path is started in a file of its own. Credential moved from balsam-daemon to balsam-types, because two daemons check one.

--- a/crates/balsam-ctl/src/cli.rs
+++ b/crates/balsam-ctl/src/cli.rs
@@ -1,9 +1,10 @@
 //! The command line.
 
 use crate::commands::{
-    Completions, Daemons, Drain, Epochs, Owner, QuarantineClear, QuarantineList, RankCreate,
-    RankList, RosterForget, ServiceCreate, ServiceList, SettingsDelete, SettingsExplain,
-    SettingsGet, SettingsSet, SettingsUnset, Upstreams, ZoneCreate, ZoneList,
+    Completions, Daemons, Drain, EntryOwner, EntryState, EntryUpstreams, Epochs, Owner,
+    QuarantineClear, QuarantineList, RankCreate, RankList, RosterForget, ServiceCreate,
+    ServiceList, SettingsDelete, SettingsExplain, SettingsGet, SettingsSet, SettingsUnset,
+    Upstreams, ZoneCreate, ZoneList,
 };
 use clap::{Parser, Subcommand};
 use std::net::SocketAddr;
@@ -61,10 +62,24 @@
     Roster(RosterCommand),
     /// List the adopted epoch of each daemon.
     Epochs(Epochs),
+    /// Read what an entry daemon believes; `--server` is its metrics address.
+    #[command(subcommand)]
+    Entry(EntryCommand),
     /// Print completions for a shell.
     Completions(Completions),
 }
 
+/// Commands on an entry daemon.
+#[derive(Debug, Subcommand)]
+pub enum EntryCommand {
+    /// Show its configuration, its leader and the age of what it knows.
+    State(EntryState),
+    /// Find the owner of a key.
+    Owner(EntryOwner),
+    /// List the upstreams.
+    Upstreams(EntryUpstreams),
+}
+
 /// Commands on services.
 #[derive(Debug, Subcommand)]
 pub enum ServiceCommand {
--- a/crates/balsam-ctl/src/run.rs
+++ b/crates/balsam-ctl/src/run.rs
@@ -1,8 +1,8 @@
 //! From the command line to the exit code.
 
 use crate::cli::{
-    Cli, Command, QuarantineCommand, RankCommand, RosterCommand, ServiceCommand, SettingsCommand,
-    ZoneCommand,
+    Cli, Command, EntryCommand, QuarantineCommand, RankCommand, RosterCommand, ServiceCommand,
+    SettingsCommand, ZoneCommand,
 };
 use crate::credential::read_credential;
 use crate::error::{EXIT_DONE, EXIT_PENDING, NoServerSnafu, OutputSnafu};
@@ -64,6 +64,9 @@
         Command::Quarantine(QuarantineCommand::Clear(command)) => command.run(client).await,
         Command::Roster(RosterCommand::Forget(command)) => command.run(client).await,
         Command::Epochs(command) => command.run(client).await,
+        Command::Entry(EntryCommand::State(command)) => command.run(client).await,
+        Command::Entry(EntryCommand::Owner(command)) => command.run(client).await,
+        Command::Entry(EntryCommand::Upstreams(command)) => command.run(client).await,
         Command::Completions(command) => Ok(command.run()),
     }
 }
--- a/crates/balsam-daemon/src/config/file.rs
+++ b/crates/balsam-daemon/src/config/file.rs
@@ -1,9 +1,9 @@
 //! The fields of the settings file.
 
-use super::credential::{CREDENTIAL_MAX_BYTES, CREDENTIAL_MIN_BYTES};
 use super::error::{FaultsSnafu, NotAnObjectSnafu, NotJsonSnafu, UnreadableSnafu};
 use super::fields::Fields;
 use super::{ConfigError, Credential, FieldFaults, Limits};
+use balsam_types::{CREDENTIAL_MAX_BYTES, CREDENTIAL_MIN_BYTES};
 use balsam_types::{RegionName, ZoneName};
 use log::LevelFilter;
 use serde_json::{Map, Value};
--- a/crates/balsam-daemon/src/config/mod.rs
+++ b/crates/balsam-daemon/src/config/mod.rs
@@ -3,13 +3,12 @@
 //! The file is read once, at the start; everything that operators change at run time lives in the
 //! settings tree instead. See [the operators' page](../../../../docs/OPERATORS.md).
 
-mod credential;
 mod error;
 mod fields;
 mod file;
 mod limits;
 
-pub use credential::Credential;
+pub use balsam_types::Credential;
 pub use error::{ConfigError, FieldFault, FieldFaults};
 pub use file::Config;
 pub use limits::Limits;
--- a/crates/balsam-edge/src/assembly.rs
+++ b/crates/balsam-edge/src/assembly.rs
@@ -1,22 +1,21 @@
 //! Puts the tasks of a daemon together.
 
-use crate::control::{self, ControlInput, ControlLinks, ControlTask};
+use crate::clock::now;
+use crate::control::{ControlInput, ControlPath};
 use crate::metrics::EdgeMetrics;
+use crate::operator::Operator;
 use crate::order::OrderRequest;
-use crate::peer::{PeerSocket, PeerTask};
+use crate::peer::PeerSocket;
 use crate::pool::{PoolClient, PoolTask};
 use crate::probe::{self, Probe};
 use crate::request::{Chain, HeaderNames, Phase, Recorder, run_listener};
 use crate::settings::{Listen, Settings};
 use crate::store::StoreRequest;
-use crate::view::View;
+use crate::view::{Standing, View};
 use actix_rt::Arbiter;
-use balsam_decide::keys::{KeyTiming, Leader};
 use balsam_decide::pool::PoolSettings;
 use balsam_log::LostLines;
 use balsam_metrics::MetricsError;
-use balsam_types::Incarnation;
-use log::error;
 use snafu::{ResultExt, Snafu};
 use std::io;
 use std::net::SocketAddr;
@@ -36,17 +35,6 @@
 /// How long the platform needs to notice that a daemon is not ready any more.
 const LEAVE_TIME: Duration = Duration::from_millis(2_500);
 
-/// How much later the weakest machine tries to become the leader than a strong one, in
-/// milliseconds; with the rest of a takeover it must fit into the hold of a grant.
-const WEAKNESS_MS: f64 = 400.0;
-
-/// The spread of attempts of machines that are equally strong, in milliseconds.
-const STAGGER_MS: u64 = 150;
-
-/// Bytes of a row for each of its assignments at most: the encoding of one with its owner and a
-/// former one.
-const ROW_BYTES_PER_ASSIGNMENT: usize = 256;
-
 /// The time for the last messages to other daemons.
 const LAST_WORDS_TIME: Duration = Duration::from_millis(20);
 
@@ -176,45 +164,20 @@
         let (meter, text) = balsam_metrics::start().context(MetricsSnafu)?;
         let metrics = EdgeMetrics::new(&meter);
         let (control, inputs) = mpsc::channel(CHANNEL_MESSAGES);
-        let (peers, outputs) = mpsc::channel(CHANNEL_MESSAGES);
         let (messages, wanted) = mpsc::channel(CHANNEL_MESSAGES);
         let (publisher, views) = watch::channel(Arc::new(View::default()));
+        let (standing, standings) = watch::channel(Standing::unknown(now()));
         let (phase, phases) = watch::channel(Phase::Running);
-        let me = Leader {
-            daemon: settings.daemon.clone(),
-            incarnation: Incarnation(rand::random()),
-            address: peer_socket.address(),
-        };
-        let timing = KeyTiming::new(settings.bounds.hold_max_ms());
-        let weakness = 1.0 - settings.machine.strength();
-        let stagger_ms = (WEAKNESS_MS * weakness) as u64 + rand::random_range(0..STAGGER_MS);
-        let own = (control.clone(), metrics.clone());
-        let row_assignments_max = (settings.row_max_bytes / ROW_BYTES_PER_ASSIGNMENT).max(1);
-        let credential = settings.peer_credential.clone();
-        let connect = adapter.connect;
-        // On a thread of its own the control path gets its turns also while requests fill the
-        // processor; changes and grants have bounds that hold then as well.
-        let control_thread = Arbiter::new();
-        control_thread.spawn_fn(move || {
-            let (control, metrics) = own;
-            let Links { store, orders } = connect();
-            match PeerTask::new(peer_socket, &credential, control.clone()) {
-                Ok(peer) => drop(actix_rt::spawn(peer.run(outputs))),
-                Err(error) => error!("no messages of other daemons: {error}"),
-            }
-            let links = ControlLinks {
-                store,
-                orders,
-                control,
-                peers,
-                views: publisher,
-                metrics,
-                row_assignments_max,
-            };
-            let task = ControlTask::new(me, timing, stagger_ms, links);
-            actix_rt::spawn(control::run(task, inputs));
-        });
-
+        let control_thread = ControlPath {
+            socket: peer_socket,
+            connect: adapter.connect,
+            control: control.clone(),
+            inputs,
+            views: publisher,
+            standings: standing,
+            metrics: metrics.clone(),
+        }
+        .start(settings);
         let pool = PoolSettings {
             zone: settings.zone.clone(),
             budget: settings.bounds.budget(),
@@ -235,6 +198,12 @@
             recorder: Recorder::new(metrics.clone()),
         };
         let phase_probe = phases.clone();
+        let operator = Operator {
+            daemon: settings.daemon.clone(),
+            credential: settings.operator_credential.clone(),
+            views: views.clone(),
+            standings,
+        };
         let readiness_probe = Probe::Readiness {
             views,
             phase: phase_probe,
@@ -245,6 +214,7 @@
             metrics,
             text,
             lost_lines,
+            operator,
         };
         actix_rt::spawn(probe::run(exports, metrics_probe));
         let grace = grace(settings);
--- a/crates/balsam-edge/src/control/mod.rs
+++ b/crates/balsam-edge/src/control/mod.rs
@@ -4,6 +4,7 @@
 mod follow;
 mod lines;
 mod message;
+mod path;
 mod peers;
 mod snapshots;
 mod suspects;
@@ -11,4 +12,4 @@
 mod task;
 
 pub(crate) use message::{ControlInput, Followed};
-pub(crate) use task::{ControlLinks, ControlTask, run};
+pub(crate) use path::ControlPath;
--- a/crates/balsam-edge/src/control/peers.rs
+++ b/crates/balsam-edge/src/control/peers.rs
@@ -5,6 +5,7 @@
 use crate::peer::{
     Greeting, Heartbeat, PeerMessage, PeerOutput, RangesDelta, Topic, UpstreamNews, UpstreamsDelta,
 };
+use crate::view::Standing;
 use balsam_decide::feed::FeedTable;
 use balsam_decide::keys::{
     AssignerInput, RowVersion, StoredLead, StoredRanges, apply_delta, delta,
@@ -39,7 +40,7 @@
         if self.assigner.is_leading() {
             if now >= self.heartbeat_at {
                 self.heartbeat_at = now.after(HEARTBEAT_MS);
-                self.metrics.knowledge_age(self.feed.known_age_ms(now));
+                self.publish_standing(now);
                 self.daemons = peers.len() as u32 + 1;
                 self.publish_ranges();
                 let named = self.book.next_named(&peers, PEERS_NAMED_MAX);
@@ -50,11 +51,22 @@
             && let Some(leader) = self.assigner.leader().cloned()
         {
             self.hello_at = now.after(HELLO_MS);
-            self.metrics.knowledge_age(self.feed.known_age_ms(now));
+            self.publish_standing(now);
             self.send(vec![leader.address], PeerMessage::Hello(self.greeting()));
         }
     }
 
+    fn publish_standing(&self, now: TimeMs) {
+        let age_ms = self.feed.known_age_ms(now);
+        self.metrics.knowledge_age(age_ms);
+        let leader = self.assigner.leader();
+        self.standings.send_replace(Standing {
+            leader: leader.map(|leader| leader.daemon.clone()),
+            age_ms,
+            at: now,
+        });
+    }
+
     fn greeting(&self) -> Greeting {
         Greeting {
             daemon: self.me.clone(),
--- a/crates/balsam-edge/src/control/task.rs
+++ b/crates/balsam-edge/src/control/task.rs
@@ -8,7 +8,7 @@
 use crate::metrics::EdgeMetrics;
 use crate::peer::{PeerOutput, Snapshots};
 use crate::store::{StoreLink, StoreRequest};
-use crate::view::View;
+use crate::view::{Standing, View};
 use balsam_decide::crashes::Suspects;
 use balsam_decide::directory::{Directory, DirectoryInput};
 use balsam_decide::feed::{FOLLOW_AS_LEADER_MS, FOLLOW_ASIDE_MS, Feed, FeedSource, FeedTable};
@@ -31,6 +31,7 @@
     pub(super) actor: Actor,
     pub(super) peers: mpsc::Sender<PeerOutput>,
     pub(super) views: watch::Sender<Arc<View>>,
+    pub(super) standings: watch::Sender<Standing>,
     pub(super) metrics: EdgeMetrics,
     pub(super) view: View,
     pub(super) directory: Directory,
@@ -65,6 +66,7 @@
     pub(crate) control: mpsc::Sender<ControlInput>,
     pub(crate) peers: mpsc::Sender<PeerOutput>,
     pub(crate) views: watch::Sender<Arc<View>>,
+    pub(crate) standings: watch::Sender<Standing>,
     pub(crate) metrics: EdgeMetrics,
     /// Assignments that fit into one row of the store.
     pub(crate) row_assignments_max: usize,
@@ -84,6 +86,7 @@
             },
             peers: links.peers,
             views: links.views,
+            standings: links.standings,
             metrics: links.metrics,
             view: View::default(),
             directory: Directory::new(),
--- a/crates/balsam-edge/src/lib.rs
+++ b/crates/balsam-edge/src/lib.rs
@@ -14,6 +14,7 @@
 mod clock;
 mod control;
 mod metrics;
+mod operator;
 mod peer;
 mod pool;
 mod probe;
--- a/crates/balsam-edge/src/probe.rs
+++ b/crates/balsam-edge/src/probe.rs
@@ -1,9 +1,10 @@
 //! The listeners for readiness checks and metrics.
 
 use crate::metrics::EdgeMetrics;
+use crate::operator::Operator;
 use crate::request::Phase;
 use crate::view::View;
-use balsam_http1::{Framing, encode_answer, parse_request};
+use balsam_http1::{Framing, RequestHead, encode_answer, parse_request};
 use balsam_log::LostLines;
 use balsam_metrics::MetricsText;
 use bytes::BytesMut;
@@ -33,26 +34,34 @@
         views: watch::Receiver<Arc<View>>,
         phase: watch::Receiver<Phase>,
     },
-    /// The metrics as Prometheus text.
+    /// The metrics as Prometheus text, and what operators ask.
     Metrics {
         metrics: EdgeMetrics,
         text: MetricsText,
         lost_lines: LostLines,
+        operator: Operator,
     },
 }
 
+/// The start of the paths of operators.
+const OPERATOR_PATHS: &[u8] = b"/v1/entry";
+
 impl Probe {
     /// Returns the status and the body of an answer.
-    fn answer(&self) -> (u16, String) {
+    fn answer(&self, head: &RequestHead) -> (u16, String) {
         match self {
             Self::Readiness { views, phase } => {
                 let is_ready = views.borrow().is_ready() && *phase.borrow() == Phase::Running;
                 (if is_ready { 200 } else { 503 }, String::new())
             }
+            Self::Metrics { operator, .. } if head.target.starts_with(OPERATOR_PATHS) => {
+                operator.answer(head)
+            }
             Self::Metrics {
                 metrics,
                 text,
                 lost_lines,
+                ..
             } => {
                 metrics.lost_lines(lost_lines.count());
                 match text.render() {
@@ -102,7 +111,7 @@
             }
             Err(error) => return Err(io::Error::other(error)),
         };
-        let (status, body) = probe.answer();
+        let (status, body) = probe.answer(&head);
         let closing = [("Connection", "close")];
         let added = if head.keep_alive {
             &[][..]
--- a/crates/balsam-edge/src/settings/file.rs
+++ b/crates/balsam-edge/src/settings/file.rs
@@ -3,7 +3,7 @@
 use super::SettingsError;
 use super::error::{MalformedSnafu, OutOfRangeSnafu, UnreadableSnafu};
 use balsam_decide::budget::BudgetTerms;
-use balsam_types::{DaemonName, ZoneName};
+use balsam_types::{Credential, DaemonName, ZoneName};
 use log::LevelFilter;
 use serde::Deserialize;
 use snafu::{ResultExt, ensure};
@@ -24,6 +24,9 @@
     pub machine: Machine,
     /// A word that all daemons of a deployment share; datagrams without it are dropped.
     pub peer_credential: String,
+    /// What operators present to read what the daemon believes; without it nothing is told.
+    #[serde(default)]
+    pub operator_credential: Option<Credential>,
     /// The address of the platform's store.
     pub store: SocketAddr,
     /// Bytes that a row of the store may have.
@@ -107,6 +110,10 @@
                 "peer_credential",
                 self.peer_credential != next.peer_credential,
             ),
+            (
+                "operator_credential",
+                self.operator_credential != next.operator_credential,
+            ),
             ("store", self.store != next.store),
             ("row_max_bytes", self.row_max_bytes != next.row_max_bytes),
             (
--- a/crates/balsam-edge/src/view.rs
+++ b/crates/balsam-edge/src/view.rs
@@ -4,7 +4,7 @@
 use balsam_decide::directory::Upstreams;
 use balsam_decide::pool::PoolWorld;
 use balsam_decide::routing::RouteTable;
-use balsam_types::{Map, ServiceName, ServiceRanges, TimeMs, new_map};
+use balsam_types::{DaemonName, Map, ServiceName, ServiceRanges, TimeMs, new_map};
 use std::sync::Arc;
 
 /// The daemon's beliefs of one moment.
@@ -26,6 +26,33 @@
     pub suspects: Arc<SuspectList>,
 }
 
+/// What the daemon knows of its own knowledge.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Standing {
+    /// The daemon that assigns keys, if one is known.
+    pub(crate) leader: Option<DaemonName>,
+    /// How old the knowledge of the store's tables was, in milliseconds.
+    pub(crate) age_ms: u64,
+    /// When that was so.
+    pub(crate) at: TimeMs,
+}
+
+impl Standing {
+    /// Makes the standing of a daemon that knows nothing.
+    pub(crate) const fn unknown(now: TimeMs) -> Self {
+        Self {
+            leader: None,
+            age_ms: u64::MAX,
+            at: now,
+        }
+    }
+
+    /// Returns how old the knowledge of the store's tables is, in milliseconds.
+    pub(crate) fn knowledge_age_ms(&self, now: TimeMs) -> u64 {
+        self.age_ms.saturating_add(now.since(self.at))
+    }
+}
+
 impl Default for View {
     fn default() -> Self {
         Self {
--- a/crates/balsam-edge/tests/support/mod.rs
+++ b/crates/balsam-edge/tests/support/mod.rs
@@ -17,9 +17,9 @@
 use balsam_edge::store::StoreChange;
 use balsam_edge::{Adapter, Edge, Links};
 use balsam_types::{
-    Born, CallerLimits, ConfigVersion, DaemonName, Route, RouteKind, RouteName, RoutingConfig,
-    ServiceName, ServicePolicy, ServiceShare, UpstreamEntry, UpstreamName, UpstreamState, ZoneName,
-    new_map,
+    Born, CallerLimits, ConfigVersion, Credential, DaemonName, Route, RouteKind, RouteName,
+    RoutingConfig, ServiceName, ServicePolicy, ServiceShare, UpstreamEntry, UpstreamName,
+    UpstreamState, ZoneName, new_map,
 };
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -37,6 +37,9 @@
     key: "Test-Key",
 };
 
+/// What operators present.
+pub const OPERATOR_CREDENTIAL: &str = "operators-of-tests";
+
 const ANY: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 0);
 
 fn settings(daemon: usize) -> Settings {
@@ -55,6 +58,7 @@
             link_mbps: 100.0,
         },
         peer_credential: "test".to_owned(),
+        operator_credential: Credential::new(OPERATOR_CREDENTIAL),
         store: ANY,
         row_max_bytes: 65_536,
         bounds: Bounds {
--- a/crates/balsam-daemon/src/config/credential.rs
+++ b/crates/balsam-types/src/credential.rs
@@ -1,16 +1,19 @@
 //! Bearer credentials.
 
+use serde::Deserialize;
+use snafu::{OptionExt, Snafu};
 use std::fmt;
 use std::sync::Arc;
 
 /// Shorter credentials can be guessed by trying them all.
-pub(super) const CREDENTIAL_MIN_BYTES: usize = 16;
+pub const CREDENTIAL_MIN_BYTES: usize = 16;
 
 /// Longer credentials leave too little room in a bounded request head.
-pub(super) const CREDENTIAL_MAX_BYTES: usize = 256;
+pub const CREDENTIAL_MAX_BYTES: usize = 256;
 
 /// A shared secret that a peer or an operator presents; never printed.
-#[derive(Clone, PartialEq, Eq)]
+#[derive(Clone, PartialEq, Eq, Deserialize)]
+#[serde(try_from = "String")]
 pub struct Credential(Arc<str>);
 
 impl Credential {
@@ -40,6 +43,21 @@
     }
 }
 
+/// A text that is no credential; it is not repeated here, because it may be a secret.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu)]
+#[snafu(display(
+    "a credential has {CREDENTIAL_MIN_BYTES} to {CREDENTIAL_MAX_BYTES} visible ASCII characters"
+))]
+pub struct CredentialError;
+
+impl TryFrom<String> for Credential {
+    type Error = CredentialError;
+
+    fn try_from(text: String) -> Result<Self, CredentialError> {
+        Self::new(text).context(CredentialSnafu)
+    }
+}
+
 impl fmt::Debug for Credential {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str("Credential(..)")
--- a/crates/balsam-wire/src/operator/mod.rs
+++ b/crates/balsam-wire/src/operator/mod.rs
@@ -5,6 +5,7 @@
 mod command;
 mod daemons;
 mod edit;
+mod entry;
 mod error;
 mod id_text;
 mod owner;
@@ -15,6 +16,7 @@
 pub use command::{CommandResponse, CommandState, DrainRequest, ForgetRequest};
 pub use daemons::{DaemonBody, DaemonsResponse, EpochBody, EpochsResponse, RosterBody};
 pub use edit::{EditBody, EditRequest};
+pub use entry::{EntryOwnerResponse, EntryResponse, EntryUpstreamBody, EntryUpstreamsResponse};
 pub use error::{ErrorCode, ErrorResponse, FieldBody};
 pub use id_text::IdText;
 pub use owner::{OwnerResponse, OwnerState};
@@ -42,5 +44,11 @@
 pub const FORGET_PATH: &str = "/v1/roster/forget";
 /// Path of the adopted epochs.
 pub const EPOCHS_PATH: &str = "/v1/epochs";
+/// Path of what an entry daemon believes.
+pub const ENTRY_PATH: &str = "/v1/entry";
+/// Path of the owner of a key as an entry daemon knows it; queries `service` and `key`.
+pub const ENTRY_OWNER_PATH: &str = "/v1/entry/owner";
+/// Path of the upstreams that an entry daemon believes to exist.
+pub const ENTRY_UPSTREAMS_PATH: &str = "/v1/entry/upstreams";
 /// Path of the metrics in Prometheus text.
 pub const METRICS_PATH: &str = "/metrics";
