Keep idle connections a second longer than the limit

The daemon counts idle time from when it has written an answer, the caller from when it has it, and on a full link both ways take their time.

Ruled out: a longer last look before the close, because a request may be under way whenever the close is sent; a 408 on idle connections, which answers no request.

--- a/crates/balsam-edge/src/request/connection.rs
+++ b/crates/balsam-edge/src/request/connection.rs
@@ -29,6 +29,11 @@
 /// How long a caller may take no bytes of its answer.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// How much longer than the limit a connection may be idle. Callers count from when they have the
+/// last answer, and their next request is under way for a while; on a full link each takes up to
+/// half a second.
+const IDLE_MARGIN: Duration = Duration::from_secs(1);
+
 /// How long bytes that have arrived are awaited before an idle connection is closed.
 const LAST_LOOK: Duration = Duration::from_millis(5);
 
@@ -124,12 +129,12 @@
             }
             let limits = self.limits();
             let is_idle = self.in_flight.is_empty();
-            let wait_ms = if self.reader.is_inside() || !self.buffer.is_empty() {
-                limits.header_timeout_ms
+            let wait = if self.reader.is_inside() || !self.buffer.is_empty() {
+                Duration::from_millis(limits.header_timeout_ms)
             } else {
-                limits.idle_timeout_ms
+                Duration::from_millis(limits.idle_timeout_ms) + IDLE_MARGIN
             };
-            let idle_at = self.active_at + Duration::from_millis(wait_ms);
+            let idle_at = self.active_at + wait;
             let has_space = self.buffer.len() < READ_AHEAD_MAX_BYTES;
             let phase_now = *self.phase.borrow();
             let is_quiet = is_idle && self.buffer.is_empty() && !self.reader.is_inside();
