--- a/crates/balsam-decide/tests/recovery_time.rs
+++ b/crates/balsam-decide/tests/recovery_time.rs
@@ -72,19 +72,23 @@
             world.isolate(&[Place::Upstream(lost)]);
         }
         // Until then the lost owner may still hold a grant and look as if it served its units.
-        world.run_until(world.t + GRANT_LAPSED_MS);
-        let served = world.time_to_serve(BOUND_MS - GRANT_LAPSED_MS);
-        let Some(served) = served else {
-            panic!(
-                "seed {seed}: not served within {BOUND_MS} ms: {}",
-                world.describe()
-            );
-        };
-        longest = longest.max(served + GRANT_LAPSED_MS);
+        longest = longest.max(time_after_loss(&mut world, seed));
     }
     println!("{with:?}, frozen {frozen}: longest {longest} ms");
 }
 
+/// Returns the time from a loss until all units are served, which must be within the bound.
+fn time_after_loss(world: &mut World, seed: u64) -> u64 {
+    world.run_until(world.t + GRANT_LAPSED_MS);
+    let Some(served) = world.time_to_serve(BOUND_MS - GRANT_LAPSED_MS) else {
+        panic!(
+            "seed {seed}: not served within {BOUND_MS} ms: {}",
+            world.describe()
+        );
+    };
+    served + GRANT_LAPSED_MS
+}
+
 /// A zone has two of the five daemons and one of the three upstreams.
 #[test]
 fn lost_zone_is_replaced() {
@@ -98,15 +102,7 @@
         for upstream in (0..world.upstreams.len()).filter(|upstream| zone(*upstream) == lost) {
             world.freeze_forever(upstream);
         }
-        world.run_until(world.t + GRANT_LAPSED_MS);
-        let served = world.time_to_serve(BOUND_MS - GRANT_LAPSED_MS);
-        let Some(served) = served else {
-            panic!(
-                "seed {seed}: not served within {BOUND_MS} ms: {}",
-                world.describe()
-            );
-        };
-        longest = longest.max(served + GRANT_LAPSED_MS);
+        longest = longest.max(time_after_loss(&mut world, seed));
     }
     println!("zone: longest {longest} ms");
 }
