--- a/crates/balsam-standins/tests/double_faults.rs
+++ b/crates/balsam-standins/tests/double_faults.rs
@@ -13,16 +13,27 @@
 use probes::{SERVED_AGAIN_BOUND, keys_of, print_time, prober, under_load};
 use rstest::rstest;
 use std::time::Duration;
+use tokio::sync::{Mutex, MutexGuard};
 
 const LOST: usize = 0;
 const RUN_MS: u64 = 7_000;
 const BEFORE: Duration = Duration::from_secs(1);
 
+/// Held by the test that runs.
+static RUNNING: Mutex<()> = Mutex::const_new(());
+
+/// Waits until no other test runs: each measures a time with up to thirty processes, and four at
+/// once need more processor time than a machine may have.
+async fn run_alone() -> MutexGuard<'static, ()> {
+    RUNNING.lock().await
+}
+
 /// Guards against detections that run one after the other when an upstream is lost together with
 /// the daemon that would report it.
 #[actix_rt::test]
 async fn upstream_and_dispatcher_lost() {
     const DAEMONS: usize = 5;
+    let _alone = run_alone().await;
     let mut cluster = start(plan(DAEMONS)).await;
     let keys = keys_of(&cluster, LOST).await;
     let lost = upstream(&cluster, 0, LOST).await.expect("listed");
@@ -53,6 +64,7 @@
 #[actix_rt::test]
 async fn daemon_zone_lost() {
     const DAEMONS: usize = 10;
+    let _alone = run_alone().await;
     let mut cluster = start(plan(DAEMONS)).await;
     let zone = cluster.plan.upstreams[LOST].zone.clone();
     let zones = cluster.plan.daemon_zones.clone();
@@ -82,6 +94,7 @@
 #[actix_rt::test]
 async fn daemon_lost_during_moves(#[case] lose_placer: bool) {
     const DAEMONS: usize = 5;
+    let _alone = run_alone().await;
     let mut cluster = start(plan(DAEMONS)).await;
     let keys = keys_of(&cluster, LOST).await;
     let first = placer(&cluster, 0).await.expect("a placer");
