Read the table before an edit of a daemon that is behind is refused

An edit is accepted once a majority has adopted it, so a daemon of the minority judged the base version by an older tree.

Ruled out: a lost or doubled commit (the change log has each edit once), and a write that was repeated after its answer was lost.

Change: a command that is based on a later version than the daemon's epoch waits for a table read that began after the command arrived; only then is it a conflict. Base versions that never existed still conflict and hold up nothing.

--- a/crates/balsam-decide/src/node/commands.rs
+++ b/crates/balsam-decide/src/node/commands.rs
@@ -33,6 +33,27 @@
     stage: Stage,
 }
 
+impl Waiting {
+    /// Returns whether a daemon at `epoch` knows each version that the command is based on.
+    ///
+    /// A later version may have been committed through another daemon. Only a table read that
+    /// began after the command arrived shows that it does not exist.
+    fn can_judge(&self, epoch: Epoch, confirmed_at: Option<TimeMs>) -> bool {
+        self.base_version() <= epoch || confirmed_at.is_some_and(|at| at > self.since)
+    }
+
+    /// Returns the newest version that the command is based on.
+    fn base_version(&self) -> Epoch {
+        match &self.command {
+            OperatorCommand::Edit { edits, .. } => {
+                let versions = edits.iter().map(|edit| edit.base_version);
+                versions.max().unwrap_or(Epoch(0))
+            }
+            _ => Epoch(0),
+        }
+    }
+}
+
 /// The commands that have no answer yet, in the order of their arrival.
 #[derive(Debug, Default)]
 pub(super) struct Commands {
@@ -44,13 +65,16 @@
         Self::default()
     }
 
-    /// Returns the oldest command that is to be committed.
-    pub(super) fn next_queued(&self) -> Option<RequestId> {
-        let queued = |(_, waiting): &(&RequestId, &Waiting)| matches!(waiting.stage, Stage::Queued);
-        self.waiting
-            .iter()
-            .find(queued)
-            .map(|(request, _)| *request)
+    /// Returns the oldest command that is to be committed and whose versions can be judged.
+    pub(super) fn next_queued(
+        &self,
+        epoch: Epoch,
+        confirmed_at: Option<TimeMs>,
+    ) -> Option<RequestId> {
+        let ready = |(_, waiting): &(&RequestId, &Waiting)| {
+            matches!(waiting.stage, Stage::Queued) && waiting.can_judge(epoch, confirmed_at)
+        };
+        self.waiting.iter().find(ready).map(|(request, _)| *request)
     }
 
     /// Makes the log entry of a queued command.
@@ -204,14 +228,15 @@
             return;
         }
         self.due.decide = true;
-        self.commands.waiting.insert(
-            request,
-            Waiting {
-                command,
-                since: now,
-                stage: Stage::Queued,
-            },
-        );
+        let waiting = Waiting {
+            command,
+            since: now,
+            stage: Stage::Queued,
+        };
+        if waiting.base_version() > self.state.epoch {
+            self.table.hasten(now);
+        }
+        self.commands.waiting.insert(request, waiting);
     }
 
     /// Answers the commands whose result is known or whose wait is over.
--- a/crates/balsam-decide/src/node/commits.rs
+++ b/crates/balsam-decide/src/node/commits.rs
@@ -139,7 +139,10 @@
     }
 
     fn command_entry(&mut self, out: &mut Vec<NodeOutput>) -> Option<LogEntry> {
-        while let Some(request) = self.commands.next_queued() {
+        while let Some(request) = self
+            .commands
+            .next_queued(self.state.epoch, self.table.confirmed_at)
+        {
             let attempt = self.commits.next_attempt();
             let author = self.me.incarnation;
             match self.commands.entry(request, &self.state, author, attempt) {
--- a/crates/balsam-decide/src/node/table.rs
+++ b/crates/balsam-decide/src/node/table.rs
@@ -38,7 +38,7 @@
     /// Whether the last read succeeded.
     pub(super) ok: bool,
     /// When the last read began that confirmed the node's epoch.
-    confirmed_at: Option<TimeMs>,
+    pub(super) confirmed_at: Option<TimeMs>,
     /// The newest epoch that the table is known to hold.
     pub(super) seen_epoch: Epoch,
 }
--- a/crates/balsam-decide/tests/settings_order.rs
+++ b/crates/balsam-decide/tests/settings_order.rs
@@ -72,6 +72,58 @@
     }
 }
 
+/// Guards against a daemon that calls an edit a conflict because it has not yet read the accepted
+/// edit that this one is based on.
+#[test]
+fn daemon_behind_reads_before_it_refuses() {
+    for seed in 0..SEEDS {
+        let mut world = settled(seed);
+        let behind = world.nodes.len() - 1;
+        let path = NodePath::Service(service());
+        let first = edit(&mut world, 0, path.clone(), 111, false);
+        let mut second = None;
+        let until = world.t + IN_FORCE_MS;
+        while world.t < until && second.is_none() {
+            world.run_until(world.t + 1);
+            if world.answers.contains_key(&first) {
+                second = Some(edit(&mut world, behind, path.clone(), 222, false));
+            }
+        }
+        let second = second.expect("the first edit is answered");
+        world.run_until(world.t + 1_000);
+        let answer = &world.answers[&second];
+        let accepted = matches!(answer, CommandResult::Accepted { .. });
+        assert!(accepted, "seed {seed}: {answer:?}");
+    }
+}
+
+/// Guards against an edit based on a version that never existed holding up later commands.
+#[test]
+fn unknown_base_version_conflicts() {
+    for seed in 0..SEEDS {
+        let mut world = settled(seed);
+        let path = NodePath::Service(service());
+        let future = Epoch(world.table.epoch().0 + 1_000);
+        let edits = vec![NodeEdit::new(path.clone(), future)];
+        let refused = world.command(0, OperatorCommand::Edit { edits, wait: false });
+        let accepted = edit(&mut world, 0, path, 333, false);
+        world.run_until(world.t + 1_000);
+        let answer = &world.answers[&refused];
+        let conflict = matches!(
+            answer,
+            CommandResult::Refused(CommandFailure::Settings {
+                source: SettingsError::Conflict { .. }
+            })
+        );
+        assert!(conflict, "seed {seed}: {answer:?}");
+        let answer = &world.answers[&accepted];
+        assert!(
+            matches!(answer, CommandResult::Accepted { .. }),
+            "seed {seed}: {answer:?}"
+        );
+    }
+}
+
 #[test]
 fn edits_of_different_nodes_are_both_kept() {
     for seed in 0..SEEDS {
