Read and write heads of upstream messages by balsam-http1 in balsamswitchd

balsamswitchd had a parser and an encoder of its own beside those of balsam-http1, which the entry daemon uses: the same rules stood twice.

What differs: names of header fields are lowered by the conversion; an answer in HTTP/1.0 is no longer refused but never keeps its connection; a body that ends with the connection is refused as before.

All tests of balsam-daemon pass.

--- a/crates/balsam-daemon/src/request/forward/exchange.rs
+++ b/crates/balsam-daemon/src/request/forward/exchange.rs
@@ -2,7 +2,7 @@
 
 use super::body::Reading;
 use super::connection::UpstreamConnection;
-use super::http1::{BodyEncoding, Http1Error, ParsedHead, encode_head, parse_head};
+use super::http1::{Framing, Http1Error, ParsedHead, encode_head, parse_head};
 use super::permit::{Blocked, Permitted, SendPermit};
 use super::write::{FirstWrite, write_first, write_rest};
 use crate::request::clock::{instant_at, now};
@@ -63,14 +63,14 @@
 ) -> Result<Started, Ended> {
     let Attempt { request, body, .. } = attempt;
     let head = request.head;
-    let encoding = body_encoding(&head, &body);
+    let framing = body_framing(&head, &body);
     loop {
         let permitted = permit.wait(SendPermit::check).await?;
         let connection = match idle.take() {
             Some(connection) if connection.is_reusable(permitted.address) => connection,
             Some(_) | None => open(&permitted).await?,
         };
-        let bytes = encode(&head, &permitted, &body, encoding)?;
+        let bytes = encode(&head, &permitted, &body, framing)?;
         let address = connection.address();
         let UpstreamConnection {
             read,
@@ -80,7 +80,7 @@
         } = connection;
         match write_first(&write, permit, bytes).await {
             FirstWrite::Sent(rest) => {
-                let rest = write_rest(write, permit.clone(), rest, body, encoding);
+                let rest = write_rest(write, permit.clone(), rest, body, framing);
                 let exchange = Exchange {
                     read,
                     buffer,
@@ -167,11 +167,11 @@
     }
 }
 
-fn body_encoding(head: &RequestHead, body: &RequestBody) -> BodyEncoding {
+fn body_framing(head: &RequestHead, body: &RequestBody) -> Framing {
     match (body, head.body_length_bytes) {
-        (RequestBody::Whole(bytes), _) => BodyEncoding::Length(bytes.len() as u64),
-        (RequestBody::Stream(_), Some(length_bytes)) => BodyEncoding::Length(length_bytes),
-        (RequestBody::Stream(_), None) => BodyEncoding::Chunked,
+        (RequestBody::Whole(bytes), _) => Framing::Length(bytes.len() as u64),
+        (RequestBody::Stream(_), Some(length_bytes)) => Framing::Length(length_bytes),
+        (RequestBody::Stream(_), None) => Framing::Chunked,
     }
 }
 
@@ -179,9 +179,9 @@
     head: &RequestHead,
     permitted: &Permitted,
     body: &RequestBody,
-    encoding: BodyEncoding,
+    framing: Framing,
 ) -> Result<Bytes, Failure> {
-    let bytes = encode_head(head, permitted.terms, permitted.address, encoding);
+    let bytes = encode_head(head, permitted.terms, permitted.address, framing);
     let mut bytes = bytes.map_err(|error| {
         debug!("{error}");
         Failure::NotRun(NotRunReason::BadRequest)
--- a/crates/balsam-daemon/src/request/forward/write.rs
+++ b/crates/balsam-daemon/src/request/forward/write.rs
@@ -1,6 +1,6 @@
 //! Writes to upstreams, each under a permit that is checked immediately before it.
 
-use super::http1::{BodyEncoding, encode_chunk};
+use super::http1::{Framing, encode_chunk};
 use super::permit::{Blocked, SendPermit};
 use crate::peer::BodyPart;
 use crate::request::message::RequestBody;
@@ -50,15 +50,15 @@
     permit: SendPermit,
     rest: Bytes,
     body: RequestBody,
-    encoding: BodyEncoding,
+    framing: Framing,
 ) -> Option<OwnedWriteHalf> {
     write_all(&write, &permit, rest).await?;
     let RequestBody::Stream(mut parts) = body else {
         return Some(write);
     };
-    let mut left_bytes = match encoding {
-        BodyEncoding::Length(length_bytes) => Some(length_bytes),
-        BodyEncoding::Chunked => None,
+    let mut left_bytes = match framing {
+        Framing::Length(length_bytes) => Some(length_bytes),
+        Framing::Chunked | Framing::None => None,
     };
     loop {
         // A body that ends without its end mark leaves the request incomplete.
