Divide keys by the speed of upstreams

From the request lines of 1.5 to 6 s: the fastest tenth of the upstreams answered 7 requests a second in 185 ms with 1 % late, the slowest fifth 6 a second in 620 to 1,080 ms with 40 to 54 % late. Keys were divided by slots and counts of requests only, while upstreams of one service differ in speed by more than two to one.

Ruled out: single busy keys (16 % of the lookups, which no owner can serve) and orders that wait (a few moves a second before 7 s).

--- a/crates/balsam-decide/src/keys/assigner.rs
+++ b/crates/balsam-decide/src/keys/assigner.rs
@@ -186,9 +186,9 @@
             }
             AssignerInput::Committed(result) => self.committed(now, result),
             AssignerInput::Ordered { id, result } => self.ordered(now, id, &result),
-            AssignerInput::Sampled { service, keys } => {
+            AssignerInput::Sampled { service, report } => {
                 if self.is_leading() {
-                    self.service(&service).sample(now, keys);
+                    self.service(&service).sample(now, report);
                 }
                 return Vec::new();
             }
--- a/crates/balsam-decide/src/keys/message.rs
+++ b/crates/balsam-decide/src/keys/message.rs
@@ -3,6 +3,7 @@
 use crate::directory::Upstreams;
 use balsam_types::{
     DaemonName, Fence, Incarnation, KeyRange, Owner, ServiceName, ServiceRanges, ShardKey, TimeMs,
+    UpstreamName,
 };
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -23,6 +24,15 @@
     pub address: SocketAddr,
 }
 
+/// What a daemon saw of the requests for one service.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LoadReport {
+    /// One key for each request.
+    pub keys: Vec<ShardKey>,
+    /// The upstreams that served requests, and how long each answer took in milliseconds.
+    pub answers: Vec<(UpstreamName, u32)>,
+}
+
 /// The row that names the leader.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct StoredLead {
@@ -197,12 +207,12 @@
         /// How.
         result: OrderResult,
     },
-    /// Requests were made on keys of a service.
+    /// A daemon has sent requests on keys of a service.
     Sampled {
         /// The service.
         service: ServiceName,
-        /// One key for each request.
-        keys: Vec<ShardKey>,
+        /// What the daemon saw since its last report.
+        report: LoadReport,
     },
     /// An upstream refused a request because it does not hold the key.
     NotHeld {
--- a/crates/balsam-decide/src/keys/service.rs
+++ b/crates/balsam-decide/src/keys/service.rs
@@ -3,11 +3,13 @@
 use super::orders::{Sent, TenureKey, Tenures};
 use super::reach::Reach;
 use super::{
-    Candidate, KeyLoad, KeyTiming, Moves, OrderKind, OrderResult, RowVersion, StoredRanges, plan,
+    AnswerTimes, Candidate, KeyLoad, KeyTiming, LoadReport, Moves, OrderKind, OrderResult,
+    RowVersion, StoredRanges, plan,
 };
 use crate::directory::Upstreams;
 use balsam_types::{
-    Assignment, Fence, KeyRange, Owner, ServiceName, ServiceRanges, ShardKey, TimeMs, new_set,
+    Assignment, Fence, KeyRange, Map, Owner, ServiceName, ServiceRanges, ShardKey, TimeMs,
+    UpstreamName, new_set,
 };
 use std::sync::Arc;
 
@@ -79,6 +81,7 @@
 pub(super) struct ServiceState {
     stored: StoredRanges,
     load: KeyLoad,
+    answers: AnswerTimes,
     tenures: Tenures,
     planned_at: TimeMs,
     /// Whether something has changed that the next plan should heed at once.
@@ -97,6 +100,7 @@
                 ranges: Arc::new(ServiceRanges::new(service)),
             },
             load: KeyLoad::new(),
+            answers: AnswerTimes::new(),
             tenures: Tenures::new(),
             planned_at: TimeMs(0),
             wants_plan: true,
@@ -129,9 +133,10 @@
         self.wants_plan = true;
     }
 
-    /// Adds requests to the sample.
-    pub(super) fn sample(&mut self, now: TimeMs, keys: Vec<ShardKey>) {
-        self.load.add(now, keys);
+    /// Adds the requests that a daemon saw.
+    pub(super) fn sample(&mut self, now: TimeMs, report: LoadReport) {
+        self.load.add(now, report.keys);
+        self.answers.add(now, report.answers);
     }
 
     /// Makes the grant of a key due that its owner says it does not hold.
@@ -293,7 +298,8 @@
         let mut draft = ServiceRanges::clone(&self.stored.ranges);
         let is_settled = self.settle(&mut draft);
         let mut changed = is_settled && now.since(self.settled_at) >= SETTLE_MS;
-        let candidates = candidates(now, &draft.service, upstreams, reach);
+        let slowness = self.answers.slowness(now);
+        let candidates = candidates(now, &draft.service, upstreams, reach, &slowness);
         if self.candidates.0 != candidates.len() {
             self.candidates = (candidates.len(), now);
         }
@@ -354,6 +360,7 @@
     service: &ServiceName,
     upstreams: &Upstreams,
     reach: &Reach,
+    slowness: &Map<UpstreamName, f64>,
 ) -> Vec<Candidate> {
     let ready = upstreams
         .of(service)
@@ -362,6 +369,7 @@
     let all = ready.map(|believed| {
         let entry = &believed.entry;
         let slots = f64::from(entry.slots.max(1));
+        let slowness = slowness.get(&entry.name).copied().unwrap_or(1.0);
         let is_cold = now < believed.cold_until;
         Candidate {
             owner: Owner {
@@ -372,7 +380,7 @@
             weight: if is_cold {
                 slots * COLD_PERCENT / 100.0
             } else {
-                slots
+                slots / slowness
             },
         }
     });
--- a/crates/balsam-edge/src/control/message.rs
+++ b/crates/balsam-edge/src/control/message.rs
@@ -4,7 +4,7 @@
 use crate::store::{Page, StoreError};
 use balsam_decide::crashes::Crash;
 use balsam_decide::feed::FeedTable;
-use balsam_decide::keys::{CommitResult, OrderId, OrderResult, RowVersion};
+use balsam_decide::keys::{CommitResult, LoadReport, OrderId, OrderResult, RowVersion};
 use balsam_types::{Fingerprint, ServiceName, ShardKey, TimeMs};
 use std::net::SocketAddr;
 use tokio::sync::oneshot;
@@ -41,10 +41,10 @@
         from: SocketAddr,
         message: PeerMessage,
     },
-    /// Requests were made on keys at this daemon.
+    /// This daemon has sent requests on keys.
     Sampled {
         service: ServiceName,
-        keys: Vec<ShardKey>,
+        report: LoadReport,
     },
     /// The daemon is about to stop; it is told when it is not the leader any more.
     Leave(oneshot::Sender<()>),
--- a/crates/balsam-edge/src/control/peers.rs
+++ b/crates/balsam-edge/src/control/peers.rs
@@ -8,9 +8,9 @@
 use crate::view::Standing;
 use balsam_decide::feed::FeedTable;
 use balsam_decide::keys::{
-    AssignerInput, RowVersion, StoredLead, StoredRanges, apply_delta, delta,
+    AssignerInput, LoadReport, RowVersion, StoredLead, StoredRanges, apply_delta, delta,
 };
-use balsam_types::{Map, ServiceName, ServiceRanges, ShardKey, TimeMs};
+use balsam_types::{Map, ServiceName, ServiceRanges, TimeMs};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use tokio::sync::oneshot;
@@ -131,8 +131,8 @@
                 crashed,
             } => self.hear_suspect(fingerprint, crashed),
             PeerMessage::Cleared(fingerprint) => self.clear(fingerprint),
-            PeerMessage::Sample { service, keys } => {
-                self.give(AssignerInput::Sampled { service, keys });
+            PeerMessage::Sample { service, report } => {
+                self.give(AssignerInput::Sampled { service, report });
             }
         }
     }
@@ -259,13 +259,13 @@
         }
     }
 
-    /// Passes the keys of this daemon's requests on to the leader.
-    pub(super) fn sampled(&mut self, service: ServiceName, keys: Vec<ShardKey>) {
+    /// Passes what this daemon saw of its requests on to the leader.
+    pub(super) fn sampled(&mut self, service: ServiceName, report: LoadReport) {
         if self.assigner.is_leading() {
-            return self.give(AssignerInput::Sampled { service, keys });
+            return self.give(AssignerInput::Sampled { service, report });
         }
         if let Some(target) = self.assigner.leader().map(|leader| leader.address) {
-            self.send(vec![target], PeerMessage::Sample { service, keys });
+            self.send(vec![target], PeerMessage::Sample { service, report });
         }
     }
 
--- a/crates/balsam-edge/src/control/task.rs
+++ b/crates/balsam-edge/src/control/task.rs
@@ -160,7 +160,7 @@
                 self.give(AssignerInput::Ordered { id, result });
             }
             ControlInput::Peer { from, message } => self.hear(from, message),
-            ControlInput::Sampled { service, keys } => self.sampled(service, keys),
+            ControlInput::Sampled { service, report } => self.sampled(service, report),
             ControlInput::Leave(replaced) => self.leave(replaced),
             ControlInput::Stop => self.resign(),
             ControlInput::Crashed(crash) => self.suspect(crash),
--- a/crates/balsam-edge/src/peer/message.rs
+++ b/crates/balsam-edge/src/peer/message.rs
@@ -2,9 +2,9 @@
 
 use balsam_decide::crashes::{Crash, Crashed};
 use balsam_decide::feed::{FeedState, FeedTable};
-use balsam_decide::keys::Leader;
+use balsam_decide::keys::{Leader, LoadReport};
 use balsam_types::{
-    Fingerprint, Incarnation, ServiceName, ServiceRanges, ShardKey, UpstreamEntry, UpstreamName,
+    Fingerprint, Incarnation, ServiceName, ServiceRanges, UpstreamEntry, UpstreamName,
 };
 use bincode::config::{Configuration, Fixint, Limit, LittleEndian, standard};
 use bincode::error::{DecodeError, EncodeError};
@@ -143,10 +143,10 @@
     },
     /// An upstream has served a request that was suspected.
     Cleared(Fingerprint),
-    /// Requests were made on keys at the sender.
+    /// The sender has sent requests on keys.
     Sample {
         service: ServiceName,
-        keys: Vec<ShardKey>,
+        report: LoadReport,
     },
 }
 
--- a/crates/balsam-edge/src/peer/mod.rs
+++ b/crates/balsam-edge/src/peer/mod.rs
@@ -1,5 +1,5 @@
 //! Datagrams between daemons: heartbeats of the leader, its assignments, changes of the store's
-//! tables, and samples of busy keys.
+//! tables, and reports of busy keys.
 //!
 //! Whatever a lost datagram had said is repeated or read from the store.
 
--- a/crates/balsam-edge/src/pool/task.rs
+++ b/crates/balsam-edge/src/pool/task.rs
@@ -7,18 +7,22 @@
 use crate::control::ControlInput;
 use crate::metrics::EdgeMetrics;
 use crate::view::View;
-use balsam_decide::pool::{Ask, AskId, Pool, PoolInput, PoolOutput, PoolSettings};
-use balsam_types::{Map, Route, ServiceName, ShardKey, new_map};
+use balsam_decide::keys::LoadReport;
+use balsam_decide::pool::{Ask, AskId, Pool, PoolInput, PoolOutput, PoolSettings, Verdict};
+use balsam_types::{Map, Route, ServiceName, ShardKey, UpstreamEntry, new_map};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::{MissedTickBehavior, interval, sleep_until};
 
-/// The time between two reports of the keys of requests.
-const SAMPLE_TIME: Duration = Duration::from_millis(300);
+/// The time between two reports of requests on keys.
+const REPORT_TIME: Duration = Duration::from_millis(300);
 
-/// Keys of one report at most; it must fit into a datagram.
-const SAMPLE_MAX: usize = 1_024;
+/// Keys of one report at most; with the answers it must fit into a datagram.
+const REPORT_KEYS_MAX: usize = 1_024;
+
+/// Answers of one report at most; one takes about 30 bytes.
+const REPORT_ANSWERS_MAX: usize = 128;
 
 type Reply = oneshot::Sender<Result<Lease, Refused>>;
 
@@ -28,7 +32,7 @@
     pool: Pool,
     idle: IdleConnections,
     replies: Map<AskId, (Reply, Arc<Route>)>,
-    samples: Map<ServiceName, Vec<ShardKey>>,
+    reports: Map<ServiceName, LoadReport>,
     last_id: u64,
     ends: mpsc::UnboundedSender<LeaseEnd>,
     control: mpsc::Sender<ControlInput>,
@@ -49,13 +53,13 @@
             pool: Pool::new(settings),
             idle: IdleConnections::new(),
             replies: new_map(),
-            samples: new_map(),
+            reports: new_map(),
             last_id: 0,
             ends,
             control,
             metrics,
         };
-        let mut reports = interval(SAMPLE_TIME);
+        let mut reports = interval(REPORT_TIME);
         reports.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
             let look_at = task.pool.next_look(now());
@@ -94,7 +98,7 @@
         if let (Some(key), [share], false) =
             (wanted.key, wanted.route.shares.as_slice(), wanted.is_repeat)
         {
-            self.sample(&share.service, key);
+            self.count_key(&share.service, key);
         }
         self.handle(PoolInput::Ask(Ask {
             id,
@@ -108,10 +112,20 @@
     }
 
     /// Counts a request for a key of a service.
-    fn sample(&mut self, service: &ServiceName, key: ShardKey) {
-        let keys = self.samples.entry(service.clone()).or_default();
-        if keys.len() < SAMPLE_MAX {
-            keys.push(key);
+    fn count_key(&mut self, service: &ServiceName, key: ShardKey) {
+        let report = self.reports.entry(service.clone()).or_default();
+        if report.keys.len() < REPORT_KEYS_MAX {
+            report.keys.push(key);
+        }
+    }
+
+    /// Counts an answer of a service whose keys are reported.
+    fn count_answer(&mut self, upstream: &UpstreamEntry, took_ms: u64) {
+        if let Some(report) = self.reports.get_mut(&upstream.service)
+            && report.answers.len() < REPORT_ANSWERS_MAX
+        {
+            let took_ms = u32::try_from(took_ms).unwrap_or(u32::MAX);
+            report.answers.push((upstream.name.clone(), took_ms));
         }
     }
 
@@ -127,6 +141,9 @@
             self.idle
                 .put(&upstream.entry.name, upstream.entry.born, connection);
         }
+        if verdict == Verdict::Served {
+            self.count_answer(&upstream.entry, took_ms);
+        }
         self.handle(PoolInput::Done {
             upstream,
             route,
@@ -173,11 +190,11 @@
         for (service, left) in self.pool.budget_left(now()) {
             self.metrics.budget_left(&service, left);
         }
-        for (service, keys) in self.samples.drain() {
-            // A busy control task misses a sample; the next one follows soon.
+        for (service, report) in self.reports.drain() {
+            // A busy control task misses a report; the next one follows soon.
             drop(
                 self.control
-                    .try_send(ControlInput::Sampled { service, keys }),
+                    .try_send(ControlInput::Sampled { service, report }),
             );
         }
     }
