Keep idle connections for twice the limit

The margin of one second was too short.

Change: connections are kept for twice the limit, and five seconds longer at least. Nothing but the memory of idle connections is lost by that.

--- a/crates/balsam-edge/src/request/connection.rs
+++ b/crates/balsam-edge/src/request/connection.rs
@@ -29,10 +29,12 @@
 /// How long a caller may take no bytes of its answer.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// How much longer than the limit a connection may be idle. Callers count from when they have the
-/// last answer, and their next request is under way for a while; on a full link each takes up to
-/// half a second.
-const IDLE_MARGIN: Duration = Duration::from_secs(1);
+/// How much longer than the limit a connection may be idle, at least; a long limit is doubled.
+///
+/// Callers count from when they have the last answer, and their next request is under way for a
+/// while. On a full link the answer alone takes several seconds, and a request that crosses the
+/// close is lost.
+const IDLE_MARGIN_MIN: Duration = Duration::from_secs(5);
 
 /// How long bytes that have arrived are awaited before an idle connection is closed.
 const LAST_LOOK: Duration = Duration::from_millis(5);
@@ -132,7 +134,8 @@
             let wait = if self.reader.is_inside() || !self.buffer.is_empty() {
                 Duration::from_millis(limits.header_timeout_ms)
             } else {
-                Duration::from_millis(limits.idle_timeout_ms) + IDLE_MARGIN
+                let limit = Duration::from_millis(limits.idle_timeout_ms);
+                limit + limit.max(IDLE_MARGIN_MIN)
             };
             let idle_at = self.active_at + wait;
             let has_space = self.buffer.len() < READ_AHEAD_MAX_BYTES;
