Let daemons of a new deployment take turns to become the leader

Change: turns count from when a daemon first knows that there are keys to assign, and it reads the row once more when its turn has come.

--- a/crates/balsam-decide/src/keys/assigner.rs
+++ b/crates/balsam-decide/src/keys/assigner.rs
@@ -178,6 +178,9 @@
                 }
             }
             AssignerInput::World { upstreams, keyed } => {
+                if self.keyed.is_empty() && !keyed.is_empty() {
+                    self.keys_known(now);
+                }
                 self.upstreams = upstreams;
                 self.keyed = keyed;
                 for service in self.services.values_mut() {
--- a/crates/balsam-decide/src/keys/succession.rs
+++ b/crates/balsam-decide/src/keys/succession.rs
@@ -34,6 +34,22 @@
         self.lead = Lead::Other(stored);
     }
 
+    /// Waits for this daemon's turn once there are keys to assign.
+    ///
+    /// The configuration reaches all daemons of a new deployment at the same moment. Those whose
+    /// turn comes later read the row first, and find the leader.
+    pub(super) fn keys_known(&mut self, now: TimeMs) {
+        let is_free = match &self.lead {
+            Lead::Unread => true,
+            Lead::Other(stored) => stored.leader.is_none(),
+            Lead::Stopped | Lead::Mine { .. } => false,
+        };
+        if is_free {
+            self.take_at = self.take_at.max(now.after(self.stagger_ms));
+            self.reload_at = Some(self.take_at);
+        }
+    }
+
     pub(super) fn lead_taken(
         &mut self,
         now: TimeMs,
