Put both operators' pages into one

OPERATORS.md becomes the second half of OPERATIONS.md, with a table that leads to the parts. The tests that keep the pages and the code the same read the one page.

--- a/crates/balsam-ctl/src/lib.rs
+++ b/crates/balsam-ctl/src/lib.rs
@@ -1,7 +1,7 @@
 //! The operator client.
 //!
 //! Each command is a file of [`commands`] and returns a [`Report`]; printing and exit codes are the
-//! same for all. See [the operators' page](../../../docs/OPERATORS.md).
+//! same for all. See [the operators' page](../../../docs/OPERATIONS.md#balsamswitchd).
 
 mod cli;
 mod client;
--- a/crates/balsam-daemon/src/config/mod.rs
+++ b/crates/balsam-daemon/src/config/mod.rs
@@ -1,7 +1,7 @@
 //! The settings file of a daemon.
 //!
 //! The file is read once, at the start; everything that operators change at run time lives in the
-//! settings tree instead. See [the operators' page](../../../../docs/OPERATORS.md).
+//! settings tree instead. See [the operators' page](../../../../docs/OPERATIONS.md#balsamswitchd).
 
 mod error;
 mod fields;
--- a/crates/balsam-daemon/tests/operators_page.rs
+++ b/crates/balsam-daemon/tests/operators_page.rs
@@ -3,7 +3,7 @@
 use balsam_daemon::config::Limits;
 use balsam_types::settings::{SettingKey, Unit};
 
-const PAGE: &str = include_str!("../../../docs/OPERATORS.md");
+const PAGE: &str = include_str!("../../../docs/OPERATIONS.md");
 
 /// Returns the cells of the first table row below `heading` whose first cell is `name`.
 fn row(heading: &str, name: &str) -> Vec<&'static str> {
