Do not take a daemon's own return for the store's

Ruled out: late or lost news of the leader (the slowest daemon had them after 0.7 s).

Change: a heartbeat of a leader that the store answers ends the daemon's belief that the store is away. Only the first answer to a daemon that had no such heartbeat since its failure counts as the store's return.

Tests: returned_alone (fails without the change), returned_for_all.

--- a/crates/balsam-decide/src/feed/machine.rs
+++ b/crates/balsam-decide/src/feed/machine.rs
@@ -30,6 +30,8 @@
     state: Option<TableState>,
     /// When the store last answered, unless a call has failed since.
     answered_at: Option<TimeMs>,
+    /// Whether a call has failed and the store has answered neither this daemon nor the leader since.
+    is_lost: bool,
     /// Since when the leader announces a change that this daemon does not know.
     behind_since: Option<TimeMs>,
 }
@@ -78,9 +80,17 @@
         }
     }
 
-    /// Notes an answer of the store; `version` is its newest version.
-    pub fn answered(&mut self, now: TimeMs, table: FeedTable, version: u64, has_changes: bool) {
+    /// Notes an answer of the store; `version` is its newest version. Returns whether the store was
+    /// away until now, as far as this daemon knows.
+    pub fn answered(
+        &mut self,
+        now: TimeMs,
+        table: FeedTable,
+        version: u64,
+        has_changes: bool,
+    ) -> bool {
         let known = self.known_mut(table);
+        let was_lost = std::mem::take(&mut known.is_lost);
         known.answered_at = Some(now);
         let state = known.state.get_or_insert_default();
         if has_changes {
@@ -88,6 +98,7 @@
         }
         state.seen = state.seen.max(version);
         self.compare(now, table);
+        was_lost
     }
 
     fn compare(&mut self, now: TimeMs, table: FeedTable) {
@@ -98,7 +109,9 @@
 
     /// Notes that a call to the store has failed.
     pub const fn failed(&mut self, table: FeedTable) {
-        self.known_mut(table).answered_at = None;
+        let known = self.known_mut(table);
+        known.answered_at = None;
+        known.is_lost = true;
     }
 
     /// Takes changes that the leader passes on, after `base` and up to `version`; returns whether
@@ -133,6 +146,8 @@
             {
                 mine.seen = mine.seen.max(theirs.seen);
             }
+            // The store answers the leader, so that it is away for this daemon alone.
+            self.known_mut(table).is_lost &= !said.is_fresh();
             self.compare(now, table);
         }
     }
--- a/crates/balsam-decide/tests/feed_source.rs
+++ b/crates/balsam-decide/tests/feed_source.rs
@@ -81,6 +81,38 @@
     assert!(!cut.should_replace(now));
 }
 
+/// Guards that a daemon whose own calls failed long ago does not take its next answer for the
+/// store's return: it would keep upstreams that have left since, and send them requests.
+#[test]
+fn returned_alone() {
+    let (mut leader, mut daemon) = (read(TimeMs(0)), read(TimeMs(0)));
+    daemon.failed(TABLE);
+    for step in 1..40 {
+        let now = TimeMs(step * HEARTBEAT_MS);
+        for table in FeedTable::ALL {
+            leader.answered(now, table, 10, false);
+        }
+        daemon.heard(now, leader.state(now));
+    }
+    assert!(!daemon.answered(TimeMs(10_000), TABLE, 20, true));
+}
+
+/// Guards that the store's return is noticed by a daemon whose leader was turned away as well.
+#[test]
+fn returned_for_all() {
+    let (mut leader, mut daemon) = (read(TimeMs(0)), read(TimeMs(0)));
+    for step in 1..40 {
+        let now = TimeMs(step * HEARTBEAT_MS);
+        for table in FeedTable::ALL {
+            leader.failed(table);
+            daemon.failed(table);
+        }
+        daemon.heard(now, leader.state(now));
+    }
+    assert!(daemon.answered(TimeMs(10_000), TABLE, 20, true));
+    assert!(!daemon.answered(TimeMs(10_500), TABLE, 20, false));
+}
+
 /// Guards that a snapshot is asked for only if the store does not bring an announced change.
 #[test]
 fn turned_away() {
--- a/crates/balsam-edge/src/control/tables.rs
+++ b/crates/balsam-edge/src/control/tables.rs
@@ -27,7 +27,10 @@
         };
         let has_changes = is_whole || !page.changes.is_empty();
         let base = self.feed.state(now()).of(table).changed;
-        self.feed.answered(now(), table, page.version, has_changes);
+        if self.feed.answered(now(), table, page.version, has_changes) {
+            // What vanishes right after the store's return may only have lapsed meanwhile.
+            self.directory.handle(now(), DirectoryInput::StoreFailed);
+        }
         if has_changes && self.assigner.is_leading() {
             // The others fetch what they lack once a heartbeat names the version.
             self.heartbeat_at = now();
@@ -35,8 +38,6 @@
         if let Some(lost_at) = self.lost.remove(&table) {
             // The leader knows whether the store was lost to others as well.
             self.hello_at = now();
-            // What vanishes right after the store's return may only have lapsed meanwhile.
-            self.directory.handle(now(), DirectoryInput::StoreFailed);
             let lost_ms = now().since(lost_at);
             ControlLine::StoreBack {
                 table: StoreTable::from(table).as_str(),
