Send requests after moved keys before the row says so

From 2 s to 6 s key 44919 was refused 711 times as without an owner. Its range was released at 2.54 s and granted to the next owner, but requests waited for the row that ends the move, and the store was lost to the leader at 2.60 s. In calm times they wait for that row as well, up to 0.5 s, because such commits are gathered. The key should not have moved either: it overloads any owner, and its owner looked slow.

Change: the leader tells all daemons the tokens of moving keys whose next owner has acknowledged its grant, and the pool sends requests there. Safe without further conditions: an upstream refuses keys that it does not hold. A single busy key moves only away from another one.

--- a/crates/balsam-decide/src/keys/assigner.rs
+++ b/crates/balsam-decide/src/keys/assigner.rs
@@ -148,6 +148,7 @@
     /// Takes one input and returns what is to be done.
     pub fn handle(&mut self, now: TimeMs, input: AssignerInput) -> Vec<AssignerOutput> {
         let is_routine = self.is_routine(&input);
+        let mut moved = None;
         match input {
             AssignerInput::Lead(stored) => self.see_lead(now, stored),
             AssignerInput::Ranges(stored) => self.see_ranges(stored),
@@ -188,7 +189,7 @@
                 }
             }
             AssignerInput::Committed(result) => self.committed(now, result),
-            AssignerInput::Ordered { id, result } => self.ordered(now, id, &result),
+            AssignerInput::Ordered { id, result } => moved = self.ordered(now, id, &result),
             AssignerInput::Sampled { service, report } => {
                 if self.is_leading() {
                     self.service(&service).sample(now, report);
@@ -198,10 +199,11 @@
             AssignerInput::NotHeld { service, key } => self.service(&service).not_held(key),
             AssignerInput::Tick => {}
         }
-        if is_routine {
-            return Vec::new();
+        let mut outputs = Vec::from_iter(moved);
+        if !is_routine {
+            outputs.extend(self.act(now));
         }
-        self.act(now)
+        outputs
     }
 
     /// Returns whether what follows from an input can wait for the next tick.
@@ -272,10 +274,14 @@
         }
     }
 
-    fn ordered(&mut self, now: TimeMs, id: OrderId, result: &OrderResult) {
-        let Some(sent) = self.sent.remove(&id) else {
-            return;
-        };
+    /// Notes how an order ended; returns the news if the next owner of moving keys has them now.
+    fn ordered(
+        &mut self,
+        now: TimeMs,
+        id: OrderId,
+        result: &OrderResult,
+    ) -> Option<AssignerOutput> {
+        let sent = self.sent.remove(&id)?;
         self.reach.note(now, &sent.to, result);
         if sent.is_grant {
             match result {
@@ -298,9 +304,12 @@
             _ => {}
         }
         let inherits = now < self.inherited_until();
-        if let Some(service) = self.services.get_mut(&sent.service) {
-            service.ordered(&sent, result, inherits);
-        }
+        let service = self.services.get_mut(&sent.service)?;
+        let fence = service.ordered(&sent, result, inherits)?;
+        Some(AssignerOutput::Moved {
+            service: sent.service,
+            fence,
+        })
     }
 
     fn act(&mut self, now: TimeMs) -> Vec<AssignerOutput> {
--- a/crates/balsam-decide/src/keys/message.rs
+++ b/crates/balsam-decide/src/keys/message.rs
@@ -236,4 +236,11 @@
     Confirm,
     /// Send an order.
     Order(Order),
+    /// The next owner of moving keys has them; the row that says so is still to be written.
+    Moved {
+        /// The service.
+        service: ServiceName,
+        /// The token of the assignment.
+        fence: Fence,
+    },
 }
--- a/crates/balsam-decide/src/keys/plan.rs
+++ b/crates/balsam-decide/src/keys/plan.rs
@@ -253,13 +253,15 @@
     /// Finds a part of one range of a busy upstream whose load comes closest to `want`.
     ///
     /// A busy key may exceed the room of every other upstream. It moves if its next owner is then
-    /// clearly less busy than its former one was, because two such keys may not stay together.
+    /// clearly less busy than its former one was, because two such keys may not stay together. One
+    /// without busy neighbours stays: it would overload every owner.
     fn piece(&self, hot: usize, cold: usize, want: f64) -> Option<(usize, KeyRange)> {
         let owner = &self.candidates[hot].owner;
         let numbered = self.ranges.assignments.iter().enumerate();
         let settled = numbered.filter(|(_, found)| found.owner == *owner && !found.is_moving());
         let is_overloaded = self.relative(hot) * 100.0 > self.mean() * OVERLOADED_PERCENT;
         let taken_max = self.relative(hot) * RELIEVED_PERCENT / 100.0;
+        let fair = self.mean() * self.candidates[hot].weight;
         let weight = self.candidates[cold].weight.max(0.01);
         let mut fitting: Option<(f64, usize, KeyRange)> = None;
         let mut relieving: Option<(f64, usize, KeyRange)> = None;
@@ -269,7 +271,11 @@
                 let taken = (self.loads[cold] + load) / weight;
                 if load > 0.0 && load <= want * 1.6 + KEY_WEIGHT {
                     keep_least(&mut fitting, ((load - want).abs(), at, range));
-                } else if is_overloaded && taken <= taken_max && self.is_one_key(range) {
+                } else if is_overloaded
+                    && taken <= taken_max
+                    && self.loads[hot] - load >= fair
+                    && self.is_one_key(range)
+                {
                     keep_least(&mut relieving, (taken, at, range));
                 }
             }
--- a/crates/balsam-decide/src/keys/service.rs
+++ b/crates/balsam-decide/src/keys/service.rs
@@ -247,16 +247,25 @@
         })
     }
 
-    /// Notes how an order ended.
-    pub(super) fn ordered(&mut self, sent: &Sent, result: &OrderResult, inherits: bool) {
-        let Some(tenure) = self.tenures.get_mut(&sent.key) else {
-            return;
-        };
+    /// Notes how an order ended; returns the token of moving keys whose next owner has them now.
+    pub(super) fn ordered(
+        &mut self,
+        sent: &Sent,
+        result: &OrderResult,
+        inherits: bool,
+    ) -> Option<Fence> {
+        let tenure = self.tenures.get_mut(&sent.key)?;
         self.wants_plan |= !sent.is_renewal;
         if sent.is_grant {
             tenure.is_granting = false;
             match result {
-                OrderResult::Granted => tenure.is_granted = true,
+                OrderResult::Granted => {
+                    tenure.is_granted = true;
+                    let assignments = &self.stored.ranges.assignments;
+                    let mut moving = assignments.iter().filter(|found| found.is_moving());
+                    let is_moving = moving.any(|found| (found.range, found.fence) == sent.key);
+                    return (!sent.is_renewal && is_moving).then_some(sent.key.1);
+                }
                 OrderResult::Fenced => tenure.is_fenced = true,
                 OrderResult::Ended | OrderResult::Refused { .. } => tenure.is_granted = false,
                 OrderResult::Released { .. }
@@ -264,7 +273,7 @@
                 | OrderResult::NotSent
                 | OrderResult::NoAnswer => {}
             }
-            return;
+            return None;
         }
         tenure.releasing.retain(|former| *former != sent.to);
         let has_released = match result {
@@ -279,6 +288,7 @@
         if has_released {
             tenure.note_released(&sent.to, sent.left_at);
         }
+        None
     }
 
     /// Returns assignments to commit, if they should change.
--- a/crates/balsam-decide/src/pool/message.rs
+++ b/crates/balsam-decide/src/pool/message.rs
@@ -4,7 +4,7 @@
 use crate::directory::{Believed, Upstreams};
 use crate::routing::RouteTable;
 use balsam_types::{
-    Map, Route, ServiceName, ServiceRanges, ShardKey, TimeMs, UpstreamName, ZoneName,
+    Fence, Map, Route, ServiceName, ServiceRanges, Set, ShardKey, TimeMs, UpstreamName, ZoneName,
 };
 use std::sync::Arc;
 
@@ -92,6 +92,8 @@
     pub upstreams: Arc<Upstreams>,
     /// The owners of keys.
     pub ranges: Map<ServiceName, Arc<ServiceRanges>>,
+    /// The tokens of moving keys whose next owner has them already.
+    pub moved: Map<ServiceName, Arc<Set<Fence>>>,
     /// Daemons that share the upstreams, this one included.
     pub daemons: u32,
 }
--- a/crates/balsam-decide/src/pool/pick.rs
+++ b/crates/balsam-decide/src/pool/pick.rs
@@ -52,11 +52,12 @@
         let Some(assignment) = ranges.and_then(|ranges| ranges.find(key)) else {
             return Choice::Wait(Refusal::NoOwner);
         };
+        let moved = self.world.moved.get(service);
+        let has_keys =
+            !assignment.is_moving() || moved.is_some_and(|moved| moved.contains(&assignment.fence));
         let upstream = self.world.upstreams.get(&assignment.owner.upstream);
         let Some(upstream) = upstream.filter(|found| {
-            found.entry.born == assignment.owner.born
-                && found.entry.is_ready()
-                && !assignment.is_moving()
+            found.entry.born == assignment.owner.born && found.entry.is_ready() && has_keys
         }) else {
             return Choice::Wait(Refusal::NoOwner);
         };
--- a/crates/balsam-decide/tests/key_world/world.rs
+++ b/crates/balsam-decide/tests/key_world/world.rs
@@ -338,6 +338,8 @@
                 let version = (!is_cut).then(|| self.store.lead().version);
                 self.answer(at, AssignerInput::Confirmed { asked_at, version });
             }
+            // Requests that follow this news are refused by upstreams that do not hold their keys.
+            AssignerOutput::Moved { .. } => {}
             AssignerOutput::Order(order) => {
                 // A daemon may freeze between a decision and its order.
                 if self.chance(20) {
--- a/crates/balsam-decide/tests/leader_leaving.rs
+++ b/crates/balsam-decide/tests/leader_leaving.rs
@@ -75,21 +75,23 @@
 
     fn give(&mut self, input: AssignerInput) {
         for output in self.assigner.handle(self.now, input) {
-            let answer = self.answer(output);
-            self.give(answer);
+            if let Some(answer) = self.answer(output) {
+                self.give(answer);
+            }
         }
     }
 
-    fn answer(&mut self, output: AssignerOutput) -> AssignerInput {
-        match output {
+    fn answer(&mut self, output: AssignerOutput) -> Option<AssignerInput> {
+        let answer = match output {
             AssignerOutput::Commit(commit) => {
                 self.attempts += u32::from(matches!(commit, Commit::TakeLead { .. }));
                 if self.is_store_away {
-                    return AssignerInput::Committed(CommitResult::Failed);
+                    return Some(AssignerInput::Committed(CommitResult::Failed));
                 }
                 self.version += 1;
                 AssignerInput::Committed(CommitResult::Done(RowVersion(self.version)))
             }
+            AssignerOutput::Moved { .. } => return None,
             AssignerOutput::Reload if self.is_store_away => AssignerInput::ReloadFailed,
             AssignerOutput::Reload => AssignerInput::Reloaded,
             AssignerOutput::Confirm => AssignerInput::Confirmed {
@@ -101,7 +103,8 @@
                 let (id, result) = (order.id, OrderResult::Granted);
                 AssignerInput::Ordered { id, result }
             }
-        }
+        };
+        Some(answer)
     }
 
     /// Plays a time and returns the orders that were sent in it.
--- a/crates/balsam-decide/tests/reused_address.rs
+++ b/crates/balsam-decide/tests/reused_address.rs
@@ -63,6 +63,7 @@
                     AssignerInput::Committed(CommitResult::Done(RowVersion(self.version)))
                 }
                 AssignerOutput::Reload => AssignerInput::Reloaded,
+                AssignerOutput::Moved { .. } => continue,
                 AssignerOutput::Confirm => AssignerInput::Confirmed {
                     asked_at: self.now,
                     version: Some(self.assigner.lead_version()),
--- a/crates/balsam-edge/src/control/lines.rs
+++ b/crates/balsam-edge/src/control/lines.rs
@@ -57,6 +57,10 @@
     /// A commit has ended.
     Committed { result: &'static str, version: u64 },
     /// An order has ended other than by a renewal.
+    Moved {
+        service: &'a ServiceName,
+        moves: usize,
+    },
     Ordered {
         upstream: &'a UpstreamName,
         range: String,
@@ -95,7 +99,10 @@
                 .count(),
         }
         .write(),
-        AssignerOutput::Order(_) | AssignerOutput::Reload | AssignerOutput::Confirm => {}
+        AssignerOutput::Order(_)
+        | AssignerOutput::Reload
+        | AssignerOutput::Confirm
+        | AssignerOutput::Moved { .. } => {}
     }
 }
 
--- a/crates/balsam-edge/src/control/mod.rs
+++ b/crates/balsam-edge/src/control/mod.rs
@@ -4,6 +4,7 @@
 mod follow;
 mod lines;
 mod message;
+mod moved;
 mod path;
 mod peers;
 mod snapshots;
--- /dev/null
+++ b/crates/balsam-edge/src/control/moved.rs
@@ -0,0 +1,54 @@
+//! Moves of keys that have ended at the upstreams before the row says so.
+//!
+//! Requests for moving keys wait. Without this news they would wait for the commit that ends the
+//! move as well, and as long as the store is away.
+
+use super::lines::ControlLine;
+use super::task::ControlTask;
+use crate::clock::now;
+use crate::peer::PeerMessage;
+use balsam_types::{Fence, Map, ServiceName, ServiceRanges, Set};
+use std::sync::Arc;
+
+/// Tokens in one datagram at most; one takes 8 bytes.
+const FENCES_MAX: usize = 512;
+
+impl ControlTask {
+    /// Tells the other daemons which moving keys their next owners have, as the leader.
+    pub(super) fn announce_moved(&mut self) {
+        for (service, mut fences) in std::mem::take(&mut self.moved) {
+            self.take_moved(service.clone(), &fences);
+            // The others read the row once it is written.
+            fences.truncate(FENCES_MAX);
+            let peers = self.book.peers(now(), self.me.address);
+            self.send(peers, PeerMessage::Moved { service, fences });
+        }
+    }
+
+    /// Lets requests for moving keys go to their next owners.
+    pub(super) fn take_moved(&mut self, service: ServiceName, fences: &[Fence]) {
+        ControlLine::Moved {
+            service: &service,
+            moves: fences.len(),
+        }
+        .write();
+        let known = self.view.moved.entry(service).or_default();
+        Arc::make_mut(known).extend(fences);
+        self.publish();
+    }
+}
+
+/// Forgets the tokens of moves that have ended in the row as well.
+///
+/// News of a move may arrive before the row with the move itself.
+pub(super) fn forget_settled(
+    moved: &mut Map<ServiceName, Arc<Set<Fence>>>,
+    ranges: &ServiceRanges,
+) {
+    let Some(known) = moved.get_mut(&ranges.service) else {
+        return;
+    };
+    let moving = ranges.assignments.iter().filter(|found| found.is_moving());
+    let moving: Set<Fence> = moving.map(|found| found.fence).collect();
+    Arc::make_mut(known).retain(|fence| *fence >= ranges.next_fence || moving.contains(fence));
+}
--- a/crates/balsam-edge/src/control/peers.rs
+++ b/crates/balsam-edge/src/control/peers.rs
@@ -122,6 +122,7 @@
             PeerMessage::Resign(incarnation) => self.give(AssignerInput::Resigned(incarnation)),
             PeerMessage::Lead(heartbeat) => self.hear_heartbeat(heartbeat),
             PeerMessage::Ranges(delta) => self.hear_delta(&delta),
+            PeerMessage::Moved { service, fences } => self.take_moved(service, &fences),
             PeerMessage::Upstreams(delta) => self.hear_upstreams(delta),
             PeerMessage::Ask(topic) => self.answer(from, &topic),
             PeerMessage::Part(part) => self.take_part(part),
--- a/crates/balsam-edge/src/control/task.rs
+++ b/crates/balsam-edge/src/control/task.rs
@@ -4,6 +4,7 @@
 use super::act::Actor;
 use super::follow::{FollowOrder, Follower};
 use super::lines::{self, ControlLine, OrderNote};
+use super::moved;
 use crate::clock::now;
 use crate::metrics::EdgeMetrics;
 use crate::peer::{PeerOutput, Snapshots};
@@ -14,7 +15,7 @@
 use balsam_decide::feed::{FOLLOW_AS_LEADER_MS, FOLLOW_ASIDE_MS, Feed, FeedSource, FeedTable};
 use balsam_decide::keys::{Assigner, AssignerInput, AssignerOutput, KeyTiming, Leader, OrderId};
 use balsam_decide::peers::PeerBook;
-use balsam_types::{Map, RoutingConfig, ServiceName, ServiceRanges, TimeMs, new_map};
+use balsam_types::{Fence, Map, RoutingConfig, ServiceName, ServiceRanges, TimeMs, new_map};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot, watch};
@@ -46,6 +47,8 @@
     pub(super) lacking: Map<ServiceName, TimeMs>,
     pub(super) asked_at: TimeMs,
     pub(super) notes: Map<OrderId, OrderNote>,
+    /// Moves that have ended at the upstreams and are not announced yet.
+    pub(super) moved: Map<ServiceName, Vec<Fence>>,
     pub(super) feed: Feed,
     pub(super) follow_orders: Map<FeedTable, watch::Sender<FollowOrder>>,
     pub(super) lost: Map<FeedTable, TimeMs>,
@@ -99,6 +102,7 @@
             lacking: new_map(),
             asked_at: now(),
             notes: new_map(),
+            moved: new_map(),
             feed: Feed::new(),
             follow_orders: new_map(),
             lost: new_map(),
@@ -205,6 +209,7 @@
         self.ask_for_snapshots(now);
         self.publish_suspects(now);
         self.give(AssignerInput::Tick);
+        self.announce_moved();
     }
 
     pub(super) fn tell_world(&mut self) {
@@ -225,6 +230,9 @@
                 AssignerOutput::Commit(commit) => self.actor.commit(commit),
                 AssignerOutput::Reload => self.actor.reload(),
                 AssignerOutput::Confirm => self.actor.confirm(),
+                AssignerOutput::Moved { service, fence } => {
+                    self.moved.entry(service).or_default().push(fence);
+                }
                 AssignerOutput::Order(order) => {
                     let note = OrderNote {
                         upstream: order.to.upstream.clone(),
@@ -276,7 +284,9 @@
             };
             let known = self.view.ranges.get(&service);
             if known.is_none_or(|known| !Arc::ptr_eq(known, &stored.ranges)) {
-                self.view.ranges.insert(service, Arc::clone(&stored.ranges));
+                let ranges = Arc::clone(&stored.ranges);
+                moved::forget_settled(&mut self.view.moved, &ranges);
+                self.view.ranges.insert(service, ranges);
                 changed = true;
             }
         }
--- a/crates/balsam-edge/src/peer/message.rs
+++ b/crates/balsam-edge/src/peer/message.rs
@@ -4,7 +4,7 @@
 use balsam_decide::feed::{FeedState, FeedTable};
 use balsam_decide::keys::{Leader, LoadReport};
 use balsam_types::{
-    Fingerprint, Incarnation, ServiceName, ServiceRanges, UpstreamEntry, UpstreamName,
+    Fence, Fingerprint, Incarnation, ServiceName, ServiceRanges, UpstreamEntry, UpstreamName,
 };
 use bincode::config::{Configuration, Fixint, Limit, LittleEndian, standard};
 use bincode::error::{DecodeError, EncodeError};
@@ -127,6 +127,12 @@
     Lead(Heartbeat),
     /// The sender has committed assignments.
     Ranges(RangesDelta),
+    /// The sender, which is the leader, has granted moving keys to their next owners, and is still
+    /// to commit that.
+    Moved {
+        service: ServiceName,
+        fences: Vec<Fence>,
+    },
     /// The sender has read changes of the list of upstreams.
     Upstreams(UpstreamsDelta),
     /// The sender lacks something that the store does not give it.
--- a/crates/balsam-edge/src/view.rs
+++ b/crates/balsam-edge/src/view.rs
@@ -4,7 +4,7 @@
 use balsam_decide::directory::Upstreams;
 use balsam_decide::pool::PoolWorld;
 use balsam_decide::routing::RouteTable;
-use balsam_types::{DaemonName, Map, ServiceName, ServiceRanges, TimeMs, new_map};
+use balsam_types::{DaemonName, Fence, Map, ServiceName, ServiceRanges, Set, TimeMs, new_map};
 use std::sync::Arc;
 
 /// The daemon's beliefs of one moment.
@@ -18,6 +18,8 @@
     pub upstreams: Arc<Upstreams>,
     /// The owners of keys.
     pub ranges: Map<ServiceName, Arc<ServiceRanges>>,
+    /// The tokens of moving keys whose next owner has them already.
+    pub moved: Map<ServiceName, Arc<Set<Fence>>>,
     /// Daemons of the deployment, this one included.
     pub daemons: u32,
     /// Whether the list of upstreams was read.
@@ -60,6 +62,7 @@
             table_at: TimeMs(0),
             upstreams: Arc::new(Upstreams::default()),
             ranges: new_map(),
+            moved: new_map(),
             daemons: 1,
             has_upstreams: false,
             suspects: Arc::new(SuspectList::default()),
@@ -79,6 +82,7 @@
             table: Arc::clone(self.table.as_ref()?),
             upstreams: Arc::clone(&self.upstreams),
             ranges: self.ranges.clone(),
+            moved: self.moved.clone(),
             daemons: self.daemons,
         })
     }
