--- a/crates/balsam-decide/tests/first_leader.rs
+++ b/crates/balsam-decide/tests/first_leader.rs
@@ -1,17 +1,14 @@
 //! Guards how a deployment that has just started finds its leader.
 
-use balsam_decide::directory::{Believed, Upstreams};
+mod keyed;
+
 use balsam_decide::keys::{
     Assigner, AssignerInput, AssignerOutput, Commit, CommitResult, KeyTiming, Leader, RowVersion,
     StoredLead,
 };
-use balsam_types::{
-    Born, DaemonName, Incarnation, ServiceName, TimeMs, UpstreamEntry, UpstreamName, UpstreamState,
-    ZoneName,
-};
+use balsam_types::{TimeMs, UpstreamState};
+use keyed::{daemon, upstream, world};
 use rstest::rstest;
-use std::net::SocketAddr;
-use std::sync::Arc;
 
 const STEP_MS: u64 = 5;
 
@@ -23,27 +20,6 @@
 
 const STRONG: usize = 4;
 
-fn world() -> AssignerInput {
-    let service = ServiceName::new("keyed").expect("a valid name");
-    let upstream = Arc::new(Believed {
-        entry: UpstreamEntry {
-            name: UpstreamName::new("u1").expect("a valid name"),
-            born: Born(1),
-            service: service.clone(),
-            zone: ZoneName::new("z").expect("a valid name"),
-            address: SocketAddr::from(([127, 0, 0, 1], 9_000)),
-            slots: 3,
-            state: UpstreamState::Ready,
-            warmup_left_ms: 0,
-        },
-        cold_until: TimeMs(0),
-    });
-    AssignerInput::World {
-        upstreams: Arc::new(Upstreams::new([upstream])),
-        keyed: vec![service],
-    }
-}
-
 /// Daemons that start together at an empty store.
 struct Deployment {
     daemons: Vec<(Leader, Assigner)>,
@@ -55,19 +31,15 @@
 
 impl Deployment {
     fn start(now: TimeMs, count: usize) -> Self {
-        let daemon = |at: usize| {
-            let me = Leader {
-                daemon: DaemonName::new(format!("d{at}")).expect("a valid name"),
-                incarnation: Incarnation(at as u64 + 1),
-                address: SocketAddr::from(([127, 0, 0, 1], 7_000 + at as u16)),
-            };
+        let start = |at: usize| {
+            let me = daemon(at as u16);
             let weak_ms = if at < STRONG { 0 } else { WEAK_MS };
             let stagger_ms = weak_ms + (at as u64 * 37) % 150;
             let timing = KeyTiming::new(10_000);
             (me.clone(), Assigner::new(now, me, timing, stagger_ms))
         };
         Self {
-            daemons: (0..count).map(daemon).collect(),
+            daemons: (0..count).map(start).collect(),
             lead: StoredLead {
                 version: RowVersion(0),
                 leader: None,
@@ -135,7 +107,8 @@
     deployment.run(start, 600);
     let configured = start.after(600);
     for at in 0..count {
-        deployment.give(configured, at, world());
+        let upstreams = [upstream(1, UpstreamState::Ready)];
+        deployment.give(configured, at, world(upstreams));
     }
     deployment.run(configured, 900);
     let leaders = deployment.daemons.iter();
--- /dev/null
+++ b/crates/balsam-decide/tests/keyed/mod.rs
@@ -0,0 +1,49 @@
+//! A service that is divided by key, for tests of its leader.
+
+use balsam_decide::directory::{Believed, Upstreams};
+use balsam_decide::keys::{AssignerInput, Leader};
+use balsam_types::{
+    Born, DaemonName, Incarnation, ServiceName, TimeMs, UpstreamEntry, UpstreamName, UpstreamState,
+    ZoneName,
+};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// Returns the service.
+pub fn service() -> ServiceName {
+    ServiceName::new("keyed").expect("a valid name")
+}
+
+/// Returns a daemon by its number; its incarnation is the next number.
+pub fn daemon(at: u16) -> Leader {
+    Leader {
+        daemon: DaemonName::new(format!("d{at}")).expect("a valid name"),
+        incarnation: Incarnation(u64::from(at) + 1),
+        address: SocketAddr::from(([127, 0, 0, 1], 7_000 + at)),
+    }
+}
+
+/// Returns an upstream of the service by its number.
+pub fn upstream(at: u16, state: UpstreamState) -> Arc<Believed> {
+    Arc::new(Believed {
+        entry: UpstreamEntry {
+            name: UpstreamName::new(format!("u{at}")).expect("a valid name"),
+            born: Born(1),
+            service: service(),
+            zone: ZoneName::new("z").expect("a valid name"),
+            address: SocketAddr::from(([127, 0, 0, 1], 9_000 + at)),
+            slots: 3,
+            state,
+            warmup_left_ms: 0,
+        },
+        cold_until: TimeMs(0),
+    })
+}
+
+/// Tells a leader of the upstreams of the service.
+pub fn world(upstreams: impl IntoIterator<Item = Arc<Believed>>) -> AssignerInput {
+    AssignerInput::World {
+        upstreams: Arc::new(Upstreams::new(upstreams)),
+        keyed: vec![service()],
+    }
+}
--- a/crates/balsam-decide/tests/leader_leaving.rs
+++ b/crates/balsam-decide/tests/leader_leaving.rs
@@ -1,48 +1,16 @@
 //! Guards what a leader does that is about to stop.
 
-use balsam_decide::directory::{Believed, Upstreams};
+mod keyed;
+
 use balsam_decide::keys::{
-    Assigner, AssignerInput, AssignerOutput, Commit, CommitResult, KeyTiming, Leader, OrderResult,
+    Assigner, AssignerInput, AssignerOutput, Commit, CommitResult, KeyTiming, OrderResult,
     RowVersion, StoredLead,
 };
-use balsam_types::{
-    Born, DaemonName, Incarnation, ServiceName, TimeMs, UpstreamEntry, UpstreamName, UpstreamState,
-    ZoneName,
-};
-use std::net::SocketAddr;
-use std::sync::Arc;
+use balsam_types::{TimeMs, UpstreamState};
+use keyed::{daemon, upstream, world};
 
 const STEP_MS: u64 = 50;
 
-fn leader(name: &str, incarnation: u64) -> Leader {
-    Leader {
-        daemon: DaemonName::new(name).expect("a valid name"),
-        incarnation: Incarnation(incarnation),
-        address: SocketAddr::from(([127, 0, 0, 1], 7_000)),
-    }
-}
-
-fn world() -> AssignerInput {
-    let service = ServiceName::new("keyed").expect("a valid name");
-    let upstream = Arc::new(Believed {
-        entry: UpstreamEntry {
-            name: UpstreamName::new("u1").expect("a valid name"),
-            born: Born(1),
-            service: service.clone(),
-            zone: ZoneName::new("z").expect("a valid name"),
-            address: SocketAddr::from(([127, 0, 0, 1], 9_000)),
-            slots: 3,
-            state: UpstreamState::Ready,
-            warmup_left_ms: 0,
-        },
-        cold_until: TimeMs(0),
-    });
-    AssignerInput::World {
-        upstreams: Arc::new(Upstreams::new([upstream])),
-        keyed: vec![service],
-    }
-}
-
 /// A leader whose commits and orders succeed, and whose store may be away.
 struct Played {
     assigner: Assigner,
@@ -56,7 +24,7 @@
 impl Played {
     fn start() -> Self {
         let now = TimeMs(100_000);
-        let assigner = Assigner::new(now, leader("d1", 1), KeyTiming::new(10_000), 0);
+        let assigner = Assigner::new(now, daemon(0), KeyTiming::new(10_000), 0);
         let mut played = Self {
             assigner,
             now,
@@ -69,7 +37,7 @@
             version: RowVersion(0),
             leader: None,
         }));
-        played.give(world());
+        played.give(world([upstream(1, UpstreamState::Ready)]));
         played
     }
 
@@ -140,7 +108,7 @@
     played.give(AssignerInput::Leave);
     played.give(AssignerInput::Lead(StoredLead {
         version: RowVersion(100),
-        leader: Some(leader("d2", 2)),
+        leader: Some(daemon(1)),
     }));
     let attempts = played.attempts;
     assert_eq!(played.play(20_000), 0);
--- a/crates/balsam-decide/tests/moved_keys.rs
+++ b/crates/balsam-decide/tests/moved_keys.rs
@@ -1,43 +1,25 @@
 //! Guards when requests for moving keys go to their next owner.
 
+mod keyed;
+
 use balsam_decide::budget::BudgetTerms;
-use balsam_decide::directory::{Believed, Upstreams};
+use balsam_decide::directory::Upstreams;
 use balsam_decide::keys::{
-    Assigner, AssignerInput, AssignerOutput, Commit, CommitResult, KeyTiming, Leader, OrderKind,
+    Assigner, AssignerInput, AssignerOutput, Commit, CommitResult, KeyTiming, OrderKind,
     OrderResult, RowVersion, StoredLead,
 };
 use balsam_decide::pool::{Ask, AskId, Pool, PoolInput, PoolOutput, PoolSettings, PoolWorld};
 use balsam_decide::routing::RouteTable;
 use balsam_types::{
-    Assignment, Born, CallerLimits, ConfigVersion, DaemonName, Fence, Incarnation, Route,
-    RouteKind, RouteName, RoutingConfig, ServiceName, ServicePolicy, ServiceRanges, ServiceShare,
-    Set, ShardKey, TimeMs, UpstreamEntry, UpstreamName, UpstreamState, ZoneName, new_map, new_set,
+    Assignment, CallerLimits, ConfigVersion, Fence, Route, RouteKind, RouteName, RoutingConfig,
+    ServicePolicy, ServiceRanges, ServiceShare, Set, ShardKey, TimeMs, UpstreamState, ZoneName,
+    new_map, new_set,
 };
-use std::net::SocketAddr;
+use keyed::{daemon, service, upstream, world};
 use std::sync::Arc;
 
 const STEP_MS: u64 = 50;
 
-fn service() -> ServiceName {
-    ServiceName::new("keyed").expect("a valid name")
-}
-
-fn upstream(at: u16, state: UpstreamState) -> Arc<Believed> {
-    Arc::new(Believed {
-        entry: UpstreamEntry {
-            name: UpstreamName::new(format!("u{at}")).expect("a valid name"),
-            born: Born(1),
-            service: service(),
-            zone: ZoneName::new("z").expect("a valid name"),
-            address: SocketAddr::from(([127, 0, 0, 1], 9_000 + at)),
-            slots: 3,
-            state,
-            warmup_left_ms: 0,
-        },
-        cold_until: TimeMs(0),
-    })
-}
-
 /// A leader of two upstreams whose orders succeed at once.
 struct Played {
     assigner: Assigner,
@@ -53,13 +35,8 @@
 impl Played {
     fn start() -> Self {
         let now = TimeMs(100_000);
-        let me = Leader {
-            daemon: DaemonName::new("d1").expect("a valid name"),
-            incarnation: Incarnation(1),
-            address: SocketAddr::from(([127, 0, 0, 1], 7_000)),
-        };
         let mut played = Self {
-            assigner: Assigner::new(now, me, KeyTiming::new(10_000), 0),
+            assigner: Assigner::new(now, daemon(0), KeyTiming::new(10_000), 0),
             now,
             version: 0,
             ranges: None,
@@ -71,18 +48,15 @@
             version: RowVersion(0),
             leader: None,
         }));
-        played.world(UpstreamState::Ready);
+        played.tell_world(UpstreamState::Ready);
         played.play(3_000);
         played
     }
 
     /// Tells of the upstreams, the first of which is in `state`.
-    fn world(&mut self, state: UpstreamState) {
+    fn tell_world(&mut self, state: UpstreamState) {
         let upstreams = [upstream(1, state), upstream(2, UpstreamState::Ready)];
-        self.give(AssignerInput::World {
-            upstreams: Arc::new(Upstreams::new(upstreams)),
-            keyed: vec![service()],
-        });
+        self.give(world(upstreams));
     }
 
     fn play(&mut self, length_ms: u64) {
@@ -142,7 +116,7 @@
     let mut played = Played::start();
     assert!(played.moved.is_empty(), "first grants are no moves");
     played.loses_store = true;
-    played.world(UpstreamState::Draining);
+    played.tell_world(UpstreamState::Draining);
     played.play(1_000);
     let ranges = played.ranges.clone().expect("assignments");
     let moving = ranges.assignments.iter().filter(|found| found.is_moving());
@@ -182,20 +156,20 @@
 fn waits_for_news() {
     let mut played = Played::start();
     played.loses_store = true;
-    played.world(UpstreamState::Draining);
+    played.tell_world(UpstreamState::Draining);
     let ranges = played.ranges.clone().expect("assignments");
     let moving = ranges.assignments.iter().find(|found| found.is_moving());
     let moving = moving.expect("a range of the draining upstream");
     let config = config();
     let route = Arc::clone(&config.routes[0]);
-    let mut world = PoolWorld {
+    let mut beliefs = PoolWorld {
         table: Arc::new(RouteTable::new(config)),
         upstreams: Arc::new(Upstreams::new([upstream(2, UpstreamState::Ready)])),
         ranges: new_map(),
         moved: new_map(),
         daemons: 1,
     };
-    world.ranges.insert(service(), Arc::clone(&ranges));
+    beliefs.ranges.insert(service(), Arc::clone(&ranges));
     let mut pool = Pool::new(PoolSettings {
         zone: ZoneName::new("z").expect("a valid name"),
         budget: BudgetTerms {
@@ -205,7 +179,7 @@
             daemons: 1,
         },
     });
-    pool.handle(TimeMs(0), PoolInput::World(world.clone()));
+    pool.handle(TimeMs(0), PoolInput::World(beliefs.clone()));
     let ask = Ask {
         id: AskId(1),
         route,
@@ -217,8 +191,8 @@
     };
     assert!(pool.handle(TimeMs(10), PoolInput::Ask(ask)).is_empty());
     let fences: Set<Fence> = [moving.fence].into_iter().collect();
-    world.moved.insert(service(), Arc::new(fences));
-    let outputs = pool.handle(TimeMs(20), PoolInput::World(world));
+    beliefs.moved.insert(service(), Arc::new(fences));
+    let outputs = pool.handle(TimeMs(20), PoolInput::World(beliefs));
     assert!(
         matches!(outputs.as_slice(), [PoolOutput::Send { .. }]),
         "{outputs:?}"
