--- a/crates/balsam-decide/src/keys/service.rs
+++ b/crates/balsam-decide/src/keys/service.rs
@@ -9,7 +9,7 @@
 use crate::directory::Upstreams;
 use balsam_types::{
     Assignment, Fence, KeyRange, Map, Owner, ServiceName, ServiceRanges, ShardKey, TimeMs,
-    UpstreamName, new_set,
+    UpstreamName, new_map, new_set,
 };
 use std::sync::Arc;
 
@@ -82,6 +82,8 @@
     stored: StoredRanges,
     load: KeyLoad,
     answers: AnswerTimes,
+    /// How slow upstreams are, and when that was told.
+    slowness: (TimeMs, Map<UpstreamName, f64>),
     tenures: Tenures,
     planned_at: TimeMs,
     /// Whether something has changed that the next plan should heed at once.
@@ -101,6 +103,7 @@
             },
             load: KeyLoad::new(),
             answers: AnswerTimes::new(),
+            slowness: (TimeMs(0), new_map()),
             tenures: Tenures::new(),
             planned_at: TimeMs(0),
             wants_plan: true,
@@ -308,8 +311,12 @@
         let mut draft = ServiceRanges::clone(&self.stored.ranges);
         let is_settled = self.settle(&mut draft);
         let mut changed = is_settled && now.since(self.settled_at) >= SETTLE_MS;
-        let slowness = self.answers.slowness(now);
-        let candidates = candidates(now, &draft.service, upstreams, reach, &slowness);
+        // Each end of an order may bring a plan; speeds change more slowly than that.
+        if now.since(self.slowness.0) >= PLAN_MS {
+            self.slowness = (now, self.answers.slowness(now));
+        }
+        let slowness = &self.slowness.1;
+        let candidates = candidates(now, &draft.service, upstreams, reach, slowness);
         if self.candidates.0 != candidates.len() {
             self.candidates = (candidates.len(), now);
         }
