Remember in the rows that all earlier leaders have ended

The leader after the kill waited 13 s for leaders before its predecessor, because only heartbeats had told that they had ended, and nobody had survived to remember.

Change: a leader that knows the end of all leaders before it writes that into its rows of assignments, once. Whoever follows it, and knows its end, waits only for the run of its own last grant, about 5 s. Sound by induction: a leader's last order comes before it ends, and its successor writes after that.

Ruled out: the same in the leader's own row, whose version names the leader.

--- a/crates/balsam-decide/src/keys/assigner.rs
+++ b/crates/balsam-decide/src/keys/assigner.rs
@@ -35,6 +35,8 @@
         inherited_until: TimeMs,
         /// The hold of those grants.
         inherited_hold_ms: u64,
+        /// Whether all earlier leaders have sent their last order.
+        have_ended: bool,
         /// Whether the rows were read since this daemon became the leader.
         is_loaded: bool,
     },
@@ -73,6 +75,8 @@
     pub(super) followed: Followed,
     /// The leader before this one, while its orders may still be under way.
     pub(super) predecessor: Option<Leader>,
+    /// The version of that leader's row.
+    pub(super) predecessor_version: RowVersion,
     pub(super) take_at: TimeMs,
     /// Whether this daemon is about to stop.
     pub(super) is_leaving: bool,
@@ -101,6 +105,7 @@
             lead: Lead::Unread,
             followed: Followed::default(),
             predecessor: None,
+            predecessor_version: RowVersion(0),
             take_at: now.after(stagger_ms),
             is_leaving: false,
             services: new_map(),
@@ -155,7 +160,7 @@
             AssignerInput::Reloaded => {
                 self.is_reloading = false;
                 self.reload_at = None;
-                self.loaded();
+                self.loaded(now);
             }
             AssignerInput::ReloadFailed => {
                 self.is_reloading = false;
@@ -356,11 +361,19 @@
         } else {
             Moves::All
         };
+        let settled_lead = self.is_alone(now).then_some(lead);
         for name in self.keyed.clone() {
             let upstreams = Arc::clone(&self.upstreams);
             let state = self.services.entry(name.clone());
             let state = state.or_insert_with(|| ServiceState::new(name));
-            if let Some(ranges) = state.propose(now, &self.timing, &upstreams, &self.reach, moves) {
+            if let Some(ranges) = state.propose(
+                now,
+                &self.timing,
+                &upstreams,
+                &self.reach,
+                moves,
+                settled_lead,
+            ) {
                 let expected = state.stored().version;
                 self.pending = Some(Pending::Ranges {
                     sent_at: now,
--- a/crates/balsam-decide/src/keys/delta.rs
+++ b/crates/balsam-decide/src/keys/delta.rs
@@ -14,6 +14,7 @@
         service: new.service.clone(),
         next_fence: new.next_fence,
         long_hold_ms: new.long_hold_ms,
+        settled_lead: new.settled_lead,
         assignments: new.assignments.iter().filter(is_new).cloned().collect(),
     }
 }
@@ -33,6 +34,7 @@
         service: delta.service.clone(),
         next_fence: delta.next_fence,
         long_hold_ms: delta.long_hold_ms,
+        settled_lead: delta.settled_lead,
         assignments,
     };
     (old.service == delta.service && new.is_sound()).then_some(new)
--- a/crates/balsam-decide/src/keys/service.rs
+++ b/crates/balsam-decide/src/keys/service.rs
@@ -302,6 +302,7 @@
         upstreams: &Upstreams,
         reach: &Reach,
         moves: Moves,
+        settled_lead: Option<RowVersion>,
     ) -> Option<Arc<ServiceRanges>> {
         let is_due = self.wants_plan || now.since(self.planned_at) >= PLAN_MS;
         if !is_due && !self.stored.ranges.assignments.is_empty() {
@@ -338,6 +339,12 @@
                 changed = true;
             }
         }
+        if let Some(lead) = settled_lead.filter(|lead| lead.0 != draft.settled_lead)
+            && !draft.assignments.is_empty()
+        {
+            draft.settled_lead = lead.0;
+            changed = true;
+        }
         let long_hold_ms = timing.long_hold_ms(draft.assignments.len());
         if long_hold_ms > draft.long_hold_ms {
             draft.long_hold_ms = long_hold_ms;
--- a/crates/balsam-decide/src/keys/succession.rs
+++ b/crates/balsam-decide/src/keys/succession.rs
@@ -2,6 +2,7 @@
 //! order.
 
 use super::assigner::{Assigner, Followed, Lead, Pending};
+use super::service::ServiceState;
 use super::{AssignerOutput, Commit, Leader, RowVersion, StoredLead};
 use balsam_types::{Incarnation, TimeMs};
 
@@ -58,11 +59,13 @@
         inherited_until: TimeMs,
     ) {
         self.predecessor = self.leader().cloned();
+        self.predecessor_version = self.lead_version();
         self.lead = Lead::Mine {
             version,
             confirmed_at,
             inherited_until,
             inherited_hold_ms: self.longest_hold_ms(),
+            have_ended: false,
             is_loaded: false,
         };
         if self.followed.has_ended {
@@ -140,11 +143,13 @@
         if let Lead::Mine {
             inherited_until,
             inherited_hold_ms,
+            have_ended,
             ..
         } = &mut self.lead
             && self.followed.is_settled
         {
             self.predecessor = None;
+            *have_ended = true;
             let ended_ms = self.timing.ended_ms(*inherited_hold_ms);
             *inherited_until = now.after(ended_ms).min(*inherited_until);
         }
@@ -160,7 +165,7 @@
     /// Goes on with the rows as they were read after this daemon became the leader.
     ///
     /// The rows may tell of longer holds than were known when the lead was taken.
-    pub(super) fn loaded(&mut self) {
+    pub(super) fn loaded(&mut self, now: TimeMs) {
         let longest_ms = self.longest_hold_ms();
         if let Lead::Mine {
             inherited_until,
@@ -175,9 +180,38 @@
             *inherited_until = inherited_until.after(longer_ms);
             *inherited_hold_ms = longest_ms;
             *is_loaded = true;
+            self.followed.is_settled |= self.is_predecessor_alone();
+            if self.followed.has_ended {
+                self.predecessor_ended(now);
+            }
         }
     }
 
+    /// Returns whether this daemon is the leader and all leaders before it have ended, so that
+    /// whoever follows it has to wait for its own orders only.
+    pub(super) fn is_alone(&self, now: TimeMs) -> bool {
+        self.is_settled(now)
+            || matches!(
+                self.lead,
+                Lead::Mine {
+                    have_ended: true,
+                    ..
+                }
+            )
+    }
+
+    /// Returns whether the rows say that all leaders before the predecessor have ended.
+    ///
+    /// After all daemons have ended at once nobody else remembers.
+    fn is_predecessor_alone(&self) -> bool {
+        let version = self.predecessor_version.0;
+        let stored = self.services.values().map(ServiceState::stored);
+        let mut written = stored.filter(|stored| stored.version.0 > 0).peekable();
+        version > 0
+            && written.peek().is_some()
+            && written.all(|stored| stored.ranges.settled_lead == version)
+    }
+
     pub(super) fn confirmed(&mut self, now: TimeMs, asked_at: TimeMs, read: Option<RowVersion>) {
         let Lead::Mine {
             version,
--- a/crates/balsam-edge/src/store/rows.rs
+++ b/crates/balsam-edge/src/store/rows.rs
@@ -66,6 +66,7 @@
     service: ServiceName,
     next_fence: Fence,
     long_hold_ms: u64,
+    settled_lead: u64,
     /// The version of the first row before this write, which all rows of one write share.
     base: u64,
     /// The number of rows.
@@ -104,6 +105,7 @@
                 service: ranges.service.clone(),
                 next_fence: ranges.next_fence,
                 long_hold_ms: ranges.long_hold_ms,
+                settled_lead: ranges.settled_lead,
                 base,
                 parts,
                 owners,
@@ -150,6 +152,7 @@
             service: first.service.clone(),
             next_fence: first.next_fence,
             long_hold_ms: first.long_hold_ms,
+            settled_lead: first.settled_lead,
             assignments,
         };
         ensure!(ranges.is_sound(), UnsoundSnafu);
--- a/crates/balsam-edge/tests/range_rows.rs
+++ b/crates/balsam-edge/tests/range_rows.rs
@@ -46,6 +46,7 @@
         service: service(),
         next_fence: Fence(2_000_000),
         long_hold_ms: 9_000,
+        settled_lead: 7,
         assignments: assignments.collect(),
     }
 }
--- a/crates/balsam-types/src/ranges.rs
+++ b/crates/balsam-types/src/ranges.rs
@@ -105,6 +105,8 @@
     pub next_fence: Fence,
     /// The longest hold of any grant so far in milliseconds, if it is longer than usual, or 0.
     pub long_hold_ms: u64,
+    /// The version of the row of the last leader that knew the end of all leaders before it, or 0.
+    pub settled_lead: u64,
     /// The assignments in the order of their keys; they cover all keys or none.
     pub assignments: Vec<Assignment>,
 }
@@ -116,6 +118,7 @@
             service,
             next_fence: Fence(1),
             long_hold_ms: 0,
+            settled_lead: 0,
             assignments: Vec::new(),
         }
     }
