Bound the news of moved keys by the size of the deployment

It sends 600 at most now, so that 10 daemons hear within 50 ms, 64 within about 100 ms and 300 every half second, about as soon as from the row.

--- a/crates/balsam-decide/src/keys/succession.rs
+++ b/crates/balsam-decide/src/keys/succession.rs
@@ -138,7 +138,7 @@
 
     /// Shortens the wait for grants of a predecessor that has ended.
     ///
-    /// Earlier leaders may still give orders unless the predecessor had waited for them.
+    /// Earlier leaders may still give orders unless they are known to have ended as well.
     pub(super) fn predecessor_ended(&mut self, now: TimeMs) {
         if let Lead::Mine {
             inherited_until,
--- a/crates/balsam-edge/src/control/moved.rs
+++ b/crates/balsam-edge/src/control/moved.rs
@@ -5,23 +5,34 @@
 
 use super::lines::ControlLine;
 use super::task::ControlTask;
-use crate::clock::now;
 use crate::peer::PeerMessage;
-use balsam_types::{Fence, Map, ServiceName, ServiceRanges, Set};
+use balsam_types::{Fence, Map, ServiceName, ServiceRanges, Set, TimeMs};
 use std::sync::Arc;
 
 /// Tokens in one datagram at most; one takes 8 bytes.
 const FENCES_MAX: usize = 512;
 
+/// Datagrams with this news that the leader sends in a second at most, so that a large deployment
+/// hears less often instead of keeping the leader busy.
+const NEWS_PER_S: u64 = 600;
+
 impl ControlTask {
     /// Tells the other daemons which moving keys their next owners have, as the leader.
-    pub(super) fn announce_moved(&mut self) {
+    pub(super) fn announce_moved(&mut self, now: TimeMs) {
+        if self.moved.is_empty() {
+            return;
+        }
+        let peers = self.book.peers(now, self.me.address);
+        let pause_ms = peers.len() as u64 * 1_000 / NEWS_PER_S;
+        if now.since(self.announced_at) < pause_ms {
+            return;
+        }
+        self.announced_at = now;
         for (service, mut fences) in std::mem::take(&mut self.moved) {
             self.take_moved(service.clone(), &fences);
             // The others read the row once it is written.
             fences.truncate(FENCES_MAX);
-            let peers = self.book.peers(now(), self.me.address);
-            self.send(peers, PeerMessage::Moved { service, fences });
+            self.send(peers.clone(), PeerMessage::Moved { service, fences });
         }
     }
 
--- a/crates/balsam-edge/src/control/task.rs
+++ b/crates/balsam-edge/src/control/task.rs
@@ -49,6 +49,7 @@
     pub(super) notes: Map<OrderId, OrderNote>,
     /// Moves that have ended at the upstreams and are not announced yet.
     pub(super) moved: Map<ServiceName, Vec<Fence>>,
+    pub(super) announced_at: TimeMs,
     pub(super) feed: Feed,
     pub(super) follow_orders: Map<FeedTable, watch::Sender<FollowOrder>>,
     pub(super) lost: Map<FeedTable, TimeMs>,
@@ -103,6 +104,7 @@
             asked_at: now(),
             notes: new_map(),
             moved: new_map(),
+            announced_at: now(),
             feed: Feed::new(),
             follow_orders: new_map(),
             lost: new_map(),
@@ -209,7 +211,7 @@
         self.ask_for_snapshots(now);
         self.publish_suspects(now);
         self.give(AssignerInput::Tick);
-        self.announce_moved();
+        self.announce_moved(now);
     }
 
     pub(super) fn tell_world(&mut self) {
