Let the answer come before the first crash in closing_address

Crashes count unless the request, or the last answer, is older than the last counted crash, and the clock counts milliseconds: if the answer and three crashes fall into one millisecond, all three count. The test plays them without a pause; a process needs longer to start again.

What the test checks is unchanged.

--- a/crates/balsam-daemon/tests/crashed_upstreams.rs
+++ b/crates/balsam-daemon/tests/crashed_upstreams.rs
@@ -65,6 +65,8 @@
     let cluster = Cluster::start(1, upstream.address).await;
     let entry = cluster.entry().caller;
     answer_other(&mut upstream, entry).await;
+    // The clock counts milliseconds, and the answer must have come before the first crash.
+    actix_rt::time::sleep(std::time::Duration::from_millis(5)).await;
     for _ in 0..5 {
         let mut caller = open_call(entry, "POST /files/key", "").await;
         upstream.next().await.cut_after("").await;
