Tell from where each belief about upstreams and suspects comes

The line of an upstream did not say which version of the row it came from nor who told it, lists left no line at all, an entry that was kept in an outage looked like one that was never removed, a forgotten history left no line, and a crash that did not count was silent.

Rows of upstreams now carry the store's version through all messages. The directory notes what became of each row, and the control task writes one line for it with version, source and outcome. Attempts tell the time until there was a connection, crashes that do not count tell why, and the gauge of suspects tells refused ones from others. No decision is changed; the tests use the new types and check what they did before.

--- a/crates/balsam-decide/src/crashes/mod.rs
+++ b/crates/balsam-decide/src/crashes/mod.rs
@@ -8,4 +8,4 @@
 mod suspects;
 
 pub use list::SuspectList;
-pub use suspects::{Crash, Crashed, Suspects};
+pub use suspects::{Crash, CrashCount, Crashed, Suspects};
--- a/crates/balsam-decide/src/crashes/suspects.rs
+++ b/crates/balsam-decide/src/crashes/suspects.rs
@@ -47,6 +47,28 @@
     pub born: Born,
 }
 
+/// Whether a crash counts against its request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CrashCount {
+    /// It does.
+    Counted,
+    /// The request was sent before its last crash, so that one incident may have ended both.
+    SentBefore,
+    /// This life of the upstream was counted before.
+    SameUpstream,
+}
+
+impl CrashCount {
+    /// Returns the text used in log lines.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Counted => "counted",
+            Self::SentBefore => "sent-before",
+            Self::SameUpstream => "same-upstream",
+        }
+    }
+}
+
 #[derive(Debug)]
 struct Suspect {
     crashed: Vec<Crashed>,
@@ -74,21 +96,39 @@
         Self(new_map())
     }
 
-    /// Notes a crash that this daemon or another one saw; returns whether it counts.
+    /// Notes a crash that this daemon or another one saw.
     ///
     /// A request that was sent before its last crash was lost by the same incident, which says
     /// nothing of the request. An upstream counts once: a reset by one that still lives may come
     /// from a full queue.
-    pub fn crashed(&mut self, now: TimeMs, crash: &Crash) -> bool {
-        let known = self.0.get(&crash.fingerprint);
-        let counts = known.is_none_or(|suspect| {
-            now.since(suspect.last_at) + TOLD_LATE_MS >= crash.took_ms
-                && !suspect.crashed.contains(&crash.upstream)
-        });
-        if counts {
-            self.add(now, crash.fingerprint, vec![crash.upstream.clone()]);
+    pub fn crashed(&mut self, now: TimeMs, crash: &Crash) -> CrashCount {
+        if let Some(known) = self.0.get(&crash.fingerprint) {
+            if known.crashed.contains(&crash.upstream) {
+                return CrashCount::SameUpstream;
+            }
+            if now.since(known.last_at) + TOLD_LATE_MS < crash.took_ms {
+                return CrashCount::SentBefore;
+            }
         }
-        counts
+        self.add(now, crash.fingerprint, vec![crash.upstream.clone()]);
+        CrashCount::Counted
+    }
+
+    /// Returns how many upstreams a request has crashed.
+    pub fn crashes(&self, fingerprint: Fingerprint) -> usize {
+        self.0
+            .get(&fingerprint)
+            .map_or(0, |suspect| suspect.crashed.len())
+    }
+
+    /// Returns how many requests are suspected, refused or not.
+    pub fn len(&self) -> usize {
+        self.0.len()
+    }
+
+    /// Returns whether no request is suspected.
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
     }
 
     /// Takes over the crashes of a request that the leader tells.
--- a/crates/balsam-decide/src/directory/machine.rs
+++ b/crates/balsam-decide/src/directory/machine.rs
@@ -1,7 +1,7 @@
 //! Follows the platform's list of upstreams through its outages.
 
-use super::{Believed, Upstreams};
-use balsam_types::{Map, TimeMs, UpstreamEntry, UpstreamName, new_map};
+use super::{Believed, DirectoryNote, NoteOutcome, Upstreams};
+use balsam_types::{Born, Map, Set, TimeMs, UpstreamName, UpstreamRow, new_map};
 use std::sync::Arc;
 
 /// How long a vanished entry is kept when it vanished around an outage of the store, in
@@ -14,25 +14,45 @@
 #[derive(Clone, Debug)]
 pub enum DirectoryInput {
     /// The whole list was read; what is not in it does not exist.
-    Listed(Vec<UpstreamEntry>),
+    Listed {
+        /// The store's version at that moment.
+        version: u64,
+        /// The rows.
+        rows: Vec<UpstreamRow>,
+    },
     /// An entry was written.
-    Changed(UpstreamEntry),
+    Changed(UpstreamRow),
     /// An entry was removed.
-    Removed(UpstreamName),
+    Removed {
+        /// The version of the removal.
+        version: u64,
+        /// The upstream.
+        name: UpstreamName,
+    },
     /// A call to the store failed.
     StoreFailed,
     /// Time has passed.
     Tick,
 }
 
+/// What is known of one upstream.
+#[derive(Debug)]
+struct Known {
+    /// The version of the row.
+    version: u64,
+    believed: Arc<Believed>,
+}
+
 /// The upstreams that this daemon believes to exist.
 #[derive(Debug)]
 pub struct Directory {
-    upstreams: Map<UpstreamName, Arc<Believed>>,
+    upstreams: Map<UpstreamName, Known>,
     /// Vanished entries and until when they are kept.
     lapsing: Map<UpstreamName, TimeMs>,
     /// When a call to the store failed last.
     failed_at: Option<TimeMs>,
+    /// What was done with rows since they were last asked for.
+    notes: Vec<DirectoryNote>,
 }
 
 impl Default for Directory {
@@ -48,15 +68,21 @@
             upstreams: new_map(),
             lapsing: new_map(),
             failed_at: None,
+            notes: Vec::new(),
         }
     }
 
+    /// Returns what was done with the rows of the inputs since the last call.
+    pub fn take_notes(&mut self) -> Vec<DirectoryNote> {
+        std::mem::take(&mut self.notes)
+    }
+
     /// Takes one input; returns the new list if it changed.
     pub fn handle(&mut self, now: TimeMs, input: DirectoryInput) -> Option<Upstreams> {
         let changed = match input {
-            DirectoryInput::Listed(entries) => self.replace(now, entries),
-            DirectoryInput::Changed(entry) => self.put(now, entry),
-            DirectoryInput::Removed(name) => self.remove(now, &name),
+            DirectoryInput::Listed { version, rows } => self.replace(now, version, rows),
+            DirectoryInput::Changed(row) => self.put(now, row),
+            DirectoryInput::Removed { version, name } => self.remove(now, version, &name),
             DirectoryInput::StoreFailed => {
                 self.failed_at = Some(now);
                 false
@@ -64,7 +90,9 @@
             DirectoryInput::Tick => false,
         };
         let expired = self.expire(now);
-        (changed || expired).then(|| Upstreams::new(self.upstreams.values().cloned()))
+        let believed = self.upstreams.values();
+        let believed = believed.map(|known| Arc::clone(&known.believed));
+        (changed || expired).then(|| Upstreams::new(believed))
     }
 
     /// Returns whether entries that vanish may be back soon.
@@ -73,12 +101,16 @@
             .is_some_and(|at| now.since(at) <= LAPSE_GRACE_MS)
     }
 
-    /// Returns the entries that the store lists; those that are kept although they vanished are left
+    /// Returns the rows that the store lists; those that are kept although they vanished are left
     /// out, because nobody else would learn of their end.
-    pub fn listed(&self) -> Vec<UpstreamEntry> {
+    pub fn listed(&self) -> Vec<UpstreamRow> {
         let kept = self.upstreams.iter();
         let listed = kept.filter(|(name, _)| !self.lapsing.contains_key(*name));
-        listed.map(|(_, believed)| believed.entry.clone()).collect()
+        let row = |known: &Known| UpstreamRow {
+            version: known.version,
+            entry: known.believed.entry.clone(),
+        };
+        listed.map(|(_, known)| row(known)).collect()
     }
 
     /// Returns when the next entry lapses.
@@ -86,63 +118,88 @@
         self.lapsing.values().min().copied()
     }
 
-    fn replace(&mut self, now: TimeMs, entries: Vec<UpstreamEntry>) -> bool {
+    fn replace(&mut self, now: TimeMs, version: u64, rows: Vec<UpstreamRow>) -> bool {
         let mut changed = false;
-        let listed: balsam_types::Set<UpstreamName> =
-            entries.iter().map(|entry| entry.name.clone()).collect();
+        let listed: Set<UpstreamName> = rows.iter().map(|row| row.entry.name.clone()).collect();
         let known: Vec<UpstreamName> = self.upstreams.keys().cloned().collect();
         for name in known.iter().filter(|name| !listed.contains(*name)) {
-            changed |= self.remove(now, name);
+            changed |= self.remove(now, version, name);
         }
-        for entry in entries {
-            changed |= self.put(now, entry);
+        for row in rows {
+            changed |= self.put(now, row);
         }
         changed
     }
 
-    fn put(&mut self, now: TimeMs, entry: UpstreamEntry) -> bool {
+    fn put(&mut self, now: TimeMs, row: UpstreamRow) -> bool {
+        let UpstreamRow { version, entry } = row;
         self.lapsing.remove(&entry.name);
-        if let Some(known) = self.upstreams.get(&entry.name) {
+        if let Some(known) = self.upstreams.get_mut(&entry.name) {
+            let former = &known.believed.entry;
             // A row that was read before a newer one of the same upstream must not bring back its
             // former life.
-            if known.entry.born > entry.born || known.entry == entry {
+            if former.born > entry.born {
+                self.note(&entry.name, entry.born, version, NoteOutcome::Older);
+                return false;
+            }
+            if *former == entry {
+                known.version = version;
                 return false;
             }
         }
+        let outcome = if entry.is_ready() {
+            NoteOutcome::Ready
+        } else {
+            NoteOutcome::Draining
+        };
+        self.note(&entry.name, entry.born, version, outcome);
         let cold_until = now.after(entry.warmup_left_ms);
         let name = entry.name.clone();
-        self.upstreams
-            .insert(name, Arc::new(Believed { entry, cold_until }));
+        let believed = Arc::new(Believed { entry, cold_until });
+        self.upstreams.insert(name, Known { version, believed });
         true
     }
 
-    fn remove(&mut self, now: TimeMs, name: &UpstreamName) -> bool {
+    fn remove(&mut self, now: TimeMs, version: u64, name: &UpstreamName) -> bool {
         let Some(known) = self.upstreams.get(name) else {
             return false;
         };
+        let entry = &known.believed.entry;
+        let born = entry.born;
         // An upstream that announced its leaving is not coming back.
-        let may_return = known.entry.is_ready();
+        let may_return = entry.is_ready();
         if may_return && self.in_outage(now) {
-            let until = now.after(LAPSE_GRACE_MS);
-            self.lapsing.entry(name.clone()).or_insert(until);
+            if !self.lapsing.contains_key(name) {
+                let until = now.after(LAPSE_GRACE_MS);
+                self.lapsing.insert(name.clone(), until);
+                self.note(name, born, version, NoteOutcome::Kept { until });
+            }
             return false;
         }
         self.lapsing.remove(name);
         self.upstreams.remove(name);
+        self.note(name, born, version, NoteOutcome::Removed);
         true
     }
 
     fn expire(&mut self, now: TimeMs) -> bool {
-        let due: Vec<UpstreamName> = self
-            .lapsing
-            .iter()
-            .filter(|(_, until)| **until <= now)
-            .map(|(name, _)| name.clone())
-            .collect();
+        let due = self.lapsing.extract_if(|_, until| *until <= now);
+        let due: Vec<UpstreamName> = due.map(|(name, _)| name).collect();
         for name in &due {
-            self.lapsing.remove(name);
-            self.upstreams.remove(name);
+            if let Some(known) = self.upstreams.remove(name) {
+                let born = known.believed.entry.born;
+                self.note(name, born, known.version, NoteOutcome::Lapsed);
+            }
         }
         !due.is_empty()
     }
+
+    fn note(&mut self, name: &UpstreamName, born: Born, version: u64, outcome: NoteOutcome) {
+        self.notes.push(DirectoryNote {
+            upstream: name.clone(),
+            born,
+            version,
+            outcome,
+        });
+    }
 }
--- a/crates/balsam-decide/src/directory/mod.rs
+++ b/crates/balsam-decide/src/directory/mod.rs
@@ -4,6 +4,8 @@
 
 mod believed;
 mod machine;
+mod note;
 
 pub use believed::{Believed, Upstreams};
 pub use machine::{Directory, DirectoryInput, LAPSE_GRACE_MS};
+pub use note::{DirectoryNote, NoteOutcome};
--- a/crates/balsam-decide/tests/crash_suspects.rs
+++ b/crates/balsam-decide/tests/crash_suspects.rs
@@ -1,6 +1,6 @@
 //! Guards that a request that crashes upstreams is refused by all daemons, and no other request is.
 
-use balsam_decide::crashes::{Crash, Crashed, Suspects};
+use balsam_decide::crashes::{Crash, CrashCount, Crashed, Suspects};
 use balsam_types::{Born, Fingerprint, TimeMs, UpstreamName};
 
 const POISON: Fingerprint = Fingerprint(7);
@@ -29,7 +29,10 @@
     let mut now = START;
     for number in numbers {
         now = now.after(TOOK_MS * 2);
-        assert!(suspects.crashed(now, &crash(POISON, number)));
+        assert_eq!(
+            suspects.crashed(now, &crash(POISON, number)),
+            CrashCount::Counted
+        );
     }
     now
 }
@@ -42,7 +45,10 @@
     let now = crash_each(&mut suspects, 0..2);
     assert_eq!(suspects.list().refused_until(now, POISON), None);
     let now = now.after(TOOK_MS);
-    assert!(suspects.crashed(now, &crash(POISON, 2)));
+    assert_eq!(
+        suspects.crashed(now, &crash(POISON, 2)),
+        CrashCount::Counted
+    );
     assert!(suspects.list().refused_until(now, POISON).is_some());
     let other = Fingerprint(8);
     assert_eq!(suspects.list().refused_until(now, other), None);
@@ -53,11 +59,17 @@
 #[test]
 fn lost_together() {
     let mut suspects = Suspects::new();
-    assert!(suspects.crashed(START, &crash(POISON, 0)));
+    assert_eq!(
+        suspects.crashed(START, &crash(POISON, 0)),
+        CrashCount::Counted
+    );
     for number in 1..9 {
         let mut late = crash(POISON, number);
         late.took_ms = 300;
-        assert!(!suspects.crashed(START.after(number), &late));
+        assert_ne!(
+            suspects.crashed(START.after(number), &late),
+            CrashCount::Counted
+        );
     }
     assert!(suspects.to_share(POISON).is_none());
 }
@@ -67,10 +79,16 @@
 fn same_upstream() {
     let mut suspects = Suspects::new();
     let mut now = START;
-    assert!(suspects.crashed(now, &crash(POISON, 0)));
+    assert_eq!(
+        suspects.crashed(now, &crash(POISON, 0)),
+        CrashCount::Counted
+    );
     for _ in 0..9 {
         now = now.after(TOOK_MS * 2);
-        assert!(!suspects.crashed(now, &crash(POISON, 0)));
+        assert_ne!(
+            suspects.crashed(now, &crash(POISON, 0)),
+            CrashCount::Counted
+        );
     }
 }
 
@@ -93,7 +111,10 @@
     // Each daemon reports its crash to the leader, which tells the others from the second on.
     for number in 0..3 {
         now = now.after(TOOK_MS * 2);
-        assert!(leader.crashed(now, &crash(POISON, number)));
+        assert_eq!(
+            leader.crashed(now, &crash(POISON, number)),
+            CrashCount::Counted
+        );
         if let Some(crashed) = leader.to_share(POISON) {
             other.told(now, POISON, crashed.to_vec());
         }
@@ -120,7 +141,10 @@
     let mut suspects = Suspects::new();
     for number in 0..5_000 {
         let lost = crash(Fingerprint(number), 0);
-        assert!(suspects.crashed(START.after(number), &lost));
+        assert_eq!(
+            suspects.crashed(START.after(number), &lost),
+            CrashCount::Counted
+        );
     }
     let list = suspects.list();
     let kept = (0..5_000).filter(|number| list.contains(Fingerprint(*number)));
--- a/crates/balsam-decide/tests/upstream_list.rs
+++ b/crates/balsam-decide/tests/upstream_list.rs
@@ -2,9 +2,10 @@
 
 use balsam_decide::directory::{Directory, DirectoryInput, LAPSE_GRACE_MS, Upstreams};
 use balsam_types::{
-    Born, ServiceName, TimeMs, UpstreamEntry, UpstreamName, UpstreamState, ZoneName,
+    Born, ServiceName, TimeMs, UpstreamEntry, UpstreamName, UpstreamRow, UpstreamState, ZoneName,
 };
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 
 fn entry(name: &str, born: u64, state: UpstreamState) -> UpstreamEntry {
     UpstreamEntry {
@@ -23,19 +24,38 @@
     entry(name, 1, UpstreamState::Ready)
 }
 
+/// Returns the row of an entry, newer than all before it.
+fn row(entry: UpstreamEntry) -> UpstreamRow {
+    static VERSION: AtomicU64 = AtomicU64::new(1);
+    let version = VERSION.fetch_add(1, Ordering::Relaxed);
+    UpstreamRow { version, entry }
+}
+
+fn changed(entry: UpstreamEntry) -> DirectoryInput {
+    DirectoryInput::Changed(row(entry))
+}
+
+fn listed_rows(entries: impl IntoIterator<Item = UpstreamEntry>) -> DirectoryInput {
+    let rows: Vec<UpstreamRow> = entries.into_iter().map(row).collect();
+    let version = rows.iter().map(|row| row.version).max().unwrap_or(0);
+    DirectoryInput::Listed { version, rows }
+}
+
 fn count(list: Option<Upstreams>) -> Option<usize> {
     list.map(|list| list.len())
 }
 
 fn removed(name: &str) -> DirectoryInput {
-    DirectoryInput::Removed(UpstreamName::new(name).expect("a valid name"))
+    let name = UpstreamName::new(name).expect("a valid name");
+    let version = row(ready("x")).version;
+    DirectoryInput::Removed { version, name }
 }
 
 /// Guards that a removal in calm times holds at once.
 #[test]
 fn calm_removal() {
     let mut directory = Directory::new();
-    let listed = DirectoryInput::Listed(vec![ready("a"), ready("b")]);
+    let listed = listed_rows([ready("a"), ready("b")]);
     assert_eq!(count(directory.handle(TimeMs(0), listed)), Some(2));
     assert_eq!(count(directory.handle(TimeMs(10), removed("a"))), Some(1));
 }
@@ -44,10 +64,10 @@
 #[test]
 fn lapsed_entry() {
     let mut directory = Directory::new();
-    let listed = DirectoryInput::Listed(vec![ready("a"), ready("b")]);
+    let listed = listed_rows([ready("a"), ready("b")]);
     directory.handle(TimeMs(0), listed);
     directory.handle(TimeMs(1_000), DirectoryInput::StoreFailed);
-    let listed = DirectoryInput::Listed(vec![ready("b")]);
+    let listed = listed_rows([ready("b")]);
     assert_eq!(count(directory.handle(TimeMs(1_100), listed)), None);
     let before = TimeMs(1_100 + LAPSE_GRACE_MS - 1);
     assert_eq!(count(directory.handle(before, DirectoryInput::Tick)), None);
@@ -62,10 +82,10 @@
 #[test]
 fn returned_entry() {
     let mut directory = Directory::new();
-    directory.handle(TimeMs(0), DirectoryInput::Listed(vec![ready("a")]));
+    directory.handle(TimeMs(0), listed_rows([ready("a")]));
     directory.handle(TimeMs(1_000), DirectoryInput::StoreFailed);
     directory.handle(TimeMs(1_100), removed("a"));
-    directory.handle(TimeMs(1_500), DirectoryInput::Changed(ready("a")));
+    directory.handle(TimeMs(1_500), changed(ready("a")));
     assert_eq!(
         count(directory.handle(TimeMs(9_000), DirectoryInput::Tick)),
         None
@@ -77,7 +97,7 @@
 fn left_entry() {
     let mut directory = Directory::new();
     let leaving = entry("a", 1, UpstreamState::Draining);
-    directory.handle(TimeMs(0), DirectoryInput::Listed(vec![leaving]));
+    directory.handle(TimeMs(0), listed_rows([leaving]));
     directory.handle(TimeMs(1_000), DirectoryInput::StoreFailed);
     assert_eq!(
         count(directory.handle(TimeMs(1_100), removed("a"))),
@@ -90,8 +110,8 @@
 fn former_life() {
     let mut directory = Directory::new();
     let newer = entry("a", 9, UpstreamState::Ready);
-    directory.handle(TimeMs(0), DirectoryInput::Changed(newer));
-    let older = DirectoryInput::Changed(entry("a", 5, UpstreamState::Draining));
+    directory.handle(TimeMs(0), changed(newer));
+    let older = changed(entry("a", 5, UpstreamState::Draining));
     assert_eq!(count(directory.handle(TimeMs(1), older)), None);
 }
 
@@ -100,11 +120,9 @@
 #[test]
 fn kept_entries_stay() {
     let mut directory = Directory::new();
-    directory.handle(
-        TimeMs(0),
-        DirectoryInput::Listed(vec![ready("a"), ready("b")]),
-    );
+    directory.handle(TimeMs(0), listed_rows([ready("a"), ready("b")]));
     directory.handle(TimeMs(1_000), DirectoryInput::StoreFailed);
     assert_eq!(count(directory.handle(TimeMs(1_100), removed("a"))), None);
-    assert_eq!(directory.listed(), [ready("b")]);
+    let kept = directory.listed().into_iter().map(|row| row.entry);
+    assert!(kept.eq([ready("b")]));
 }
--- a/crates/balsam-edge/src/control/lines.rs
+++ b/crates/balsam-edge/src/control/lines.rs
@@ -1,8 +1,8 @@
 //! Log lines of the control path.
 
-use crate::peer::UpstreamNews;
+use balsam_decide::directory::{DirectoryNote, NoteOutcome};
 use balsam_decide::keys::{AssignerOutput, Commit, CommitResult, OrderKind, OrderResult};
-use balsam_types::{KeyRange, ServiceName, UpstreamName};
+use balsam_types::{KeyRange, ServiceName, TimeMs, UpstreamName};
 use serde::Serialize;
 
 /// A decision of the control path; the reason is in its kind and outcome.
@@ -13,12 +13,17 @@
     Configured { version: u64, routes: usize },
     /// A version was ignored because a newer one is in force.
     ConfigIgnored { version: u64, in_force: u64 },
-    /// An upstream's entry has changed.
+    /// A row of the list of upstreams has changed what this daemon believes, or was too old to.
     Upstream {
         upstream: &'a UpstreamName,
         state: &'static str,
         born: u64,
+        version: u64,
+        source: &'static str,
+        kept_ms: Option<u64>,
     },
+    /// The store has forgotten the changes that this daemon lacks; it reads the whole table.
+    HistoryLost { table: &'static str },
     /// A row was not understood and changes nothing.
     RowUnreadable {
         table: &'static str,
@@ -39,10 +44,20 @@
     Suspect {
         fingerprint: String,
         crashed: &'a UpstreamName,
+        crashes: usize,
+        source: &'static str,
         refused_ms: Option<u64>,
     },
+    /// An upstream's connection ended under a suspected request, which does not count.
+    CrashIgnored {
+        fingerprint: String,
+        crashed: &'a UpstreamName,
+        born: u64,
+        took_ms: u64,
+        reason: &'static str,
+    },
     /// An upstream has served a request that was suspected.
-    SuspectCleared { fingerprint: String },
+    SuspectCleared { fingerprint: String, crashes: usize },
     /// This daemon tries to become the leader.
     TakeLead { expected: u64 },
     /// This daemon has become the leader, or is it no longer.
@@ -106,17 +121,46 @@
     }
 }
 
-/// Writes a line for a change of the list of upstreams.
-pub(super) fn upstream(news: &UpstreamNews) {
-    let (upstream, state, born) = match news {
-        UpstreamNews::Changed(entry) if entry.is_ready() => (&entry.name, "ready", entry.born.0),
-        UpstreamNews::Changed(entry) => (&entry.name, "draining", entry.born.0),
-        UpstreamNews::Removed(name) => (name, "removed", 0),
+/// Where rows of the list of upstreams come from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum RowSource {
+    /// Changes that this daemon has read.
+    Store,
+    /// The whole list, which this daemon has read.
+    List,
+    /// Changes that the leader has passed on.
+    Leader,
+    /// The whole list as the leader knows it.
+    Snapshot,
+    /// The end of the time for which an entry was kept.
+    Clock,
+}
+
+impl RowSource {
+    const fn as_str(self) -> &'static str {
+        match self {
+            Self::Store => "store",
+            Self::List => "list",
+            Self::Leader => "leader",
+            Self::Snapshot => "snapshot",
+            Self::Clock => "clock",
+        }
+    }
+}
+
+/// Writes a line for what was done with a row of the list of upstreams.
+pub(super) fn upstream(now: TimeMs, note: &DirectoryNote, source: RowSource) {
+    let kept_ms = match note.outcome {
+        NoteOutcome::Kept { until } => Some(until.since(now)),
+        _ => None,
     };
     ControlLine::Upstream {
-        upstream,
-        state,
-        born,
+        upstream: &note.upstream,
+        state: note.outcome.as_str(),
+        born: note.born.0,
+        version: note.version,
+        source: source.as_str(),
+        kept_ms,
     }
     .write();
 }
--- a/crates/balsam-edge/src/control/peers.rs
+++ b/crates/balsam-edge/src/control/peers.rs
@@ -1,5 +1,6 @@
 //! What the control task hears from other daemons and tells them.
 
+use super::lines::RowSource;
 use super::task::ControlTask;
 use crate::clock::now;
 use crate::peer::{
@@ -160,7 +161,7 @@
             .feed
             .relayed(now(), FeedTable::Upstreams, base, version)
         {
-            self.change_upstreams(changes);
+            self.change_upstreams(changes, RowSource::Leader);
         }
     }
 
--- a/crates/balsam-edge/src/control/snapshots.rs
+++ b/crates/balsam-edge/src/control/snapshots.rs
@@ -1,6 +1,6 @@
 //! Snapshots of the tables for daemons that the store turns away.
 
-use super::lines::ControlLine;
+use super::lines::{ControlLine, RowSource};
 use super::task::ControlTask;
 use crate::clock::now;
 use crate::peer::{Part, PeerMessage, Snapshot, Topic, divide};
@@ -132,7 +132,7 @@
         .write();
         match snapshot {
             Snapshot::Config(config) => self.configure(config),
-            Snapshot::Upstreams(entries) => self.list_upstreams(entries),
+            Snapshot::Upstreams(rows) => self.list_upstreams(version, rows, RowSource::Snapshot),
             Snapshot::Ranges(ranges) => {
                 let (version, ranges) = (RowVersion(version), Arc::new(ranges));
                 self.give(AssignerInput::Ranges(StoredRanges { version, ranges }));
--- a/crates/balsam-edge/src/control/suspects.rs
+++ b/crates/balsam-edge/src/control/suspects.rs
@@ -4,7 +4,7 @@
 use super::task::ControlTask;
 use crate::clock::now;
 use crate::peer::PeerMessage;
-use balsam_decide::crashes::{Crash, Crashed};
+use balsam_decide::crashes::{Crash, CrashCount, Crashed};
 use balsam_types::{Fingerprint, TimeMs};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -12,10 +12,18 @@
 impl ControlTask {
     /// Notes that an upstream's connection ended under a request, here or at another daemon.
     pub(super) fn suspect(&mut self, crash: Crash) {
-        if !self.suspects.crashed(now(), &crash) {
-            return;
+        let count = self.suspects.crashed(now(), &crash);
+        if count != CrashCount::Counted {
+            return ControlLine::CrashIgnored {
+                fingerprint: crash.fingerprint.to_string(),
+                crashed: &crash.upstream.name,
+                born: crash.upstream.born.0,
+                took_ms: crash.took_ms,
+                reason: count.as_str(),
+            }
+            .write();
         }
-        self.note_suspect(crash.fingerprint, &crash.upstream);
+        self.note_suspect(crash.fingerprint, &crash.upstream, "crash");
         if self.assigner.is_leading() {
             self.share_suspect(crash.fingerprint);
         } else {
@@ -29,18 +37,22 @@
             return;
         };
         self.suspects.told(now(), fingerprint, crashed);
-        self.note_suspect(fingerprint, &last);
+        self.note_suspect(fingerprint, &last, "leader");
     }
 
     /// Notes that an upstream has served a request, here or at another daemon.
     pub(super) fn clear(&mut self, fingerprint: Fingerprint) {
+        let crashes = self.suspects.crashes(fingerprint);
         let is_shared = self.suspects.to_share(fingerprint).is_some();
         if !self.suspects.served(fingerprint) {
             return;
         }
         self.has_new_suspects = true;
-        let text = fingerprint.to_string();
-        ControlLine::SuspectCleared { fingerprint: text }.write();
+        ControlLine::SuspectCleared {
+            fingerprint: fingerprint.to_string(),
+            crashes,
+        }
+        .write();
         let cleared = PeerMessage::Cleared(fingerprint);
         if !self.assigner.is_leading() {
             self.send(self.leader_address(), cleared);
@@ -55,18 +67,22 @@
         let has_expired = self.suspects.expire(now);
         if std::mem::take(&mut self.has_new_suspects) || has_expired {
             let suspects = self.suspects.list();
-            self.metrics.suspects(suspects.refused());
+            let refused = suspects.refused();
+            self.metrics
+                .suspects(refused, self.suspects.len() - refused);
             self.view.suspects = Arc::new(suspects);
             self.publish();
         }
     }
 
-    fn note_suspect(&mut self, fingerprint: Fingerprint, crashed: &Crashed) {
+    fn note_suspect(&mut self, fingerprint: Fingerprint, crashed: &Crashed, source: &'static str) {
         self.has_new_suspects = true;
         let refused_until = self.suspects.refused_until(fingerprint);
         ControlLine::Suspect {
             fingerprint: fingerprint.to_string(),
             crashed: &crashed.name,
+            crashes: self.suspects.crashes(fingerprint),
+            source,
             refused_ms: refused_until.map(|until| until.since(now())),
         }
         .write();
--- a/crates/balsam-edge/src/control/tables.rs
+++ b/crates/balsam-edge/src/control/tables.rs
@@ -1,7 +1,7 @@
 //! What the control task takes from the tables of the store.
 
 use super::Followed;
-use super::lines::{self, ControlLine};
+use super::lines::{self, ControlLine, RowSource};
 use super::task::ControlTask;
 use crate::clock::now;
 use crate::peer::{Topic, UpstreamNews};
@@ -12,7 +12,7 @@
 use balsam_decide::feed::FeedTable;
 use balsam_decide::keys::{AssignerInput, RowVersion, StoredLead, StoredRanges};
 use balsam_decide::routing::RouteTable;
-use balsam_types::{RoutingConfig, ServiceName, UpstreamEntry};
+use balsam_types::{RoutingConfig, ServiceName, UpstreamRow};
 use std::collections::BTreeMap;
 use std::collections::hash_map::Entry;
 use std::sync::Arc;
@@ -20,7 +20,10 @@
 impl ControlTask {
     pub(super) fn follow(&mut self, table: FeedTable, news: Followed) {
         let (page, is_whole) = match news {
-            Followed::Failed(StoreError::HistoryLost) => return,
+            Followed::Failed(StoreError::HistoryLost) => {
+                let table = StoreTable::from(table).as_str();
+                return ControlLine::HistoryLost { table }.write();
+            }
             Followed::Failed(error) => return self.store_failed(table, &error),
             Followed::Listed(page) => (page, true),
             Followed::Changed(page) => (page, false),
@@ -116,8 +119,10 @@
     fn take_upstreams(&mut self, page: Page, base: u64, is_whole: bool) {
         let version = page.version;
         let news = page.changes.into_iter().filter_map(|change| match change {
-            StoreChange::Upstream(entry) => Some(UpstreamNews::Changed(entry)),
-            StoreChange::UpstreamRemoved(name) => Some(UpstreamNews::Removed(name)),
+            StoreChange::Upstream(row) => Some(UpstreamNews::Changed(row)),
+            StoreChange::UpstreamRemoved { version, name } => {
+                Some(UpstreamNews::Removed { version, name })
+            }
             StoreChange::Unreadable { key, reason } => {
                 Self::unreadable(StoreTable::Upstreams, &key, &reason);
                 None
@@ -126,43 +131,60 @@
         });
         let news: Vec<UpstreamNews> = news.collect();
         if is_whole {
-            let entries = news.into_iter().filter_map(|news| match news {
-                UpstreamNews::Changed(entry) => Some(entry),
-                UpstreamNews::Removed(_) => None,
+            let rows = news.into_iter().filter_map(|news| match news {
+                UpstreamNews::Changed(row) => Some(row),
+                UpstreamNews::Removed { .. } => None,
             });
-            self.list_upstreams(entries.collect());
+            self.list_upstreams(version, rows.collect(), RowSource::List);
         } else if !news.is_empty() {
             self.push_upstreams(base, version, &news);
-            self.change_upstreams(news);
+            self.change_upstreams(news, RowSource::Store);
         }
     }
 
     /// Takes the whole list of upstreams.
-    pub(super) fn list_upstreams(&mut self, entries: Vec<UpstreamEntry>) {
-        let listed = DirectoryInput::Listed(entries);
+    pub(super) fn list_upstreams(
+        &mut self,
+        version: u64,
+        rows: Vec<UpstreamRow>,
+        source: RowSource,
+    ) {
         self.view.has_upstreams = true;
-        match self.directory.handle(now(), listed) {
+        let listed = self
+            .directory
+            .handle(now(), DirectoryInput::Listed { version, rows });
+        self.note_upstreams(source);
+        match listed {
             Some(upstreams) => self.adopt_upstreams(upstreams),
             None => self.publish(),
         }
     }
 
     /// Takes changes of the list of upstreams, from the store or from the leader.
-    pub(super) fn change_upstreams(&mut self, news: Vec<UpstreamNews>) {
+    pub(super) fn change_upstreams(&mut self, news: Vec<UpstreamNews>, source: RowSource) {
         let mut newest = None;
         for news in news {
-            lines::upstream(&news);
             let input = match news {
-                UpstreamNews::Changed(entry) => DirectoryInput::Changed(entry),
-                UpstreamNews::Removed(name) => DirectoryInput::Removed(name),
+                UpstreamNews::Changed(row) => DirectoryInput::Changed(row),
+                UpstreamNews::Removed { version, name } => {
+                    DirectoryInput::Removed { version, name }
+                }
             };
             newest = self.directory.handle(now(), input).or(newest);
         }
+        self.note_upstreams(source);
         if let Some(upstreams) = newest {
             self.adopt_upstreams(upstreams);
         }
     }
 
+    /// Writes a line for each row that the directory was given.
+    pub(super) fn note_upstreams(&mut self, source: RowSource) {
+        for note in self.directory.take_notes() {
+            lines::upstream(now(), &note, source);
+        }
+    }
+
     pub(super) fn adopt_upstreams(&mut self, upstreams: Upstreams) {
         self.view.upstreams = Arc::new(upstreams);
         self.tell_world();
--- a/crates/balsam-edge/src/control/task.rs
+++ b/crates/balsam-edge/src/control/task.rs
@@ -3,7 +3,7 @@
 use super::ControlInput;
 use super::act::Actor;
 use super::follow::{FollowOrder, Follower};
-use super::lines::{self, ControlLine, OrderNote};
+use super::lines::{self, ControlLine, OrderNote, RowSource};
 use super::moved;
 use crate::clock::now;
 use crate::metrics::EdgeMetrics;
@@ -207,6 +207,7 @@
         if let Some(upstreams) = self.directory.handle(now, DirectoryInput::Tick) {
             self.adopt_upstreams(upstreams);
         }
+        self.note_upstreams(RowSource::Clock);
         self.keep_in_touch(now);
         self.ask_for_snapshots(now);
         self.publish_suspects(now);
--- a/crates/balsam-edge/src/metrics/instruments.rs
+++ b/crates/balsam-edge/src/metrics/instruments.rs
@@ -95,7 +95,7 @@
                 .build(),
             suspects: meter
                 .u64_gauge("balsam.edge.requests.suspect")
-                .with_description("Requests that are refused because they crashed upstreams")
+                .with_description("Requests that crashed upstreams, by state: refused or suspected")
                 .build(),
         }))
     }
@@ -176,9 +176,13 @@
         self.0.budget_left.record(left, &[service]);
     }
 
-    /// Sets how many requests are refused because they crashed upstreams.
-    pub(crate) fn suspects(&self, refused: usize) {
-        self.0.suspects.record(refused as u64, &[]);
+    /// Sets how many requests are refused because they crashed upstreams, and how many others have
+    /// crashed too few for that.
+    pub(crate) fn suspects(&self, refused: usize, suspected: usize) {
+        for (state, count) in [("refused", refused), ("suspected", suspected)] {
+            let state = [KeyValue::new("state", state)];
+            self.0.suspects.record(count as u64, &state);
+        }
     }
 
     /// Sets whether this daemon assigns keys.
--- a/crates/balsam-edge/src/peer/message.rs
+++ b/crates/balsam-edge/src/peer/message.rs
@@ -4,7 +4,7 @@
 use balsam_decide::feed::{FeedState, FeedTable};
 use balsam_decide::keys::{Leader, LoadReport};
 use balsam_types::{
-    Fence, Fingerprint, Incarnation, ServiceName, ServiceRanges, UpstreamEntry, UpstreamName,
+    Fence, Fingerprint, Incarnation, ServiceName, ServiceRanges, UpstreamName, UpstreamRow,
 };
 use bincode::config::{Configuration, Fixint, Limit, LittleEndian, standard};
 use bincode::error::{DecodeError, EncodeError};
@@ -68,9 +68,9 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) enum UpstreamNews {
     /// An entry was written.
-    Changed(UpstreamEntry),
+    Changed(UpstreamRow),
     /// An entry was removed.
-    Removed(UpstreamName),
+    Removed { version: u64, name: UpstreamName },
 }
 
 /// Changes of the list of upstreams that the leader passes on.
--- a/crates/balsam-edge/src/peer/snapshot.rs
+++ b/crates/balsam-edge/src/peer/snapshot.rs
@@ -1,7 +1,7 @@
 //! Snapshots of what the leader knows, in parts that fit into datagrams.
 
 use super::message::{Part, Topic};
-use balsam_types::{Map, RoutingConfig, ServiceRanges, UpstreamEntry, new_map};
+use balsam_types::{Map, RoutingConfig, ServiceRanges, UpstreamRow, new_map};
 use bincode::config::standard;
 use bincode::error::{DecodeError, EncodeError};
 use serde::{Deserialize, Serialize};
@@ -18,7 +18,7 @@
     /// The configuration.
     Config(RoutingConfig),
     /// The list of upstreams.
-    Upstreams(Vec<UpstreamEntry>),
+    Upstreams(Vec<UpstreamRow>),
     /// The assignments of a service.
     Ranges(ServiceRanges),
 }
--- a/crates/balsam-edge/src/request/forward.rs
+++ b/crates/balsam-edge/src/request/forward.rs
@@ -11,6 +11,7 @@
 use balsam_types::TimeMs;
 use bytes::{Bytes, BytesMut};
 use log::debug;
+use std::cell::Cell;
 use std::time::Duration;
 use tokio::sync::mpsc;
 use tokio::time::timeout_at;
@@ -35,6 +36,8 @@
     pub(super) verdict: Verdict,
     /// The upstream's whole answer, if it can be passed on.
     pub(super) reply: Option<Reply>,
+    /// The time until there was a connection on which to send.
+    pub(super) opened_ms: u64,
     pub(super) took_ms: u64,
 }
 
@@ -66,12 +69,15 @@
 pub(super) async fn forward(names: &HeaderNames, routed: &Routed, mut lease: Lease) -> Forwarded {
     let started_at = now();
     let idle = lease.idle.take();
+    let opened_ms = Cell::new(0);
     let end = |lease: Lease, verdict, reply, connection| {
+        let opened_ms = opened_ms.get();
         let took_ms = now().since(started_at);
         lease.end(verdict, took_ms, connection);
         Forwarded::Ended(Ended {
             verdict,
             reply,
+            opened_ms,
             took_ms,
         })
     };
@@ -88,6 +94,7 @@
             }
         },
     };
+    opened_ms.set(now().since(started_at));
     let left_ms = routed.deadline.since(now());
     let Some(bytes) = encode(names, routed, &lease, left_ms) else {
         return end(lease, Verdict::Dropped, None, Some(connection));
@@ -207,6 +214,7 @@
         Ended {
             verdict,
             reply: None,
+            opened_ms: 0,
             took_ms,
         }
     }
--- a/crates/balsam-edge/src/request/record.rs
+++ b/crates/balsam-edge/src/request/record.rs
@@ -1,5 +1,6 @@
 //! The filter that records how a request ended.
 
+use super::forward::Ended;
 use super::reply::Reply;
 use super::route::{Routed, Unrouted};
 use crate::clock::now;
@@ -37,6 +38,7 @@
 struct AttemptNote {
     upstream: UpstreamName,
     verdict: &'static str,
+    opened_ms: u64,
     took_ms: u64,
 }
 
@@ -115,15 +117,16 @@
     }
 
     /// Notes the end of an attempt.
-    pub(super) fn attempt(&mut self, upstream: &UpstreamName, verdict: Verdict, took_ms: u64) {
-        let (upstream, verdict) = (upstream.clone(), verdict_text(verdict));
+    pub(super) fn attempt(&mut self, upstream: &UpstreamName, ended: &Ended) {
+        let (upstream, verdict) = (upstream.clone(), verdict_text(ended.verdict));
         if let Some(service) = &self.service {
             self.metrics.attempt(service, verdict);
         }
         self.attempts.push(AttemptNote {
             upstream,
             verdict,
-            took_ms,
+            opened_ms: ended.opened_ms,
+            took_ms: ended.took_ms,
         });
     }
 
--- a/crates/balsam-edge/src/request/serve.rs
+++ b/crates/balsam-edge/src/request/serve.rs
@@ -167,7 +167,7 @@
     ) -> Option<(Step, Option<Reply>)> {
         let verdict = ended.verdict;
         let entry = &upstream.entry;
-        self.record.attempt(&entry.name, verdict, ended.took_ms);
+        self.record.attempt(&entry.name, &ended);
         self.avoid.push(entry.name.clone());
         match verdict {
             Verdict::Served => self.clear_suspicion(),
--- a/crates/balsam-edge/src/store/message.rs
+++ b/crates/balsam-edge/src/store/message.rs
@@ -1,7 +1,7 @@
 //! Calls to the store and their ends.
 
 use balsam_decide::feed::FeedTable;
-use balsam_types::{RoutingConfig, UpstreamEntry, UpstreamName};
+use balsam_types::{RoutingConfig, UpstreamName, UpstreamRow};
 use bytes::Bytes;
 use snafu::Snafu;
 use std::sync::Arc;
@@ -44,9 +44,14 @@
     /// A version of the configuration.
     Config(RoutingConfig),
     /// An upstream's entry.
-    Upstream(UpstreamEntry),
+    Upstream(UpstreamRow),
     /// An upstream's entry was removed.
-    UpstreamRemoved(UpstreamName),
+    UpstreamRemoved {
+        /// The version of the removal.
+        version: u64,
+        /// The upstream.
+        name: UpstreamName,
+    },
     /// One of the daemons' own rows.
     Own {
         /// The row's key.
--- a/crates/balsam-edge/tests/operator_reads.rs
+++ b/crates/balsam-edge/tests/operator_reads.rs
@@ -33,7 +33,7 @@
     let mut keyed = entry(&upstream);
     keyed.service = ServiceName::new("keys").expect("a valid name");
     let mut rows = rows(&[]);
-    rows.push(balsam_edge::store::StoreChange::Upstream(keyed));
+    rows.push(support::written(keyed));
     let edge = start_at(&Store::start(rows), 1).await;
     wait_ready(&edge).await;
     sleep(ASSIGNED_WITHIN).await;
--- a/crates/balsam-edge/tests/support/mod.rs
+++ b/crates/balsam-edge/tests/support/mod.rs
@@ -19,7 +19,7 @@
 use balsam_types::{
     Born, CallerLimits, ConfigVersion, Credential, DaemonName, Route, RouteKind, RouteName,
     RoutingConfig, ServiceName, ServicePolicy, ServiceShare, UpstreamEntry, UpstreamName,
-    UpstreamState, ZoneName, new_map,
+    UpstreamRow, UpstreamState, ZoneName, new_map,
 };
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -127,11 +127,14 @@
     }
 }
 
+/// Returns the change that writes an entry; the store gives it a version.
+pub fn written(entry: UpstreamEntry) -> StoreChange {
+    StoreChange::Upstream(UpstreamRow { version: 0, entry })
+}
+
 /// Returns the rows of a configuration and of upstreams.
 pub fn rows(upstreams: &[&Upstream]) -> Vec<StoreChange> {
-    let entries = upstreams
-        .iter()
-        .map(|upstream| StoreChange::Upstream(entry(upstream)));
+    let entries = upstreams.iter().map(|upstream| written(entry(upstream)));
     std::iter::once(StoreChange::Config(config(1)))
         .chain(entries)
         .collect()
--- a/crates/balsam-edge/tests/support/store.rs
+++ b/crates/balsam-edge/tests/support/store.rs
@@ -24,6 +24,7 @@
     Call(usize, StoreRequest),
     Put(StoreChange),
     Access(usize, Access),
+    Delay(usize, Duration),
     Calls(usize, oneshot::Sender<u64>),
     HasOwn(Arc<str>, oneshot::Sender<bool>),
 }
@@ -44,6 +45,8 @@
     version: u64,
     rows: BTreeMap<Key, Row>,
     access: BTreeMap<usize, Access>,
+    /// How long answers about upstreams are under way.
+    delays: BTreeMap<usize, Duration>,
     calls: BTreeMap<usize, u64>,
     waiting: Vec<Waiting>,
 }
@@ -94,6 +97,11 @@
         drop(self.commands.send(Command::Access(client, access)));
     }
 
+    /// Delays what a daemon is told of upstreams; the answers are as old as they arrive late.
+    pub fn delay_upstreams(&self, client: usize, by: Duration) {
+        drop(self.commands.send(Command::Delay(client, by)));
+    }
+
     /// Returns whether the daemons have written one of their own rows.
     pub async fn has_own(&self, key: &str) -> bool {
         let (reply, found) = oneshot::channel();
@@ -114,6 +122,7 @@
         version: 0,
         rows: BTreeMap::new(),
         access: BTreeMap::new(),
+        delays: BTreeMap::new(),
         calls: BTreeMap::new(),
         waiting: Vec::new(),
     };
@@ -136,6 +145,9 @@
             Command::Access(client, access) => {
                 self.access.insert(client, access);
             }
+            Command::Delay(client, by) => {
+                self.delays.insert(client, by);
+            }
             Command::Calls(client, reply) => {
                 let count = self.calls.get(&client).copied().unwrap_or(0);
                 reply.send(count).expect("a test that waits");
@@ -151,12 +163,19 @@
         }
     }
 
-    fn put(&mut self, change: StoreChange) {
+    fn put(&mut self, mut change: StoreChange) {
         self.version += 1;
-        let (table, key) = match &change {
+        let newest = self.version;
+        let (table, key) = match &mut change {
             StoreChange::Config(_) => ("config", Arc::from("config")),
-            StoreChange::Upstream(entry) => ("upstreams", Arc::from(entry.name.as_str())),
-            StoreChange::UpstreamRemoved(name) => ("upstreams", Arc::from(name.as_str())),
+            StoreChange::Upstream(row) => {
+                row.version = newest;
+                ("upstreams", Arc::from(row.entry.name.as_str()))
+            }
+            StoreChange::UpstreamRemoved { version, name } => {
+                *version = newest;
+                ("upstreams", Arc::from(name.as_str()))
+            }
             StoreChange::Own { key, .. } => ("own", Arc::clone(key)),
             StoreChange::Unreadable { key, .. } => ("upstreams", Arc::clone(key)),
         };
@@ -174,7 +193,7 @@
         }
         match request {
             StoreRequest::Read { table, reply } => {
-                drop(reply.send(Ok(self.page(table, 0))));
+                self.answer(client, table, reply, self.page(table, 0));
             }
             StoreRequest::ReadOwn { key, reply } => {
                 let mut page = self.page(StoreTable::Own, 0);
@@ -238,11 +257,29 @@
                 refuse(waiting.request);
             } else if page.changes.is_empty() && Instant::now() < waiting.until {
                 self.waiting.push(waiting);
-            } else if let StoreRequest::Follow { reply, .. } = waiting.request {
-                drop(reply.send(Ok(page)));
+            } else if let StoreRequest::Follow { table, reply, .. } = waiting.request {
+                self.answer(waiting.client, table, reply, page);
             }
         }
     }
+
+    fn answer(
+        &self,
+        client: usize,
+        table: StoreTable,
+        reply: oneshot::Sender<Result<Page, StoreError>>,
+        page: Page,
+    ) {
+        let delay = self.delays.get(&client).copied().unwrap_or_default();
+        if table != StoreTable::Upstreams || delay.is_zero() {
+            drop(reply.send(Ok(page)));
+            return;
+        }
+        actix_rt::spawn(async move {
+            sleep(delay).await;
+            drop(reply.send(Ok(page)));
+        });
+    }
 }
 
 fn refuse(request: StoreRequest) {
--- a/crates/balsam-edge/tests/table_feed.rs
+++ b/crates/balsam-edge/tests/table_feed.rs
@@ -7,7 +7,9 @@
 use balsam_edge::store::StoreChange;
 use balsam_types::{ServiceName, UpstreamName};
 use std::time::Duration;
-use support::{Access, Act, Caller, Store, Upstream, config, entry, rows, start_at, wait_ready};
+use support::{
+    Access, Act, Caller, Store, Upstream, config, entry, rows, start_at, wait_ready, written,
+};
 use tokio::time::{Instant, sleep};
 
 /// The stated time within which a leaving upstream or a version must be known.
@@ -70,7 +72,7 @@
     sleep(Duration::from_secs(1)).await;
     assert_eq!(store.calls(OTHER).await, before);
     assert_eq!(status(&other, "/read/x").await, 503);
-    store.put(StoreChange::Upstream(entry(&first)));
+    store.put(written(entry(&first)));
     wait_status(&other, "/read/x", 200).await;
     assert_eq!(store.calls(OTHER).await, before);
     store.put(StoreChange::Config(config(2)));
@@ -90,12 +92,12 @@
         let mut keyed = entry(&first);
         keyed.name = UpstreamName::new(format!("keyed-{number}")).expect("a valid name");
         keyed.service = ServiceName::new("keys").expect("a valid name");
-        store.put(StoreChange::Upstream(keyed));
+        store.put(written(keyed));
         if number % PUSHED_MAX == PUSHED_MAX - 1 {
             sleep(GATHERED).await;
         }
     }
-    store.put(StoreChange::Upstream(entry(&first)));
+    store.put(written(entry(&first)));
     wait_status(&other, "/read/x", 200).await;
     sleep(ASSIGNED_WITHIN).await;
     assert!(store.has_own("ranges/keys").await, "keys are assigned");
@@ -109,7 +111,7 @@
     let store = Store::start(rows(&[]));
     let (_leader, other) = start_two(&store).await;
     store.set_access(OTHER, Access::Refused);
-    store.put(StoreChange::Upstream(entry(&first)));
+    store.put(written(entry(&first)));
     wait_status(&other, "/read/x", 200).await;
     store.put(StoreChange::Config(config(2)));
     wait_status(&other, "/v2/x", 200).await;
@@ -123,7 +125,7 @@
     let store = Store::start(rows(&[]));
     let (leader, other) = start_two(&store).await;
     store.set_access(LEADER, Access::Refused);
-    store.put(StoreChange::Upstream(entry(&first)));
+    store.put(written(entry(&first)));
     wait_status(&other, "/read/x", 200).await;
     // The other daemon takes the lead after 3 s and tells the former leader.
     sleep(Duration::from_secs(4)).await;
@@ -140,7 +142,7 @@
     let (leader, other) = start_two(&store).await;
     store.set_access(LEADER, Access::Refused);
     leader.stop().await;
-    store.put(StoreChange::Upstream(entry(&first)));
+    store.put(written(entry(&first)));
     wait_status(&other, "/read/x", 200).await;
 }
 
@@ -155,6 +157,9 @@
     store.set_access(LEADER, Access::Refused);
     sleep(Duration::from_millis(1_500)).await;
     let removed = entry(&first).name;
-    store.put(StoreChange::UpstreamRemoved(removed));
+    store.put(StoreChange::UpstreamRemoved {
+        version: 0,
+        name: removed,
+    });
     wait_status(&other, "/read/x", 503).await;
 }
--- a/crates/balsam-types/src/lib.rs
+++ b/crates/balsam-types/src/lib.rs
@@ -32,4 +32,4 @@
 pub use routing::{
     CallerLimits, ConfigVersion, Route, RouteKind, RoutingConfig, ServicePolicy, ServiceShare,
 };
-pub use upstreams::{Born, UpstreamEntry, UpstreamState};
+pub use upstreams::{Born, UpstreamEntry, UpstreamRow, UpstreamState};
--- a/crates/balsam-types/src/upstreams.rs
+++ b/crates/balsam-types/src/upstreams.rs
@@ -50,6 +50,15 @@
     pub warmup_left_ms: u64,
 }
 
+/// An upstream's entry as one row of the platform's table holds it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct UpstreamRow {
+    /// The version that the store gave the row; newer rows have higher ones.
+    pub version: u64,
+    /// The entry.
+    pub entry: UpstreamEntry,
+}
+
 impl UpstreamEntry {
     /// Returns whether the upstream takes new work.
     pub fn is_ready(&self) -> bool {
