Reproduce requests to leaving upstreams and repeats of crashing requests

Crashing requests: 5,000 requests that lost one upstream push a refused one out; copies in flight together count as one; a daemon that starts after the crashes, and a deployment that was restarted, send the request again (two arrivals in one request of a caller).

--- a/crates/balsam-decide/tests/crash_suspects.rs
+++ b/crates/balsam-decide/tests/crash_suspects.rs
@@ -151,3 +151,37 @@
     assert_eq!(kept.count(), 1_024);
     assert!(list.contains(Fingerprint(4_999)));
 }
+
+/// Guards against forgetting a refused request for others that lost one upstream: a deployment that
+/// loses many answers reports hundreds of them in a second.
+#[test]
+fn refused_outlasts_others() {
+    let mut suspects = Suspects::new();
+    let now = crash_each(&mut suspects, 0..3);
+    for number in 0..5_000 {
+        let lost = crash(Fingerprint(100 + number), 0);
+        suspects.crashed(now.after(number), &lost);
+    }
+    assert!(suspects.refused_until(POISON).is_some());
+}
+
+/// Guards against counting copies that were in flight together as one, although they were sent when
+/// the request had crashed an upstream already.
+#[test]
+fn copies_in_flight() {
+    let mut suspects = Suspects::new();
+    assert_eq!(
+        suspects.crashed(START, &crash(POISON, 0)),
+        CrashCount::Counted
+    );
+    let later = START.after(1_000);
+    for number in 1..3 {
+        let mut copy = crash(POISON, number);
+        copy.took_ms = 100;
+        assert_eq!(
+            suspects.crashed(later.after(number), &copy),
+            CrashCount::Counted
+        );
+    }
+    assert!(suspects.refused_until(POISON).is_some());
+}
--- a/crates/balsam-decide/tests/upstream_list.rs
+++ b/crates/balsam-decide/tests/upstream_list.rs
@@ -126,3 +126,19 @@
     let kept = directory.listed().into_iter().map(|row| row.entry);
     assert!(kept.eq([ready("b")]));
 }
+
+/// Guards against keeping an entry that vanishes after the store's return for as long as one that
+/// lapsed meanwhile: those that lapsed are back about two seconds after the return.
+#[test]
+fn vanished_after_return() {
+    let mut directory = Directory::new();
+    let listed = listed_rows([ready("a"), ready("b")]);
+    directory.handle(TimeMs(0), listed);
+    directory.handle(TimeMs(1_000), DirectoryInput::StoreFailed);
+    assert_eq!(count(directory.handle(TimeMs(2_900), removed("a"))), None);
+    let after = TimeMs(1_000 + LAPSE_GRACE_MS);
+    assert_eq!(
+        count(directory.handle(after, DirectoryInput::Tick)),
+        Some(1)
+    );
+}
--- a/crates/balsam-edge/tests/crash_contained.rs
+++ b/crates/balsam-edge/tests/crash_contained.rs
@@ -2,6 +2,7 @@
 
 mod support;
 
+use balsam_edge::Edge;
 use std::time::Duration;
 use support::{Act, Caller, Store, Upstream, rows, start_at, wait_ready};
 use tokio::time::sleep;
@@ -19,10 +20,7 @@
 /// own share of upstreams.
 #[actix_rt::test]
 async fn over_all_daemons() {
-    let mut upstreams = Vec::new();
-    for number in 0..12 {
-        upstreams.push(Upstream::start(&format!("u{number}"), &[Act::Crash]).await);
-    }
+    let mut upstreams = start_fragile(12).await;
     let named: Vec<&Upstream> = upstreams.iter().collect();
     let store = Store::start(rows(&named));
     let leader = start_at(&store, 1).await;
@@ -44,11 +42,77 @@
             sleep(TOLD).await;
         }
     }
-    let arrivals = upstreams.iter_mut().map(|upstream| upstream.seen().len());
-    let arrivals: usize = arrivals.sum();
+    let arrivals = arrivals(&mut upstreams);
     assert!(arrivals <= ARRIVALS_MAX, "{arrivals} arrivals");
 }
 
+/// Starts upstreams that do not survive a request.
+async fn start_fragile(count: usize) -> Vec<Upstream> {
+    let mut upstreams = Vec::new();
+    for number in 0..count {
+        upstreams.push(Upstream::start(&format!("u{number}"), &[Act::Crash]).await);
+    }
+    upstreams
+}
+
+/// Sends the request to daemons, several times to each.
+async fn send_to(edges: &[&Edge], rounds: usize) {
+    for round in 0..rounds {
+        for (daemon, edge) in edges.iter().enumerate() {
+            let mut caller = Caller::open(edge.addresses().callers).await;
+            let id = format!("r{round}-{daemon}");
+            caller.request("GET", "/read/poison", &id).await;
+            caller.answer().await;
+            sleep(TOLD).await;
+        }
+    }
+}
+
+fn arrivals(upstreams: &mut [Upstream]) -> usize {
+    upstreams
+        .iter_mut()
+        .map(|upstream| upstream.seen().len())
+        .sum()
+}
+
+/// Guards against a daemon that has not heard of the crashes, because it started later or because
+/// the news was lost.
+#[actix_rt::test]
+async fn later_daemon() {
+    let mut upstreams = start_fragile(12).await;
+    let named: Vec<&Upstream> = upstreams.iter().collect();
+    let store = Store::start(rows(&named));
+    let leader = start_at(&store, 1).await;
+    wait_ready(&leader).await;
+    sleep(SETTLE).await;
+    send_to(&[&leader], 4).await;
+    arrivals(&mut upstreams);
+    let later = start_at(&store, 2).await;
+    wait_ready(&later).await;
+    sleep(SETTLE).await;
+    send_to(&[&later], 1).await;
+    assert_eq!(arrivals(&mut upstreams), 0);
+}
+
+/// Guards against forgetting a request with the daemons that refused it.
+#[actix_rt::test]
+async fn all_restarted() {
+    let mut upstreams = start_fragile(12).await;
+    let named: Vec<&Upstream> = upstreams.iter().collect();
+    let store = Store::start(rows(&named));
+    let first = start_at(&store, 1).await;
+    wait_ready(&first).await;
+    sleep(SETTLE).await;
+    send_to(&[&first], 4).await;
+    first.stop().await;
+    arrivals(&mut upstreams);
+    let second = start_at(&store, 2).await;
+    wait_ready(&second).await;
+    sleep(SETTLE).await;
+    send_to(&[&second], 1).await;
+    assert_eq!(arrivals(&mut upstreams), 0);
+}
+
 /// Guards that other requests go on while one is refused.
 #[actix_rt::test]
 async fn others_served() {
