Let no older row replace what is known of an upstream

A daemon that reads the list or its changes itself may be answered after the leader has passed on newer ones: on a slow or lossy way, after the store has forgotten its history, at a start, after a suspension. The directory compared only the moment of birth, so that the older row turned 'draining' back to 'ready'; the daemon went on from the newer version and never read the change again, until the entry was removed.

Every row, removal and list now counts only if its version is not below what is known of the upstream; removals are remembered, also those of entries that lapsed. Assignments, the leader's row and the configuration compare versions already.

--- a/crates/balsam-decide/src/directory/machine.rs
+++ b/crates/balsam-decide/src/directory/machine.rs
@@ -1,7 +1,7 @@
 //! Follows the platform's list of upstreams through its outages.
 
 use super::{Believed, DirectoryNote, NoteOutcome, Upstreams};
-use balsam_types::{Born, Map, Set, TimeMs, UpstreamName, UpstreamRow, new_map};
+use balsam_types::{Born, Map, Set, TimeMs, UpstreamEntry, UpstreamName, UpstreamRow, new_map};
 use std::sync::Arc;
 
 /// How long a vanished entry is kept when it vanished around an outage of the store, in
@@ -10,6 +10,9 @@
 /// Entries that lapse while the store is away are back about two seconds after its return.
 pub const LAPSE_GRACE_MS: u64 = 2_100;
 
+/// Removals that are remembered, so that an older row does not bring an upstream back.
+const REMOVED_MAX: usize = 4_096;
+
 /// What the directory is told.
 #[derive(Clone, Debug)]
 pub enum DirectoryInput {
@@ -43,12 +46,22 @@
     believed: Arc<Believed>,
 }
 
+/// An entry that has vanished and is kept, because it may come back.
+#[derive(Clone, Copy, Debug)]
+struct Lapsing {
+    until: TimeMs,
+    /// The version of the removal, or of the list that lacked the entry.
+    version: u64,
+}
+
 /// The upstreams that this daemon believes to exist.
 #[derive(Debug)]
 pub struct Directory {
     upstreams: Map<UpstreamName, Known>,
-    /// Vanished entries and until when they are kept.
-    lapsing: Map<UpstreamName, TimeMs>,
+    /// Upstreams that were removed, and the versions of that.
+    removed: Map<UpstreamName, u64>,
+    /// Vanished entries that are kept.
+    lapsing: Map<UpstreamName, Lapsing>,
     /// When a call to the store failed last.
     failed_at: Option<TimeMs>,
     /// What was done with rows since they were last asked for.
@@ -66,6 +79,7 @@
     pub fn new() -> Self {
         Self {
             upstreams: new_map(),
+            removed: new_map(),
             lapsing: new_map(),
             failed_at: None,
             notes: Vec::new(),
@@ -115,7 +129,7 @@
 
     /// Returns when the next entry lapses.
     pub fn next_lapse(&self) -> Option<TimeMs> {
-        self.lapsing.values().min().copied()
+        self.lapsing.values().map(|lapsing| lapsing.until).min()
     }
 
     fn replace(&mut self, now: TimeMs, version: u64, rows: Vec<UpstreamRow>) -> bool {
@@ -133,19 +147,17 @@
 
     fn put(&mut self, now: TimeMs, row: UpstreamRow) -> bool {
         let UpstreamRow { version, entry } = row;
+        if self.is_older(&entry, version) {
+            self.note(&entry.name, entry.born, version, NoteOutcome::Older);
+            return false;
+        }
         self.lapsing.remove(&entry.name);
-        if let Some(known) = self.upstreams.get_mut(&entry.name) {
-            let former = &known.believed.entry;
-            // A row that was read before a newer one of the same upstream must not bring back its
-            // former life.
-            if former.born > entry.born {
-                self.note(&entry.name, entry.born, version, NoteOutcome::Older);
-                return false;
-            }
-            if *former == entry {
-                known.version = version;
-                return false;
-            }
+        self.removed.remove(&entry.name);
+        if let Some(known) = self.upstreams.get_mut(&entry.name)
+            && known.believed.entry == entry
+        {
+            known.version = version;
+            return false;
         }
         let outcome = if entry.is_ready() {
             NoteOutcome::Ready
@@ -160,8 +172,20 @@
         true
     }
 
+    /// Returns whether something newer than a row is known of its upstream.
+    ///
+    /// Answers of the store, changes that the leader passes on and its snapshots overtake each
+    /// other. A late writer of a former life is not told apart by the version of its row.
+    fn is_older(&self, entry: &UpstreamEntry, version: u64) -> bool {
+        let is_removed = |removed: &u64| *removed > version;
+        let known = self.upstreams.get(&entry.name);
+        known.is_some_and(|known| known.version > version || known.believed.entry.born > entry.born)
+            || self.removed.get(&entry.name).is_some_and(is_removed)
+    }
+
     fn remove(&mut self, now: TimeMs, version: u64, name: &UpstreamName) -> bool {
-        let Some(known) = self.upstreams.get(name) else {
+        let known = self.upstreams.get(name);
+        let Some(known) = known.filter(|known| known.version <= version) else {
             return false;
         };
         let entry = &known.believed.entry;
@@ -171,24 +195,36 @@
         if may_return && self.in_outage(now) {
             if !self.lapsing.contains_key(name) {
                 let until = now.after(LAPSE_GRACE_MS);
-                self.lapsing.insert(name.clone(), until);
+                let lapsing = Lapsing { until, version };
+                self.lapsing.insert(name.clone(), lapsing);
                 self.note(name, born, version, NoteOutcome::Kept { until });
             }
             return false;
         }
         self.lapsing.remove(name);
         self.upstreams.remove(name);
+        self.remember_removal(name.clone(), version);
         self.note(name, born, version, NoteOutcome::Removed);
         true
     }
 
+    fn remember_removal(&mut self, name: UpstreamName, version: u64) {
+        self.removed.insert(name, version);
+        if self.removed.len() > REMOVED_MAX
+            && let Some(oldest) = self.removed.values().min().copied()
+        {
+            self.removed.retain(|_, version| *version > oldest);
+        }
+    }
+
     fn expire(&mut self, now: TimeMs) -> bool {
-        let due = self.lapsing.extract_if(|_, until| *until <= now);
-        let due: Vec<UpstreamName> = due.map(|(name, _)| name).collect();
-        for name in &due {
+        let due = self.lapsing.extract_if(|_, lapsing| lapsing.until <= now);
+        let due: Vec<(UpstreamName, Lapsing)> = due.collect();
+        for (name, Lapsing { version, .. }) in &due {
             if let Some(known) = self.upstreams.remove(name) {
                 let born = known.believed.entry.born;
-                self.note(name, born, known.version, NoteOutcome::Lapsed);
+                self.note(name, born, *version, NoteOutcome::Lapsed);
+                self.remember_removal(name.clone(), *version);
             }
         }
         !due.is_empty()
--- a/crates/balsam-decide/tests/upstream_list.rs
+++ b/crates/balsam-decide/tests/upstream_list.rs
@@ -142,3 +142,25 @@
         Some(1)
     );
 }
+
+/// Guards against rows that arrive after newer ones: an upstream that leaves must not take work
+/// again, and a removed one must not come back.
+#[test]
+fn overtaken_rows() {
+    let mut directory = Directory::new();
+    let older = [row(ready("a")), row(ready("b"))];
+    let older_list = DirectoryInput::Listed {
+        version: 2,
+        rows: older.to_vec(),
+    };
+    directory.handle(TimeMs(0), listed_rows([ready("b")]));
+    let leaving = entry("a", 1, UpstreamState::Draining);
+    directory.handle(TimeMs(1), changed(leaving.clone()));
+    directory.handle(TimeMs(2), removed("b"));
+    let [older_row, _] = older;
+    for late in [DirectoryInput::Changed(older_row), older_list] {
+        assert_eq!(count(directory.handle(TimeMs(3), late)), None);
+    }
+    let kept = directory.listed().into_iter().map(|row| row.entry);
+    assert!(kept.eq([leaving]));
+}
