Keep vanished entries until the store's return, not from when they vanish

Requests went on to upstreams that had left without a word: an entry that vanished within 2.1 s of a failed call was kept for 2.1 s more, 4.2 s after the store's return, and longer than the two seconds in which a leaving upstream must get no more requests. Entries that lapsed in an outage are back about two seconds after its end, whenever this daemon saw them vanish.

The time now runs from the last failed call or from the return. vanished_after_return failed before and passes now. lapsed_entry told the directory of a failed call 100 ms before the list; it tells the return beside the list, as the control task does, with the same bounds.

--- a/crates/balsam-decide/src/directory/machine.rs
+++ b/crates/balsam-decide/src/directory/machine.rs
@@ -4,8 +4,7 @@
 use balsam_types::{Born, Map, Set, TimeMs, UpstreamEntry, UpstreamName, UpstreamRow, new_map};
 use std::sync::Arc;
 
-/// How long a vanished entry is kept when it vanished around an outage of the store, in
-/// milliseconds.
+/// How long after an outage of the store entries that vanished around it are kept, in milliseconds.
 ///
 /// Entries that lapse while the store is away are back about two seconds after its return.
 pub const LAPSE_GRACE_MS: u64 = 2_100;
@@ -32,7 +31,7 @@
         /// The upstream.
         name: UpstreamName,
     },
-    /// A call to the store failed.
+    /// A call to the store failed, or the store has just returned.
     StoreFailed,
     /// Time has passed.
     Tick,
@@ -109,10 +108,10 @@
         (changed || expired).then(|| Upstreams::new(believed))
     }
 
-    /// Returns whether entries that vanish may be back soon.
-    fn in_outage(&self, now: TimeMs) -> bool {
-        self.failed_at
-            .is_some_and(|at| now.since(at) <= LAPSE_GRACE_MS)
+    /// Returns until when an entry that vanishes now may be back, if it may.
+    fn kept_until(&self, now: TimeMs) -> Option<TimeMs> {
+        let until = self.failed_at?.after(LAPSE_GRACE_MS);
+        (now < until).then_some(until)
     }
 
     /// Returns the rows that the store lists; those that are kept although they vanished are left
@@ -192,9 +191,8 @@
         let born = entry.born;
         // An upstream that announced its leaving is not coming back.
         let may_return = entry.is_ready();
-        if may_return && self.in_outage(now) {
+        if let Some(until) = self.kept_until(now).filter(|_| may_return) {
             if !self.lapsing.contains_key(name) {
-                let until = now.after(LAPSE_GRACE_MS);
                 let lapsing = Lapsing { until, version };
                 self.lapsing.insert(name.clone(), lapsing);
                 self.note(name, born, version, NoteOutcome::Kept { until });
--- a/crates/balsam-decide/tests/upstream_list.rs
+++ b/crates/balsam-decide/tests/upstream_list.rs
@@ -67,6 +67,7 @@
     let listed = listed_rows([ready("a"), ready("b")]);
     directory.handle(TimeMs(0), listed);
     directory.handle(TimeMs(1_000), DirectoryInput::StoreFailed);
+    directory.handle(TimeMs(1_100), DirectoryInput::StoreFailed);
     let listed = listed_rows([ready("b")]);
     assert_eq!(count(directory.handle(TimeMs(1_100), listed)), None);
     let before = TimeMs(1_100 + LAPSE_GRACE_MS - 1);
