Keep refused requests when other suspects need room

A daemon remembers 1,024 suspects and dropped the one whose last crash was oldest. When many connections end before an answer, as when upstreams lose answers, reports of requests that lost a single upstream come in by the hundred in a second, most of them at the leader, and a refused request has the oldest crash of all because it is not sent any more: the leader forgot it within seconds and sent it again.

--- a/crates/balsam-decide/src/crashes/suspects.rs
+++ b/crates/balsam-decide/src/crashes/suspects.rs
@@ -20,7 +20,8 @@
 /// How long a request is suspected after its last crash, in milliseconds.
 const SUSPECTED_MS: u64 = 120_000;
 
-/// Suspects at once; the one whose last crash is oldest makes room.
+/// Suspects at once; one that is not refused makes room, and of these the one whose last crash is
+/// oldest.
 const SUSPECTS_MAX: usize = 1_024;
 
 /// How much later than its end a crash may be noted, in milliseconds; daemons tell each other within
@@ -185,10 +186,13 @@
         if self.0.len() < SUSPECTS_MAX || self.0.contains_key(&fingerprint) {
             return;
         }
-        let oldest = self.0.iter();
-        let oldest = oldest.min_by_key(|(fingerprint, suspect)| (suspect.last_at, **fingerprint));
-        if let Some(oldest) = oldest.map(|(fingerprint, _)| *fingerprint) {
-            self.0.remove(&oldest);
+        let order = |(fingerprint, suspect): &(&Fingerprint, &Suspect)| {
+            let is_refused = suspect.refused_until().is_some();
+            (is_refused, suspect.last_at, **fingerprint)
+        };
+        let least = self.0.iter().min_by_key(order);
+        if let Some(least) = least.map(|(fingerprint, _)| *fingerprint) {
+            self.0.remove(&least);
         }
     }
 }
