Count each copy of a request that was sent after its first crash

Copies that were sent before the first crash still count as one with it, because upstreams that are lost together lose equal requests of popular paths; lost_together holds unchanged. Each copy that was sent later counts. A report tells how long ago the connection ended, so that one that waits does not look like a later crash.

copies_in_flight failed before and passes now.

--- a/crates/balsam-decide/src/crashes/suspects.rs
+++ b/crates/balsam-decide/src/crashes/suspects.rs
@@ -24,9 +24,9 @@
 /// oldest.
 const SUSPECTS_MAX: usize = 1_024;
 
-/// How much later than its end a crash may be noted, in milliseconds; daemons tell each other within
-/// a few.
-const TOLD_LATE_MS: u64 = 10;
+/// How much later than its end a crash may be noted, in milliseconds; the control task of a busy
+/// daemon looks at messages as often as that.
+const TOLD_LATE_MS: u64 = 50;
 
 /// The end of an upstream's connection under a request, before any byte of an answer.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -37,6 +37,8 @@
     pub upstream: Crashed,
     /// The time from sending the request to the end of the connection, in milliseconds.
     pub took_ms: u64,
+    /// How long ago the connection ended when this was told, in milliseconds.
+    pub ended_ago_ms: u64,
 }
 
 /// The life of an upstream that did not survive a request.
@@ -53,7 +55,7 @@
 pub enum CrashCount {
     /// It does.
     Counted,
-    /// The request was sent before its last crash, so that one incident may have ended both.
+    /// The request was sent before its first crash, so that one incident may have ended both.
     SentBefore,
     /// This life of the upstream was counted before.
     SameUpstream,
@@ -73,6 +75,7 @@
 #[derive(Debug)]
 struct Suspect {
     crashed: Vec<Crashed>,
+    first_at: TimeMs,
     last_at: TimeMs,
 }
 
@@ -99,19 +102,20 @@
 
     /// Notes a crash that this daemon or another one saw.
     ///
-    /// A request that was sent before its last crash was lost by the same incident, which says
-    /// nothing of the request. An upstream counts once: a reset by one that still lives may come
-    /// from a full queue.
+    /// Copies that were sent before the first crash may have been lost by the same incident, which
+    /// says nothing of the request; each one sent later counts, however many are in flight together.
+    /// An upstream counts once: a reset by one that still lives may come from a full queue.
     pub fn crashed(&mut self, now: TimeMs, crash: &Crash) -> CrashCount {
+        let ended_at = now.before(crash.ended_ago_ms);
         if let Some(known) = self.0.get(&crash.fingerprint) {
             if known.crashed.contains(&crash.upstream) {
                 return CrashCount::SameUpstream;
             }
-            if now.since(known.last_at) + TOLD_LATE_MS < crash.took_ms {
+            if ended_at.since(known.first_at) + TOLD_LATE_MS < crash.took_ms {
                 return CrashCount::SentBefore;
             }
         }
-        self.add(now, crash.fingerprint, vec![crash.upstream.clone()]);
+        self.add(ended_at, crash.fingerprint, vec![crash.upstream.clone()]);
         CrashCount::Counted
     }
 
@@ -168,16 +172,17 @@
         )
     }
 
-    fn add(&mut self, now: TimeMs, fingerprint: Fingerprint, crashed: Vec<Crashed>) {
+    fn add(&mut self, at: TimeMs, fingerprint: Fingerprint, crashed: Vec<Crashed>) {
         self.make_room(fingerprint);
         let suspect = self.0.entry(fingerprint).or_insert_with(|| Suspect {
             crashed: Vec::new(),
-            last_at: now,
+            first_at: at,
+            last_at: at,
         });
         for crashed in crashed {
             if !suspect.crashed.contains(&crashed) {
                 suspect.crashed.push(crashed);
-                suspect.last_at = now;
+                suspect.last_at = suspect.last_at.max(at);
             }
         }
     }
--- a/crates/balsam-decide/tests/crash_suspects.rs
+++ b/crates/balsam-decide/tests/crash_suspects.rs
@@ -21,6 +21,7 @@
         fingerprint,
         upstream: upstream(number),
         took_ms: TOOK_MS,
+        ended_ago_ms: 0,
     }
 }
 
--- a/crates/balsam-edge/src/request/serve.rs
+++ b/crates/balsam-edge/src/request/serve.rs
@@ -215,6 +215,7 @@
                 born: entry.born,
             },
             took_ms,
+            ended_ago_ms: 0,
         };
         // A busy control task misses one crash of several.
         drop(self.chain.control.try_send(ControlInput::Crashed(crash)));
--- a/crates/balsam-types/src/clock_time.rs
+++ b/crates/balsam-types/src/clock_time.rs
@@ -19,6 +19,12 @@
         Self(self.0.saturating_add(delay_ms))
     }
 
+    /// Returns the time `earlier_ms` milliseconds before, or the start of the clock.
+    #[must_use]
+    pub const fn before(self, earlier_ms: u64) -> Self {
+        Self(self.0.saturating_sub(earlier_ms))
+    }
+
     /// Returns the milliseconds from `earlier` to `self`, or zero if `earlier` is later.
     pub const fn since(self, earlier: Self) -> u64 {
         self.0.saturating_sub(earlier.0)
