Let no restart and no lost datagram make daemons forget a refused request

What a daemon knew of suspects came by one datagram and was lost with the daemon: each restarted or added daemon, and each that missed the datagram, sent the request to upstreams once more, and with all daemons gone counting started anew. A report to the leader that was lost, or that came while there was no leader, was never repeated, and a success told once left daemons that refuse what others serve.

A watch (crates/balsam-decide/src/crashes/watch.rs) decides what is told: reports are repeated until they are acknowledged; heartbeats name a digest of the refused requests, and a daemon with another one exchanges lists with the leader; the leader writes the list into the row 'refused', once a second at most and only when it changes, and daemons read it with their other rows when they start.

--- a/crates/balsam-decide/src/crashes/mod.rs
+++ b/crates/balsam-decide/src/crashes/mod.rs
@@ -5,7 +5,13 @@
 //! See [the platform page](../../../../docs/platform.md#requests-that-crash-upstreams).
 
 mod list;
+mod message;
+mod reports;
 mod suspects;
+mod watch;
 
 pub use list::SuspectList;
-pub use suspects::{Crash, CrashCount, Crashed, Suspects};
+pub use message::{SuspectSource, WatchInput, WatchMessage, WatchNote, WatchOutput};
+pub use reports::CrashReport;
+pub use suspects::{Crash, CrashCount, Crashed, Refused, Suspects};
+pub use watch::CrashWatch;
--- a/crates/balsam-decide/src/crashes/suspects.rs
+++ b/crates/balsam-decide/src/crashes/suspects.rs
@@ -20,6 +20,10 @@
 /// How long a request is suspected after its last crash, in milliseconds.
 const SUSPECTED_MS: u64 = 120_000;
 
+/// How long a served request is not suspected because another daemon says so, in milliseconds; by
+/// then all daemons that are in touch know.
+const CLEARED_MS: u64 = 10_000;
+
 /// Suspects at once; one that is not refused makes room, and of these the one whose last crash is
 /// oldest.
 const SUSPECTS_MAX: usize = 1_024;
@@ -72,32 +76,55 @@
     }
 }
 
+/// A request that is refused, as daemons tell each other.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Refused {
+    /// The request.
+    pub fingerprint: Fingerprint,
+    /// How much longer it is refused, in milliseconds.
+    pub left_ms: u64,
+}
+
 #[derive(Debug)]
 struct Suspect {
     crashed: Vec<Crashed>,
     first_at: TimeMs,
     last_at: TimeMs,
+    /// Until when it is refused, if it is.
+    refused_until: Option<TimeMs>,
 }
 
 impl Suspect {
-    fn lapses_at(&self) -> TimeMs {
-        self.refused_until()
-            .unwrap_or_else(|| self.last_at.after(SUSPECTED_MS))
+    const fn new(at: TimeMs) -> Self {
+        Self {
+            crashed: Vec::new(),
+            first_at: at,
+            last_at: at,
+            refused_until: None,
+        }
     }
 
-    fn refused_until(&self) -> Option<TimeMs> {
-        (self.crashed.len() >= CRASHES_MAX).then(|| self.last_at.after(REFUSED_MS))
+    fn lapses_at(&self) -> TimeMs {
+        self.refused_until
+            .unwrap_or_else(|| self.last_at.after(SUSPECTED_MS))
     }
 }
 
 /// The requests that this daemon suspects.
 #[derive(Debug)]
-pub struct Suspects(Map<Fingerprint, Suspect>);
+pub struct Suspects {
+    suspects: Map<Fingerprint, Suspect>,
+    /// Requests that an upstream has served although they were suspected, and when.
+    cleared: Map<Fingerprint, TimeMs>,
+}
 
 impl Suspects {
     /// Makes a machine without suspects.
     pub fn new() -> Self {
-        Self(new_map())
+        Self {
+            suspects: new_map(),
+            cleared: new_map(),
+        }
     }
 
     /// Notes a crash that this daemon or another one saw.
@@ -107,7 +134,7 @@
     /// An upstream counts once: a reset by one that still lives may come from a full queue.
     pub fn crashed(&mut self, now: TimeMs, crash: &Crash) -> CrashCount {
         let ended_at = now.before(crash.ended_ago_ms);
-        if let Some(known) = self.0.get(&crash.fingerprint) {
+        if let Some(known) = self.suspects.get(&crash.fingerprint) {
             if known.crashed.contains(&crash.upstream) {
                 return CrashCount::SameUpstream;
             }
@@ -121,19 +148,19 @@
 
     /// Returns how many upstreams a request has crashed.
     pub fn crashes(&self, fingerprint: Fingerprint) -> usize {
-        self.0
+        self.suspects
             .get(&fingerprint)
             .map_or(0, |suspect| suspect.crashed.len())
     }
 
     /// Returns how many requests are suspected, refused or not.
     pub fn len(&self) -> usize {
-        self.0.len()
+        self.suspects.len()
     }
 
     /// Returns whether no request is suspected.
     pub fn is_empty(&self) -> bool {
-        self.0.is_empty()
+        self.suspects.is_empty()
     }
 
     /// Takes over the crashes of a request that the leader tells.
@@ -141,63 +168,118 @@
         self.add(now, fingerprint, crashed);
     }
 
+    /// Takes over that another daemon refuses a request; returns whether that is new.
+    pub fn refuse(&mut self, now: TimeMs, refused: Refused) -> bool {
+        let Refused {
+            fingerprint,
+            left_ms,
+        } = refused;
+        if left_ms == 0 || self.was_cleared(now, fingerprint) {
+            return false;
+        }
+        self.make_room(fingerprint);
+        let suspect = self.suspects.entry(fingerprint);
+        let suspect = suspect.or_insert_with(|| Suspect::new(now));
+        let is_new = suspect.refused_until.is_none();
+        let until = now.after(left_ms.min(REFUSED_MS));
+        suspect.refused_until.get_or_insert(until);
+        is_new
+    }
+
     /// Notes that an upstream served a request; returns whether it was suspected.
-    pub fn served(&mut self, fingerprint: Fingerprint) -> bool {
-        self.0.remove(&fingerprint).is_some()
+    pub fn served(&mut self, now: TimeMs, fingerprint: Fingerprint) -> bool {
+        let was_suspected = self.suspects.remove(&fingerprint).is_some();
+        if was_suspected && self.cleared.len() < SUSPECTS_MAX {
+            self.cleared.insert(fingerprint, now);
+        }
+        was_suspected
+    }
+
+    /// Returns whether an upstream has served a suspected request a moment ago, which other daemons
+    /// may not know yet.
+    pub fn was_cleared(&self, now: TimeMs, fingerprint: Fingerprint) -> bool {
+        let at = self.cleared.get(&fingerprint);
+        at.is_some_and(|at| now.since(*at) < CLEARED_MS)
+    }
+
+    /// Returns the requests that were served a moment ago although they were suspected.
+    pub fn cleared(&self, now: TimeMs) -> impl Iterator<Item = Fingerprint> {
+        let cleared = self.cleared.keys().copied();
+        cleared.filter(move |fingerprint| self.was_cleared(now, *fingerprint))
+    }
+
+    /// Returns the refused requests.
+    pub fn refused(&self, now: TimeMs) -> Vec<Refused> {
+        let refused = self.suspects.iter().filter_map(|(fingerprint, suspect)| {
+            Some(Refused {
+                fingerprint: *fingerprint,
+                left_ms: suspect.refused_until?.since(now),
+            })
+        });
+        refused.collect()
+    }
+
+    /// Returns a digest of the refused requests; it is 0 if there are none, and daemons that refuse
+    /// the same requests have the same.
+    pub fn digest(&self) -> u64 {
+        let refused = self.suspects.iter();
+        let refused = refused.filter(|(_, suspect)| suspect.refused_until.is_some());
+        refused.fold(0, |digest, (fingerprint, _)| digest ^ fingerprint.0)
     }
 
     /// Returns the crashes of a request, if all daemons should know them.
     pub fn to_share(&self, fingerprint: Fingerprint) -> Option<&[Crashed]> {
-        let crashed = self.0.get(&fingerprint)?.crashed.as_slice();
+        let crashed = self.suspects.get(&fingerprint)?.crashed.as_slice();
         (crashed.len() >= SHARED_FROM).then_some(crashed)
     }
 
     /// Returns until when a request is refused, if it is.
     pub fn refused_until(&self, fingerprint: Fingerprint) -> Option<TimeMs> {
-        self.0.get(&fingerprint)?.refused_until()
+        self.suspects.get(&fingerprint)?.refused_until
     }
 
     /// Forgets suspects whose time is over; returns whether there were any.
     pub fn expire(&mut self, now: TimeMs) -> bool {
-        let before = self.0.len();
-        self.0.retain(|_, suspect| now < suspect.lapses_at());
-        self.0.len() < before
+        let before = self.suspects.len();
+        self.suspects.retain(|_, suspect| now < suspect.lapses_at());
+        self.cleared.retain(|_, at| now.since(*at) < CLEARED_MS);
+        self.suspects.len() < before
     }
 
     /// Returns the list to publish.
     pub fn list(&self) -> SuspectList {
-        let suspects = self.0.iter();
+        let suspects = self.suspects.iter();
         SuspectList::new(
-            suspects.map(|(fingerprint, suspect)| (*fingerprint, suspect.refused_until())),
+            suspects.map(|(fingerprint, suspect)| (*fingerprint, suspect.refused_until)),
         )
     }
 
     fn add(&mut self, at: TimeMs, fingerprint: Fingerprint, crashed: Vec<Crashed>) {
         self.make_room(fingerprint);
-        let suspect = self.0.entry(fingerprint).or_insert_with(|| Suspect {
-            crashed: Vec::new(),
-            first_at: at,
-            last_at: at,
-        });
+        let suspect = self.suspects.entry(fingerprint);
+        let suspect = suspect.or_insert_with(|| Suspect::new(at));
         for crashed in crashed {
             if !suspect.crashed.contains(&crashed) {
                 suspect.crashed.push(crashed);
                 suspect.last_at = suspect.last_at.max(at);
             }
         }
+        if suspect.crashed.len() >= CRASHES_MAX {
+            suspect.refused_until = Some(suspect.last_at.after(REFUSED_MS));
+        }
     }
 
     fn make_room(&mut self, fingerprint: Fingerprint) {
-        if self.0.len() < SUSPECTS_MAX || self.0.contains_key(&fingerprint) {
+        if self.suspects.len() < SUSPECTS_MAX || self.suspects.contains_key(&fingerprint) {
             return;
         }
         let order = |(fingerprint, suspect): &(&Fingerprint, &Suspect)| {
-            let is_refused = suspect.refused_until().is_some();
+            let is_refused = suspect.refused_until.is_some();
             (is_refused, suspect.last_at, **fingerprint)
         };
-        let least = self.0.iter().min_by_key(order);
+        let least = self.suspects.iter().min_by_key(order);
         if let Some(least) = least.map(|(fingerprint, _)| *fingerprint) {
-            self.0.remove(&least);
+            self.suspects.remove(&least);
         }
     }
 }
--- a/crates/balsam-decide/tests/crash_suspects.rs
+++ b/crates/balsam-decide/tests/crash_suspects.rs
@@ -98,7 +98,7 @@
 fn served_between() {
     let mut suspects = Suspects::new();
     crash_each(&mut suspects, 0..2);
-    assert!(suspects.served(POISON));
+    assert!(suspects.served(START, POISON));
     let now = crash_each(&mut suspects, 3..5);
     assert_eq!(suspects.list().refused_until(now, POISON), None);
 }
--- a/crates/balsam-edge/src/control/act.rs
+++ b/crates/balsam-edge/src/control/act.rs
@@ -7,6 +7,7 @@
     OwnKey, Page, RangesRow, RowError, StoreChange, StoreError, StoreLink, StoreRequest,
     StoreTable, Written, encode_row,
 };
+use balsam_decide::crashes::{Refused, WatchInput};
 use balsam_decide::keys::{Commit, CommitResult, Order, OrderResult, RowVersion};
 use log::error;
 use std::sync::Arc;
@@ -32,6 +33,16 @@
         });
     }
 
+    /// Starts writing the row of refused requests, as the leader of a version.
+    pub(super) fn write_refused(&self, lead: RowVersion, refused: Vec<Refused>) {
+        let actor = self.clone();
+        actix_rt::spawn(async move {
+            let is_done = actor.write_refused_row(lead, &refused).await;
+            let written = WatchInput::RowWritten { is_done };
+            actor.report(ControlInput::Watch(written)).await;
+        });
+    }
+
     /// Starts reading all own rows.
     pub(super) fn reload(&self) {
         let actor = self.clone();
@@ -81,6 +92,24 @@
         drop(self.control.send(input).await);
     }
 
+    async fn write_refused_row(&self, lead: RowVersion, refused: &Vec<Refused>) -> bool {
+        let key = OwnKey::Refused.text();
+        let value = match encode_row(&key, refused) {
+            Ok(value) => value,
+            Err(failure) => {
+                error!("row not written: {failure}");
+                return false;
+            }
+        };
+        let written = self.store.call(|reply| StoreRequest::Write {
+            expected: vec![(OwnKey::Lead.text(), lead.0)],
+            rows: vec![(key, value)],
+            removed: Vec::new(),
+            reply,
+        });
+        matches!(written.await, Ok(Written::Done(_)))
+    }
+
     async fn write(&self, commit: Commit) -> CommitResult {
         let (expected, rows) = match encode(&commit, self.row_assignments_max) {
             Ok(encoded) => encoded,
--- a/crates/balsam-edge/src/control/lines.rs
+++ b/crates/balsam-edge/src/control/lines.rs
@@ -43,7 +43,7 @@
     /// A request seems to crash upstreams; it is refused if a time is given.
     Suspect {
         fingerprint: String,
-        crashed: &'a UpstreamName,
+        crashed: Option<&'a UpstreamName>,
         crashes: usize,
         source: &'static str,
         refused_ms: Option<u64>,
--- a/crates/balsam-edge/src/control/message.rs
+++ b/crates/balsam-edge/src/control/message.rs
@@ -2,10 +2,10 @@
 
 use crate::peer::PeerMessage;
 use crate::store::{Page, StoreError};
-use balsam_decide::crashes::Crash;
+use balsam_decide::crashes::WatchInput;
 use balsam_decide::feed::FeedTable;
 use balsam_decide::keys::{CommitResult, LoadReport, OrderId, OrderResult, RowVersion};
-use balsam_types::{Fingerprint, ServiceName, ShardKey, TimeMs};
+use balsam_types::{ServiceName, ShardKey, TimeMs};
 use std::net::SocketAddr;
 use tokio::sync::oneshot;
 
@@ -50,10 +50,8 @@
     Leave(oneshot::Sender<()>),
     /// The daemon stops now.
     Stop,
-    /// An upstream's connection ended under a request.
-    Crashed(Crash),
-    /// An upstream has served a suspected request.
-    Cleared(Fingerprint),
+    /// News of requests that crash upstreams.
+    Watch(WatchInput),
     /// An upstream does not hold a key that it should.
     NotHeld { service: ServiceName, key: ShardKey },
 }
--- a/crates/balsam-edge/src/control/peers.rs
+++ b/crates/balsam-edge/src/control/peers.rs
@@ -7,6 +7,7 @@
     Greeting, Heartbeat, PeerMessage, PeerOutput, RangesDelta, Topic, UpstreamNews, UpstreamsDelta,
 };
 use crate::view::Standing;
+use balsam_decide::crashes::WatchInput;
 use balsam_decide::feed::FeedTable;
 use balsam_decide::keys::{
     AssignerInput, LoadReport, RowVersion, StoredLead, StoredRanges, apply_delta, delta,
@@ -89,6 +90,7 @@
             ranges: ranges.collect(),
             is_settled: self.assigner.is_settled(now()),
             is_leaving: self.is_leaving,
+            refused: self.watch.suspects().digest(),
             tables: self.feed.state(now()),
             daemons: self.daemons,
             peers,
@@ -127,12 +129,9 @@
             PeerMessage::Upstreams(delta) => self.hear_upstreams(delta),
             PeerMessage::Ask(topic) => self.answer(from, &topic),
             PeerMessage::Part(part) => self.take_part(part),
-            PeerMessage::Crash(crash) => self.suspect(crash),
-            PeerMessage::Suspect {
-                fingerprint,
-                crashed,
-            } => self.hear_suspect(fingerprint, crashed),
-            PeerMessage::Cleared(fingerprint) => self.clear(fingerprint),
+            PeerMessage::Watch(message) => {
+                self.watch(Some(from), WatchInput::Heard(message));
+            }
             PeerMessage::Sample { service, report } => {
                 self.give(AssignerInput::Sampled { service, report });
             }
@@ -196,6 +195,7 @@
             should_replace: self.feed.should_replace(now())
                 || heartbeat.is_leaving && heartbeat.tables.is_fresh(),
         });
+        self.watch(None, WatchInput::LeaderRefuses(heartbeat.refused));
         for peer in &heartbeat.peers {
             self.book.heard(now(), *peer);
         }
--- a/crates/balsam-edge/src/control/tables.rs
+++ b/crates/balsam-edge/src/control/tables.rs
@@ -8,6 +8,7 @@
 use crate::store::{
     OwnKey, Page, RangesRow, RowError, StoreChange, StoreError, StoreTable, decode_row,
 };
+use balsam_decide::crashes::WatchInput;
 use balsam_decide::directory::{DirectoryInput, Upstreams};
 use balsam_decide::feed::FeedTable;
 use balsam_decide::keys::{AssignerInput, RowVersion, StoredLead, StoredRanges};
@@ -244,6 +245,9 @@
             (Some(OwnKey::Ranges(service, part)), Some(value)) => {
                 return Ok(Some((service, part, decode_row(key, value)?)));
             }
+            (Some(OwnKey::Refused), Some(value)) => {
+                self.watch(None, WatchInput::RowRead(decode_row(key, value)?));
+            }
             (_, None) | (None, _) => {}
         }
         Ok(None)
--- a/crates/balsam-edge/src/control/task.rs
+++ b/crates/balsam-edge/src/control/task.rs
@@ -10,7 +10,7 @@
 use crate::peer::{PeerOutput, Snapshots};
 use crate::store::{StoreLink, StoreRequest};
 use crate::view::{Standing, View};
-use balsam_decide::crashes::Suspects;
+use balsam_decide::crashes::{CrashWatch, WatchInput};
 use balsam_decide::directory::{Directory, DirectoryInput};
 use balsam_decide::feed::{FOLLOW_AS_LEADER_MS, FOLLOW_ASIDE_MS, Feed, FeedSource, FeedTable};
 use balsam_decide::keys::{Assigner, AssignerInput, AssignerOutput, KeyTiming, Leader, OrderId};
@@ -40,9 +40,7 @@
     pub(super) book: PeerBook,
     pub(super) config: Option<RoutingConfig>,
     pub(super) snapshots: Snapshots,
-    pub(super) suspects: Suspects,
-    /// Whether the published list of suspects is outdated.
-    pub(super) has_new_suspects: bool,
+    pub(super) watch: CrashWatch,
     /// Services whose newest assignments are missing, and since when.
     pub(super) lacking: Map<ServiceName, TimeMs>,
     pub(super) asked_at: TimeMs,
@@ -98,8 +96,7 @@
             book: PeerBook::new(),
             config: None,
             snapshots: Snapshots::new(),
-            suspects: Suspects::new(),
-            has_new_suspects: false,
+            watch: CrashWatch::new(),
             lacking: new_map(),
             asked_at: now(),
             notes: new_map(),
@@ -169,8 +166,7 @@
             ControlInput::Sampled { service, report } => self.sampled(service, report),
             ControlInput::Leave(replaced) => self.leave(replaced),
             ControlInput::Stop => self.resign(),
-            ControlInput::Crashed(crash) => self.suspect(crash),
-            ControlInput::Cleared(fingerprint) => self.clear(fingerprint),
+            ControlInput::Watch(input) => self.watch(None, input),
             ControlInput::NotHeld { service, key } => {
                 self.give(AssignerInput::NotHeld { service, key });
             }
@@ -210,7 +206,7 @@
         self.note_upstreams(RowSource::Clock);
         self.keep_in_touch(now);
         self.ask_for_snapshots(now);
-        self.publish_suspects(now);
+        self.watch(None, WatchInput::Tick);
         self.give(AssignerInput::Tick);
         self.announce_moved(now);
     }
--- a/crates/balsam-edge/src/peer/message.rs
+++ b/crates/balsam-edge/src/peer/message.rs
@@ -1,11 +1,9 @@
 //! Messages between daemons and their encoding.
 
-use balsam_decide::crashes::{Crash, Crashed};
+use balsam_decide::crashes::WatchMessage;
 use balsam_decide::feed::{FeedState, FeedTable};
 use balsam_decide::keys::{Leader, LoadReport};
-use balsam_types::{
-    Fence, Fingerprint, Incarnation, ServiceName, ServiceRanges, UpstreamName, UpstreamRow,
-};
+use balsam_types::{Fence, Incarnation, ServiceName, ServiceRanges, UpstreamName, UpstreamRow};
 use bincode::config::{Configuration, Fixint, Limit, LittleEndian, standard};
 use bincode::error::{DecodeError, EncodeError};
 use serde::{Deserialize, Serialize};
@@ -33,6 +31,8 @@
     pub(crate) is_settled: bool,
     /// Whether it is about to stop and another daemon should take its place.
     pub(crate) is_leaving: bool,
+    /// A digest of the requests that it refuses because they crash upstreams.
+    pub(crate) refused: u64,
     /// How far it knows the tables that it follows for all.
     pub(crate) tables: FeedState,
     /// Daemons of the deployment, the leader included.
@@ -139,16 +139,8 @@
     Ask(Topic),
     /// A part of what the receiver has asked for.
     Part(Part),
-    /// An upstream's connection ended under a request at the sender.
-    Crash(Crash),
-    /// The sender, which is the leader, suspects a request.
-    Suspect {
-        fingerprint: Fingerprint,
-        /// The upstreams that did not survive it.
-        crashed: Vec<Crashed>,
-    },
-    /// An upstream has served a request that was suspected.
-    Cleared(Fingerprint),
+    /// The sender tells of requests that crash upstreams.
+    Watch(WatchMessage),
     /// The sender has sent requests on keys.
     Sample {
         service: ServiceName,
--- a/crates/balsam-edge/src/request/serve.rs
+++ b/crates/balsam-edge/src/request/serve.rs
@@ -11,7 +11,7 @@
 use crate::pool::{PoolClient, Refused, Wanted};
 use crate::view::View;
 use balsam_decide::attempts::{Ending, Ledger, Step};
-use balsam_decide::crashes::{Crash, Crashed};
+use balsam_decide::crashes::{Crash, Crashed, WatchInput};
 use balsam_decide::directory::Believed;
 use balsam_decide::pool::Verdict;
 use balsam_types::{TimeMs, UpstreamEntry, UpstreamName};
@@ -218,7 +218,8 @@
             ended_ago_ms: 0,
         };
         // A busy control task misses one crash of several.
-        drop(self.chain.control.try_send(ControlInput::Crashed(crash)));
+        let crashed = ControlInput::Watch(WatchInput::Crashed(crash));
+        drop(self.chain.control.try_send(crashed));
     }
 
     /// Tells that an upstream has served the request, if equal ones are suspected.
@@ -230,8 +231,8 @@
         let fingerprint = self.routed.fingerprint();
         if suspects.contains(fingerprint) {
             // Equal requests follow and tell it again.
-            let cleared = ControlInput::Cleared(fingerprint);
-            drop(self.chain.control.try_send(cleared));
+            let served = ControlInput::Watch(WatchInput::Served(fingerprint));
+            drop(self.chain.control.try_send(served));
         }
     }
 
--- a/crates/balsam-edge/src/store/rows.rs
+++ b/crates/balsam-edge/src/store/rows.rs
@@ -27,16 +27,20 @@
     Lead,
     /// The assignments of a service, divided over rows that are numbered from 0.
     Ranges(ServiceName, u16),
+    /// The requests that are refused because they crash upstreams.
+    Refused,
 }
 
 const LEAD: &str = "lead";
 const RANGES: &str = "ranges/";
+const REFUSED: &str = "refused";
 
 impl OwnKey {
     /// Returns the row's key.
     pub fn text(&self) -> Arc<str> {
         match self {
             Self::Lead => Arc::from(LEAD),
+            Self::Refused => Arc::from(REFUSED),
             Self::Ranges(service, 0) => Arc::from(format!("{RANGES}{service}")),
             Self::Ranges(service, part) => Arc::from(format!("{RANGES}{service}/{part}")),
         }
@@ -47,6 +51,9 @@
         if text == LEAD {
             return Some(Self::Lead);
         }
+        if text == REFUSED {
+            return Some(Self::Refused);
+        }
         let rest = text.strip_prefix(RANGES)?;
         let (service, part) = match rest.split_once('/') {
             Some((service, part)) => (service, part.parse().ok()?),
