Take no earlier refusal for the answer to a request that runs

Another operator saw callers told 'not run' of requests that an upstream ran, and such requests run at a second one: a faulty upstream had written an earlier refusal once more on a kept connection. Here an answer without an id was accepted on any connection, and a refusal with the request's own id was accepted although the same request had been refused on that connection before, as when a key's owner gets it again.

An answer without an id now counts only on a connection without an earlier exchange; elsewhere it is unusable, so that an order ends 502. A connection remembers what was refused on it and takes none of these requests again; one with 32 refusals is not kept.

--- a/crates/balsam-decide/src/pool/message.rs
+++ b/crates/balsam-decide/src/pool/message.rs
@@ -58,6 +58,13 @@
     Dropped,
 }
 
+impl Verdict {
+    /// Returns whether the upstream has said that it did not run the request.
+    pub const fn is_refusal(self) -> bool {
+        matches!(self, Self::Shed | Self::NotHeld | Self::Replaced)
+    }
+}
+
 /// Why a request gets no upstream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Refusal {
--- a/crates/balsam-edge/src/http/connection.rs
+++ b/crates/balsam-edge/src/http/connection.rs
@@ -15,6 +15,9 @@
 /// Bytes that are read at once.
 const READ_BYTES: usize = 16 << 10;
 
+/// Refusals that are remembered; a connection with more is not used again.
+const REFUSALS_MAX: usize = 32;
+
 /// A whole answer.
 #[derive(Debug)]
 pub struct Answer {
@@ -43,6 +46,10 @@
     stream: TcpStream,
     buffer: BytesMut,
     used_at: Instant,
+    /// Whether an exchange has ended on it.
+    was_used: bool,
+    /// The requests that the peer has refused on it, by their ids.
+    refused: Vec<String>,
 }
 
 impl Connection {
@@ -61,9 +68,29 @@
             stream,
             buffer: BytesMut::new(),
             used_at: Instant::now(),
+            was_used: false,
+            refused: Vec::new(),
         })
     }
 
+    /// Returns whether no exchange has ended on the connection, so that an answer can be to no
+    /// earlier request.
+    pub const fn is_fresh(&self) -> bool {
+        !self.was_used
+    }
+
+    /// Returns whether the peer has refused a request with this id on the connection; a copy of that
+    /// refusal could not be told from the answer to the same request.
+    pub fn has_refused(&self, id: &str) -> bool {
+        self.refused.iter().any(|refused| refused == id)
+    }
+
+    /// Notes that the peer has refused a request; returns whether the connection can be kept.
+    pub fn note_refusal(&mut self, id: &str) -> bool {
+        self.refused.push(id.to_owned());
+        self.refused.len() < REFUSALS_MAX
+    }
+
     /// Returns how long the connection has been idle.
     pub fn idle(&self) -> Duration {
         self.used_at.elapsed()
@@ -208,6 +235,7 @@
 
     /// Notes that the connection becomes idle; returns whether it holds no unread bytes.
     pub fn rest(&mut self) -> bool {
+        self.was_used = true;
         self.used_at = Instant::now();
         self.buffer = BytesMut::new();
         self.is_sound()
--- a/crates/balsam-edge/src/http/error.rs
+++ b/crates/balsam-edge/src/http/error.rs
@@ -23,6 +23,9 @@
     /// The connection ended before the message did.
     #[snafu(display("the connection ended before the answer was complete"))]
     Closed,
+    /// The answer cannot be the one to the request.
+    #[snafu(display("an answer to another request"))]
+    Foreign,
     /// The message is malformed.
     #[snafu(display("{source}"))]
     Malformed {
--- a/crates/balsam-edge/src/request/forward.rs
+++ b/crates/balsam-edge/src/request/forward.rs
@@ -69,6 +69,7 @@
 pub(super) async fn forward(names: &HeaderNames, routed: &Routed, mut lease: Lease) -> Forwarded {
     let started_at = now();
     let idle = lease.idle.take();
+    let idle = idle.filter(|idle| !idle.has_refused(&routed.attempt_id));
     let opened_ms = Cell::new(0);
     let end = |lease: Lease, verdict, reply, connection| {
         let opened_ms = opened_ms.get();
@@ -131,8 +132,10 @@
     match body {
         Collected::Whole(body) => {
             let verdict = judge(names, &head, &lease);
-            let connection =
-                (keep && !connection.has_unread() && connection.rest()).then_some(connection);
+            let keep = keep
+                && !connection.has_unread()
+                && (!verdict.is_refusal() || connection.note_refusal(&routed.attempt_id));
+            let connection = (keep && connection.rest()).then_some(connection);
             let reply = Reply::Whole {
                 status: head.status,
                 fields: head.fields,
@@ -295,14 +298,14 @@
     progress.has_head = true;
     let mut strays = 0;
     // An answer to an earlier request may arrive late; its id tells it apart.
-    while head
-        .fields
-        .text(names.attempt_id)
-        .is_some_and(|id| id != routed.attempt_id)
-    {
+    while head.fields.text(names.attempt_id) != Some(&routed.attempt_id) {
+        let is_named = head.fields.get(names.attempt_id).is_some();
+        if !is_named && connection.is_fresh() {
+            break;
+        }
         strays += 1;
-        if strays > STRAY_ANSWERS_MAX || !head.keep_alive {
-            return Err(ExchangeError::Closed);
+        if !is_named || strays > STRAY_ANSWERS_MAX || !head.keep_alive {
+            return Err(ExchangeError::Foreign);
         }
         connection.body(&mut head.body, COLLECT_MAX_BYTES).await?;
         head = connection.next_head(to_head).await?;
--- a/crates/balsam-edge/tests/support/upstream.rs
+++ b/crates/balsam-edge/tests/support/upstream.rs
@@ -25,6 +25,13 @@
     CutShort,
     /// Says that it did not run the request.
     Refuse,
+    /// Says the same with the request's id.
+    RefuseOwn,
+    /// Writes the last refusal on the connection once more, and answers.
+    RefuseAgain,
+    /// Answers with bytes that go on until the connection is closed: a text, and another that is
+    /// repeated.
+    Endless(&'static str, &'static str),
     /// Answers after a while.
     Slow(Duration),
 }
@@ -78,6 +85,21 @@
     }
 }
 
+fn refuse(id: &str) -> String {
+    format!("HTTP/1.1 503 Full\r\nTest-Not-Run: 1\r\n{id}Content-Length: 0\r\n\r\n")
+}
+
+async fn write_endless(stream: &mut TcpStream, start: &str, again: &str) {
+    let mut bytes = start.to_owned();
+    loop {
+        bytes += &again.repeat(64);
+        if stream.write_all(bytes.as_bytes()).await.is_err() {
+            return;
+        }
+        bytes.clear();
+    }
+}
+
 /// What has become of an upstream after a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Served {
@@ -93,6 +115,7 @@
     seen: &mpsc::UnboundedSender<String>,
 ) -> Served {
     let mut buffer = BytesMut::new();
+    let mut refusal = String::new();
     loop {
         let head: RequestHead = loop {
             if let Some(head) = parse_request(&mut buffer, 1 << 14).expect("a request") {
@@ -125,7 +148,18 @@
             Act::Crash => return Served::Crashed,
             Act::CutShort => answer(&id)[..answer(&id).len() - 3].to_owned(),
             Act::Refuse => {
-                "HTTP/1.1 503 Full\r\nTest-Not-Run: 1\r\nContent-Length: 0\r\n\r\n".to_owned()
+                refusal = refuse("");
+                refusal.clone()
+            }
+            Act::RefuseOwn => {
+                refusal = refuse(&format!("Test-Id: {id}\r\n"));
+                refusal.clone()
+            }
+            Act::RefuseAgain => refusal.clone() + &answer(&id),
+            Act::Endless(start, again) => {
+                write_endless(&mut stream, start, again).await;
+                seen.send(format!("{id} closed")).expect("a listening test");
+                return Served::Runs;
             }
             Act::Slow(pause) => {
                 let mut rest = BytesMut::new();
