Give up on an upstream whose interim answers do not end

Answers may come without end, in a head or a body, until the caller closes. Of twelve such cases eleven were bounded already: bytes that are no answer, a status line, one field or many without end, a chunk line, other answers, a failure, bodies until the close and in chunks, bytes behind a whole answer. Interim answers were skipped one by one until the deadline, at the speed of the link, which costs a small machine all of its processor time and ends 504 instead of at once.

At most 128 KiB are read before the head of an answer is complete, interim answers included; the request ends 502 or goes elsewhere.

--- a/crates/balsam-edge/src/http/connection.rs
+++ b/crates/balsam-edge/src/http/connection.rs
@@ -15,6 +15,9 @@
 /// Bytes that are read at once.
 const READ_BYTES: usize = 16 << 10;
 
+/// Bytes that are read before the head of an answer is complete, interim answers included.
+const HEAD_MAX_BYTES: usize = 128 << 10;
+
 /// Refusals that are remembered; a connection with more is not used again.
 const REFUSALS_MAX: usize = 32;
 
@@ -126,6 +129,7 @@
     ) -> Result<AnswerHead, ExchangeError> {
         *sent = Sent::Nothing;
         let mut rest = request;
+        let mut head_bytes = 0;
         loop {
             if let Some(head) = parse_answer(&mut self.buffer, to_head).context(MalformedSnafu)? {
                 return Ok(head);
@@ -140,7 +144,7 @@
                     *sent = if rest.is_empty() { Sent::Whole } else { Sent::Partly };
                 }
                 read = read.read_buf(&mut self.buffer) => {
-                    ensure!(read.context(IoSnafu)? > 0, ClosedSnafu);
+                    head_bytes += received(read.context(IoSnafu)?, head_bytes)?;
                 }
             }
         }
@@ -152,11 +156,12 @@
     ///
     /// Returns an [`ExchangeError`] if the connection fails or the answer is malformed.
     pub async fn next_head(&mut self, to_head: bool) -> Result<AnswerHead, ExchangeError> {
+        let mut head_bytes = 0;
         loop {
             if let Some(head) = parse_answer(&mut self.buffer, to_head).context(MalformedSnafu)? {
                 return Ok(head);
             }
-            ensure!(self.fill().await? > 0, ClosedSnafu);
+            head_bytes += received(self.fill().await?, head_bytes)?;
         }
     }
 
@@ -254,3 +259,14 @@
             .context(IoSnafu)
     }
 }
+
+/// Checks bytes that were read for the head of an answer, of which `before_bytes` came earlier.
+fn received(bytes: usize, before_bytes: usize) -> Result<usize, ExchangeError> {
+    ensure!(bytes > 0, ClosedSnafu);
+    let max_bytes = HEAD_MAX_BYTES;
+    ensure!(
+        before_bytes + bytes <= max_bytes,
+        TooLongSnafu { max_bytes }
+    );
+    Ok(bytes)
+}
--- a/crates/balsam-edge/src/http/error.rs
+++ b/crates/balsam-edge/src/http/error.rs
@@ -32,8 +32,8 @@
         /// What is wrong.
         source: Http1Error,
     },
-    /// The body is longer than accepted.
-    #[snafu(display("answer body: more than {max_bytes} bytes"))]
+    /// The head or the body is longer than accepted.
+    #[snafu(display("answer: more than {max_bytes} bytes"))]
     TooLong {
         /// The accepted length in bytes.
         max_bytes: usize,
