Take no odd entry for an upstream

Another operator saw daemons that read the list of upstreams end or stop following it, because another writer had left one odd entry. Here neither happens, but an entry with 4,000,000,000 slots, port 0 or a birth at the end of its type was taken: all keys went to the address that it named, and lookups were lost for as long as it stood. A birth near the end of the type would have overflowed a sum in the leader's plan. An entry that became unreadable was removed by daemons that read the list and kept by those that follow its changes.

--- a/crates/balsam-decide/src/keys/service.rs
+++ b/crates/balsam-decide/src/keys/service.rs
@@ -70,7 +70,7 @@
         self.upstreams.iter().any(|found| {
             let entry = &found.entry;
             entry.address == owner.address
-                && entry.born.0 > owner.born.0 + BORN_SKEW_MS
+                && entry.born.0 > owner.born.0.saturating_add(BORN_SKEW_MS)
                 && !self.keyed.contains(&entry.service)
         })
     }
--- a/crates/balsam-edge/src/control/tables.rs
+++ b/crates/balsam-edge/src/control/tables.rs
@@ -13,7 +13,7 @@
 use balsam_decide::feed::FeedTable;
 use balsam_decide::keys::{AssignerInput, RowVersion, StoredLead, StoredRanges};
 use balsam_decide::routing::RouteTable;
-use balsam_types::{RoutingConfig, ServiceName, UpstreamRow};
+use balsam_types::{RoutingConfig, ServiceName, UpstreamName, UpstreamRow};
 use std::collections::BTreeMap;
 use std::collections::hash_map::Entry;
 use std::sync::Arc;
@@ -87,7 +87,7 @@
         for change in page.changes {
             match change {
                 StoreChange::Config(config) => self.configure(config),
-                StoreChange::Unreadable { key, reason } => {
+                StoreChange::Unreadable { key, reason, .. } => {
                     Self::unreadable(StoreTable::Config, &key, &reason);
                 }
                 _ => {}
@@ -124,9 +124,15 @@
             StoreChange::UpstreamRemoved { version, name } => {
                 Some(UpstreamNews::Removed { version, name })
             }
-            StoreChange::Unreadable { key, reason } => {
+            StoreChange::Unreadable {
+                version,
+                key,
+                reason,
+            } => {
                 Self::unreadable(StoreTable::Upstreams, &key, &reason);
-                None
+                // Whatever the row said before, it names no upstream any more.
+                let name = UpstreamName::new(&*key).ok()?;
+                Some(UpstreamNews::Removed { version, name })
             }
             StoreChange::Config(_) | StoreChange::Own { .. } => None,
         });
--- a/crates/balsam-edge/src/store/message.rs
+++ b/crates/balsam-edge/src/store/message.rs
@@ -63,6 +63,8 @@
     },
     /// A row that cannot be understood; it changes nothing.
     Unreadable {
+        /// The row's version.
+        version: u64,
         /// The row's key.
         key: Arc<str>,
         /// What is wrong.
