--- a/crates/balsam-decide/src/feed/machine.rs
+++ b/crates/balsam-decide/src/feed/machine.rs
@@ -4,7 +4,7 @@
 use balsam_types::TimeMs;
 
 /// How long another daemon that follows the store lets it wait for a change, in milliseconds.
-pub const FOLLOW_ASIDE_MS: u64 = 2_000;
+pub const FOLLOW_ASIDE_MS: u64 = 1_000;
 
 /// How long the leader's heartbeats may be missing, in milliseconds: three of them.
 const SILENT_MS: u64 = 750;
