--- a/crates/balsam-edge/src/control/lines.rs
+++ b/crates/balsam-edge/src/control/lines.rs
@@ -71,11 +71,12 @@
     },
     /// A commit has ended.
     Committed { result: &'static str, version: u64 },
-    /// An order has ended other than by a renewal.
+    /// The next owners of moving ranges have their keys.
     Moved {
         service: &'a ServiceName,
         moves: usize,
     },
+    /// An order has ended other than by a renewal.
     Ordered {
         upstream: &'a UpstreamName,
         range: String,
