Tell callers that a request on a reset connection has not run

An upstream resets the connections beyond those that it takes. A request that was already written on such a connection may have run, so that its caller got 502 and could not repeat an order.

For two seconds after an upstream has reset a connection, a request now waits 8 ms on each new connection to it. If the connection is reset meanwhile, nothing was sent: the attempt counts like one that could not connect, and the request ends with 503 and a time to come back.

Waiting on every new connection was ruled out: it would delay each request by more than a round trip.

--- a/crates/balsam-decide/src/attempts/tracker.rs
+++ b/crates/balsam-decide/src/attempts/tracker.rs
@@ -87,7 +87,7 @@
     /// Records the outcome of an attempt and returns what follows.
     pub const fn note(&mut self, verdict: Verdict) -> Step {
         match verdict {
-            Verdict::Unreachable => {
+            Verdict::Unreachable | Verdict::Surplus => {
                 self.connect_failures += 1;
                 return if self.connect_failures > CONNECT_FAILURES_MAX {
                     Step::End(self.ending())
@@ -127,7 +127,7 @@
                     Step::End(self.ending())
                 }
             }
-            Verdict::Unreachable | Verdict::Dropped => Step::End(self.ending()),
+            Verdict::Unreachable | Verdict::Surplus | Verdict::Dropped => Step::End(self.ending()),
         }
     }
 
--- a/crates/balsam-decide/src/pool/endpoint.rs
+++ b/crates/balsam-decide/src/pool/endpoint.rs
@@ -33,6 +33,10 @@
 /// Back-off after the upstream has shed a request or reset a connection, in milliseconds.
 const SHED_BACKOFF_MS: u64 = 30;
 
+/// How long an upstream that has reset a connection is expected to reset others, in milliseconds. A
+/// queue at its connection limit takes about this time to clear.
+const RESETS_EXPECTED_MS: u64 = 2_000;
+
 /// One upstream as a destination for requests.
 #[derive(Debug)]
 pub(super) struct Endpoint {
@@ -47,6 +51,8 @@
     mean_latency_ms: f64,
     connect_failures: u32,
     backoff_until: TimeMs,
+    /// Until when the upstream is expected to reset new connections.
+    resets_until: TimeMs,
 }
 
 impl Endpoint {
@@ -62,6 +68,7 @@
             mean_latency_ms: 0.0,
             connect_failures: 0,
             backoff_until: TimeMs(0),
+            resets_until: TimeMs(0),
         }
     }
 
@@ -75,6 +82,11 @@
         now >= self.backoff_until && f64::from(self.in_flight) < self.limit.max(1.0)
     }
 
+    /// Returns whether the upstream has reset connections a short time ago.
+    pub(super) fn resets_connections(&self, now: TimeMs) -> bool {
+        now < self.resets_until
+    }
+
     /// Returns whether the upstream could not be reached and its back-off has not passed.
     pub(super) fn is_backing_off(&self, now: TimeMs) -> bool {
         self.connect_failures > 0 && now < self.backoff_until
@@ -143,7 +155,8 @@
             Verdict::Broken => {
                 self.relative_latency = ewma(self.relative_latency, 2.0);
             }
-            Verdict::Reset => {
+            Verdict::Reset | Verdict::Surplus => {
+                self.resets_until = now.after(RESETS_EXPECTED_MS);
                 self.relative_latency = ewma(self.relative_latency, 2.0);
                 self.decrease_limit(LATE_LIMIT_FACTOR);
                 self.backoff_until = self.backoff_until.max(now.after(SHED_BACKOFF_MS));
--- a/crates/balsam-decide/src/pool/machine.rs
+++ b/crates/balsam-decide/src/pool/machine.rs
@@ -158,6 +158,7 @@
         PoolOutput::Send {
             id: request.id,
             service,
+            resets_connections: endpoint.resets_connections(now),
             upstream,
         }
     }
--- a/crates/balsam-decide/src/pool/message.rs
+++ b/crates/balsam-decide/src/pool/message.rs
@@ -48,6 +48,9 @@
     Replaced,
     /// No connection could be opened.
     Unreachable,
+    /// The upstream has reset a new connection before the request was sent on it, because it has too
+    /// many connections.
+    Surplus,
     /// The connection broke during the response, or the response is invalid.
     Broken,
     /// The connection ended after the request was sent and before the first byte of the response:
@@ -143,6 +146,9 @@
         service: ServiceName,
         /// The upstream.
         upstream: Arc<DiscoveredUpstream>,
+        /// Whether the upstream has reset connections a short time ago. A request must not be sent
+        /// on a new one at once: if the upstream resets it, the request may have run.
+        resets_connections: bool,
     },
     /// Refuse the request without sending it.
     Refuse {
--- a/crates/balsam-decide/tests/repeat_budget.rs
+++ b/crates/balsam-decide/tests/repeat_budget.rs
@@ -50,6 +50,7 @@
 #[case::shed(RouteKind::Order, Verdict::Shed, Step::Retry)]
 #[case::not_held(RouteKind::Order, Verdict::NotHeld, Step::Retry)]
 #[case::unreachable(RouteKind::Order, Verdict::Unreachable, Step::Retry)]
+#[case::surplus(RouteKind::Order, Verdict::Surplus, Step::Retry)]
 #[case::broken(RouteKind::Order, Verdict::Broken, Step::End(Ending::Unknown))]
 #[case::failed(RouteKind::Order, Verdict::Failed, Step::Deliver)]
 #[case::late(RouteKind::Order, Verdict::TimedOut, Step::End(Ending::Late))]
--- a/crates/balsam-edge/src/http/connection.rs
+++ b/crates/balsam-edge/src/http/connection.rs
@@ -81,6 +81,14 @@
         })
     }
 
+    /// Waits for the time in which the peer resets a connection that it does not take. Returns
+    /// whether the connection is still open and may carry a request.
+    pub async fn settle(&self, wait: Duration) -> bool {
+        // A readable connection has been closed, or carries bytes that belong to no request.
+        drop(timeout(wait, self.stream.readable()).await);
+        self.is_reusable()
+    }
+
     /// Returns whether no exchange has ended on the connection. If so, a response without an id
     /// cannot belong to an earlier request.
     pub const fn is_unused(&self) -> bool {
--- a/crates/balsam-edge/src/pool/lease.rs
+++ b/crates/balsam-edge/src/pool/lease.rs
@@ -17,6 +17,8 @@
     pub(crate) upstream: Arc<DiscoveredUpstream>,
     /// An idle connection to the upstream, if there is one.
     pub(crate) idle: Option<Connection>,
+    /// Whether the upstream has reset connections a short time ago.
+    pub(crate) resets_connections: bool,
     route: Arc<Route>,
     // Each lease sends exactly one message, so the number of leases bounds this channel.
     ends: Option<mpsc::UnboundedSender<LeaseEnd>>,
@@ -35,11 +37,18 @@
             service,
             upstream,
             idle,
+            resets_connections: false,
             route,
             ends: Some(ends),
         }
     }
 
+    /// Sets whether the upstream has reset connections a short time ago.
+    pub(super) const fn with_resets_connections(mut self, resets_connections: bool) -> Self {
+        self.resets_connections = resets_connections;
+        self
+    }
+
     /// Ends the lease. A connection that may be reused goes back to the pool.
     pub(crate) fn end(mut self, verdict: Verdict, took_ms: u64, connection: Option<Connection>) {
         self.report_end(verdict, took_ms, connection);
--- a/crates/balsam-edge/src/pool/task.rs
+++ b/crates/balsam-edge/src/pool/task.rs
@@ -163,13 +163,15 @@
                     id,
                     service,
                     upstream,
+                    resets_connections,
                 } => {
                     let Some((reply, route)) = self.replies.remove(&id) else {
                         continue;
                     };
                     let entry = &upstream.entry;
                     let idle = self.idle.take(&entry.name, entry.born, route.kind);
-                    let lease = Lease::new(service, upstream, idle, route, self.ends.clone());
+                    let lease = Lease::new(service, upstream, idle, route, self.ends.clone())
+                        .with_resets_connections(resets_connections);
                     // If the request is gone, the lease is dropped here, which ends it.
                     drop(reply.send(Ok(lease)));
                 }
--- a/crates/balsam-edge/src/request/forward.rs
+++ b/crates/balsam-edge/src/request/forward.rs
@@ -27,6 +27,10 @@
 /// Time limit for opening a connection. Callers of this daemon use about the same limit.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// Time in which the reset of a connection arrives that the upstream does not take: a round trip
+/// between zones, and the time that a busy upstream needs.
+const RESET_ARRIVAL_TIME: Duration = Duration::from_millis(8);
+
 /// Number of responses to earlier requests that are skipped in one exchange.
 const STALE_RESPONSES_MAX: u32 = 2;
 
@@ -86,18 +90,9 @@
             took_ms,
         })
     };
-    let mut connection = match idle {
-        Some(connection) => connection,
-        None => match open(routed, &lease).await {
-            Ok(connection) => connection,
-            Err(error) => {
-                debug!(
-                    "request {}: cannot connect to {}: {error}",
-                    routed.attempt_id, lease.upstream.entry.name
-                );
-                return end(lease, Verdict::Unreachable, None, None);
-            }
-        },
+    let mut connection = match connect(routed, &lease, idle).await {
+        Ok(connection) => connection,
+        Err(verdict) => return end(lease, verdict, None, None),
     };
     opened_ms.set(now().since(started_at));
     let remaining_ms = routed.deadline.since(now());
@@ -227,6 +222,29 @@
     }
 }
 
+/// Returns the idle connection, or opens one that may carry the request.
+async fn connect(
+    routed: &RoutedRequest,
+    lease: &Lease,
+    idle: Option<Connection>,
+) -> Result<Connection, Verdict> {
+    if let Some(idle) = idle {
+        return Ok(idle);
+    }
+    let opened = open(routed, lease).await;
+    let connection = opened.map_err(|error| {
+        debug!(
+            "request {}: cannot connect to {}: {error}",
+            routed.attempt_id, lease.upstream.entry.name
+        );
+        Verdict::Unreachable
+    })?;
+    if lease.resets_connections && !connection.settle(RESET_ARRIVAL_TIME).await {
+        return Err(Verdict::Surplus);
+    }
+    Ok(connection)
+}
+
 async fn open(routed: &RoutedRequest, lease: &Lease) -> Result<Connection, ExchangeError> {
     let remaining = Duration::from_millis(routed.deadline.since(now()));
     Connection::open(lease.upstream.entry.address, CONNECT_TIMEOUT.min(remaining)).await
--- a/crates/balsam-edge/src/request/record.rs
+++ b/crates/balsam-edge/src/request/record.rs
@@ -200,6 +200,7 @@
         Verdict::NotHeld => "not-held",
         Verdict::Replaced => "replaced",
         Verdict::Unreachable => "unreachable",
+        Verdict::Surplus => "surplus",
         Verdict::Broken => "broken",
         Verdict::Reset => "reset",
         Verdict::TimedOut => "timed-out",
--- a/crates/balsam-edge/src/request/serve.rs
+++ b/crates/balsam-edge/src/request/serve.rs
@@ -200,7 +200,7 @@
             );
             sleep(NOT_HELD_RETRY_DELAY).await;
         }
-        if verdict == Verdict::Reset && self.routed.key.is_some() {
+        if matches!(verdict, Verdict::Reset | Verdict::Surplus) && self.routed.key.is_some() {
             sleep(RESET_RETRY_DELAY).await;
         }
         None
