--- a/crates/balsam-decide/src/feed/machine.rs
+++ b/crates/balsam-decide/src/feed/machine.rs
@@ -1,6 +1,7 @@
 //! Chooses the source of the changes of each table.
 
 use super::{FeedSource, FeedState, FeedTable, TableState};
+use crate::peers::DIRECT_RECEIVERS_MAX;
 use balsam_types::TimeMs;
 
 /// How long the store may hold a long-poll call of a daemon that is not the leader open while
@@ -26,6 +27,33 @@
 /// a snapshot, in milliseconds. A store that works responds sooner.
 const SNAPSHOT_AFTER_MS: u64 = 600;
 
+/// How long a starting daemon waits for the snapshot of a leader that has announced itself before it
+/// reads the table from the store, in milliseconds. A leader that has many snapshots to send leaves
+/// requests unanswered.
+const FIRST_SNAPSHOT_WAIT_MS: u64 = 500;
+
+/// How many calls per second and table all daemons together make to the store while it does not
+/// respond to the leader. One of them notices soon if the store responds to the others.
+const PROBES_PER_S: u64 = 40;
+
+/// Number of daemons up to which each of them follows the store on its own while it does not respond
+/// to the leader. They learn of changes sooner, and make about as many calls as larger deployments.
+const UNPACED_DAEMONS_MAX: u64 = 20;
+
+/// How much later, for each daemon of the deployment, the last one reads the store after the leader
+/// has fallen silent, in milliseconds. Most daemons hear the next leader before their turn comes.
+const SILENCE_SPREAD_MS_PER_DAEMON: u64 = 2;
+
+/// Upper limit on that delay, in milliseconds. A change must be known within 1.5 s.
+const SILENCE_SPREAD_MAX_MS: u64 = 600;
+
+/// How long a daemon of a large deployment waits for an announced change before it reads the store,
+/// in milliseconds. Other daemons pass the change on, so that the heartbeat may overtake it.
+const RELAYED_CHANGE_WAIT_MS: u64 = 400;
+
+/// Scale of a daemon's turn.
+const TURN_SCALE: u64 = 1_000;
+
 /// The age of a table without any response of the store yet, in milliseconds.
 const UNKNOWN_AGE_MS: u64 = 3_600_000;
 
@@ -39,6 +67,8 @@
     /// Whether a call has failed, and the store has responded neither to this daemon nor to the
     /// leader since.
     is_unavailable: bool,
+    /// When a call last ended, with or without a response.
+    called_at: Option<TimeMs>,
     /// Since when this daemon lacks a change that the leader has announced.
     behind_since: Option<TimeMs>,
 }
@@ -68,6 +98,15 @@
     upstreams: KnownTable,
     /// The arrival time and the contents of the leader's last heartbeat.
     heard: Option<(TimeMs, FeedState)>,
+    /// Since when the store does not respond to the leader, according to its heartbeats.
+    leader_stale_since: Option<TimeMs>,
+    /// Number of daemons in the deployment, or 0 while it is not known.
+    daemons: u64,
+    /// The place of this daemon among all daemons that call the store one after the other, from 0
+    /// to `TURN_SCALE`.
+    turn: u64,
+    /// Until when a starting daemon waits to hear from a leader.
+    first_read_at: TimeMs,
 }
 
 impl Feed {
@@ -76,6 +115,26 @@
         Self::default()
     }
 
+    /// Makes a starting daemon wait until `first_read_at` to hear from a leader, which has the
+    /// tables, before it reads them from the store.
+    #[must_use]
+    pub const fn with_first_read_at(mut self, first_read_at: TimeMs) -> Self {
+        self.first_read_at = first_read_at;
+        self
+    }
+
+    /// Sets the place of this daemon among all daemons that call the store one after the other.
+    #[must_use]
+    pub const fn with_turn(mut self, turn: u64) -> Self {
+        self.turn = turn % TURN_SCALE;
+        self
+    }
+
+    /// Sets the number of daemons in the deployment.
+    pub fn set_daemons(&mut self, daemons: u32) {
+        self.daemons = daemons.into();
+    }
+
     const fn known(&self, table: FeedTable) -> &KnownTable {
         match table {
             FeedTable::Config => &self.config,
@@ -103,6 +162,7 @@
         let known = self.known_mut(table);
         let was_unavailable = std::mem::take(&mut known.is_unavailable);
         known.response_at = Some(now);
+        known.called_at = Some(now);
         let state = known.state.get_or_insert_default();
         if has_changes {
             state.changed = state.changed.max(version);
@@ -119,9 +179,10 @@
     }
 
     /// Records that a call to the store has failed.
-    pub const fn record_failure(&mut self, table: FeedTable) {
+    pub const fn record_failure(&mut self, now: TimeMs, table: FeedTable) {
         let known = self.known_mut(table);
         known.response_at = None;
+        known.called_at = Some(now);
         known.is_unavailable = true;
     }
 
@@ -136,9 +197,14 @@
 
     /// Records that the leader has sent a snapshot of the whole table at `version`.
     ///
-    /// Returns whether it is newer than what is known; otherwise the caller must ignore it.
+    /// Returns whether it is newer than what is known; otherwise the caller must ignore it. A daemon
+    /// that knows nothing yet must not start from what a leader knew before an outage, unless the
+    /// store does not respond to this daemon either.
     pub fn accept_snapshot(&mut self, now: TimeMs, table: FeedTable, version: u64) -> bool {
-        let is_new = self.seen(table).is_none_or(|seen| seen < version);
+        let is_new = match self.seen(table) {
+            Some(seen) => seen < version,
+            None => self.is_leader_fresh(now) || self.known(table).is_unavailable,
+        };
         if is_new {
             self.known_mut(table).state = Some(TableState {
                 changed: version,
@@ -152,6 +218,11 @@
     /// Records the state of the tables that a heartbeat of the leader reports.
     pub fn heard(&mut self, now: TimeMs, reported: FeedState) {
         self.heard = Some((now, reported));
+        if reported.is_fresh() {
+            self.leader_stale_since = None;
+        } else {
+            self.leader_stale_since.get_or_insert(now);
+        }
         for table in FeedTable::ALL {
             let leader_state = reported.of(table);
             // The leader knows of no change after its last one, so a daemon that has this change is
@@ -201,28 +272,115 @@
         self.age_ms(now).min(via_leader)
     }
 
+    /// Returns whether the leader was heard a short time ago and knows the newest versions.
+    fn is_leader_fresh(&self, now: TimeMs) -> bool {
+        let is_fresh = |(heard_at, reported): &(TimeMs, FeedState)| {
+            now.since(*heard_at) <= HEARTBEAT_TIMEOUT_MS && reported.is_fresh()
+        };
+        self.heard.as_ref().is_some_and(is_fresh)
+    }
+
     /// Returns where a daemon that is not the leader gets the changes of a table from.
     pub fn source(&self, now: TimeMs, table: FeedTable) -> FeedSource {
+        if self.next_call_at(now, table).is_some_and(|at| at <= now) {
+            FeedSource::Store
+        } else {
+            FeedSource::Leader
+        }
+    }
+
+    /// Returns when a daemon that is not the leader calls the store for a table next, or `None` if
+    /// the leader forwards all changes.
+    fn next_call_at(&self, now: TimeMs, table: FeedTable) -> Option<TimeMs> {
+        let known = self.known(table);
+        if known.state.is_none() {
+            return Some(self.first_call_at(now, known));
+        }
         let Some((heard_at, reported)) = &self.heard else {
-            return FeedSource::Store;
+            return Some(now);
         };
-        let is_fresh = now.since(*heard_at) <= HEARTBEAT_TIMEOUT_MS && reported.is_fresh();
-        if is_fresh && !self.is_behind(table) {
-            FeedSource::Leader
+        if now.since(*heard_at) > HEARTBEAT_TIMEOUT_MS {
+            let spread_ms = self.daemons * SILENCE_SPREAD_MS_PER_DAEMON;
+            let turn_ms = spread_ms.min(SILENCE_SPREAD_MAX_MS) * self.turn / TURN_SCALE;
+            return Some(heard_at.after(HEARTBEAT_TIMEOUT_MS + turn_ms));
+        }
+        let behind_call_at = known.behind_since.map(|since| {
+            let has_relays = self.daemons > DIRECT_RECEIVERS_MAX as u64;
+            since.after(if has_relays {
+                RELAYED_CHANGE_WAIT_MS
+            } else {
+                0
+            })
+        });
+        if reported.is_fresh() || behind_call_at.is_some() && !known.is_unavailable {
+            return behind_call_at;
+        }
+        Some(self.probe_at(now, known))
+    }
+
+    /// Returns when a daemon that has not read a table yet reads it from the store.
+    fn first_call_at(&self, now: TimeMs, known: &KnownTable) -> TimeMs {
+        let snapshot_expected = known.behind_since.filter(|_| self.is_leader_fresh(now));
+        let waits_until = match snapshot_expected {
+            Some(since) => since.after(FIRST_SNAPSHOT_WAIT_MS),
+            None => self.first_read_at,
+        };
+        let after_failure = known.called_at.map(|at| at.after(self.probe_interval_ms()));
+        waits_until.max(after_failure.unwrap_or_default())
+    }
+
+    /// Returns when this daemon calls the store next while the store does not respond to the leader.
+    fn probe_at(&self, now: TimeMs, known: &KnownTable) -> TimeMs {
+        let interval_ms = self.probe_interval_ms();
+        if interval_ms == 0 {
+            return now;
+        }
+        let stale_since = self.leader_stale_since.unwrap_or(now);
+        let first_at = stale_since.after(interval_ms * self.turn / TURN_SCALE);
+        let turns_passed = now.since(first_at) / interval_ms;
+        let turn_at = first_at.after(turns_passed * interval_ms);
+        if known
+            .called_at
+            .is_some_and(|called_at| called_at >= turn_at)
+        {
+            turn_at.after(interval_ms)
         } else {
-            FeedSource::Store
+            turn_at
         }
     }
 
+    /// Returns the time between two calls of one daemon while the store does not respond to the
+    /// leader, in milliseconds.
+    const fn probe_interval_ms(&self) -> u64 {
+        if self.daemons <= UNPACED_DAEMONS_MAX {
+            0
+        } else {
+            self.daemons * 1_000 / PROBES_PER_S
+        }
+    }
+
+    /// Returns whether calls to the store are rationed among the daemons, so that each must be
+    /// answered at once. They are not while the leader is silent.
+    pub fn is_probing(&self, now: TimeMs) -> bool {
+        let is_stale = |(heard_at, reported): &(TimeMs, FeedState)| {
+            now.since(*heard_at) <= HEARTBEAT_TIMEOUT_MS && !reported.is_fresh()
+        };
+        self.probe_interval_ms() > 0 && self.heard.as_ref().is_some_and(is_stale)
+    }
+
     /// Returns whether this daemon lacks a change that the leader has announced.
     pub const fn is_behind(&self, table: FeedTable) -> bool {
         self.known(table).behind_since.is_some()
     }
 
-    /// Returns whether an announced change has not been read from the store in time, so that the
-    /// leader must be asked for a snapshot.
+    /// Returns whether the leader must be asked for a snapshot, because the daemon has just started
+    /// or because an announced change has not been read from the store in time.
     pub fn needs_snapshot(&self, now: TimeMs, table: FeedTable) -> bool {
-        let since = self.known(table).behind_since;
+        let known = self.known(table);
+        if known.state.is_none() {
+            return self.is_leader_fresh(now) || known.is_unavailable;
+        }
+        let since = known.behind_since;
         since.is_some_and(|since| now.since(since) >= SNAPSHOT_AFTER_MS)
     }
 
--- a/crates/balsam-decide/src/feed/mod.rs
+++ b/crates/balsam-decide/src/feed/mod.rs
@@ -5,6 +5,8 @@
 
 mod machine;
 mod message;
+mod snapshot_budget;
 
 pub use machine::{FEED_PEER_LONG_POLL_MS, Feed};
 pub use message::{FEED_LEADER_LONG_POLL_MS, FeedSource, FeedState, FeedTable, TableState};
+pub use snapshot_budget::SnapshotBudget;
--- a/crates/balsam-decide/src/keys/assigner.rs
+++ b/crates/balsam-decide/src/keys/assigner.rs
@@ -78,6 +78,8 @@
     pub(super) predecessor: Option<DaemonIdentity>,
     /// The version of the predecessor's row.
     pub(super) predecessor_version: RowVersion,
+    /// When this daemon's turn comes to become the first leader of a deployment.
+    pub(super) first_turn_at: TimeMs,
     /// When this daemon tries to become leader, unless a heartbeat postpones it.
     pub(super) election_at: TimeMs,
     /// Whether this daemon is about to stop.
@@ -112,6 +114,7 @@
             followed: FollowedLeader::default(),
             predecessor: None,
             predecessor_version: RowVersion(0),
+            first_turn_at: now.after(stagger_ms),
             election_at: now.after(stagger_ms),
             is_leaving: false,
             services: new_map(),
@@ -128,6 +131,13 @@
         }
     }
 
+    /// Delays the first read of the rows. The heartbeat of a leader that arrives sooner replaces it.
+    #[must_use]
+    pub fn with_first_read_delay(mut self, delay_ms: u64) -> Self {
+        self.reload_at = self.reload_at.map(|at| at.after(delay_ms));
+        self
+    }
+
     /// Returns whether this daemon is the leader, as far as it knows.
     pub const fn is_leading(&self) -> bool {
         matches!(self.lead, Lead::Mine { .. })
@@ -165,7 +175,7 @@
             AssignerInput::Ranges(stored) => self.observe_ranges(stored),
             AssignerInput::Reloaded => {
                 self.is_reloading = false;
-                self.reload_at = None;
+                self.reload_at = self.first_turn_after(now);
                 self.rows_loaded(now);
             }
             AssignerInput::ReloadFailed => {
@@ -190,9 +200,6 @@
                 }
             }
             AssignerInput::Cluster { upstreams, keyed } => {
-                if self.keyed.is_empty() && !keyed.is_empty() {
-                    self.keyed_services_known(now);
-                }
                 self.upstreams = upstreams;
                 self.keyed = keyed;
                 for service in self.services.values_mut() {
--- a/crates/balsam-decide/src/keys/leadership.rs
+++ b/crates/balsam-decide/src/keys/leadership.rs
@@ -12,7 +12,9 @@
             Lead::Mine { version, .. } if stored.version <= *version => return,
             Lead::Other(known) if stored.version <= known.version => return,
             Lead::Stopped => return,
-            Lead::Unread | Lead::Other(_) | Lead::Mine { .. } => {}
+            // A heartbeat tells as much as the row that was to be read.
+            Lead::Unread => self.reload_at = None,
+            Lead::Other(_) | Lead::Mine { .. } => {}
         }
         // This daemon's own commit succeeded, although its result was lost.
         if stored.leader.as_ref() == Some(&self.me) {
@@ -36,24 +38,23 @@
         } else {
             self.timing.leader_timeout_ms
         };
-        self.election_at = now.after(wait_ms + self.stagger_ms);
+        self.election_at = if stored.version == RowVersion(0) {
+            self.first_turn_at.max(now)
+        } else {
+            now.after(wait_ms + self.stagger_ms)
+        };
         self.lead = Lead::Other(stored);
     }
 
-    /// Schedules the first attempt to become leader once there are keys to assign.
+    /// Returns when to read the row once more before this daemon tries to become the first leader of
+    /// a deployment, or `None` if there is a leader or this daemon's turn has come.
     ///
-    /// The configuration reaches all daemons of a new deployment at the same moment. Daemons with a
-    /// longer stagger read the row before their attempt and find the leader there.
-    pub(super) fn keyed_services_known(&mut self, now: TimeMs) {
-        let is_vacant = match &self.lead {
-            Lead::Unread => true,
-            Lead::Other(stored) => stored.leader.is_none(),
-            Lead::Stopped | Lead::Mine { .. } => false,
-        };
-        if is_vacant {
-            self.election_at = self.election_at.max(now.after(self.stagger_ms));
-            self.reload_at = Some(self.election_at);
-        }
+    /// All daemons of a new deployment start at the same moment. Those with a longer stagger find
+    /// the leader in the row when their turn comes.
+    pub(super) fn first_turn_after(&self, now: TimeMs) -> Option<TimeMs> {
+        let has_no_leader =
+            matches!(&self.lead, Lead::Other(stored) if stored.version == RowVersion(0));
+        (has_no_leader && now < self.first_turn_at).then_some(self.first_turn_at)
     }
 
     /// Starts a term as leader, after the store has accepted this daemon's commit.
@@ -275,7 +276,7 @@
     /// Returns a commit that makes this daemon the leader, if an attempt is due and possible.
     pub(super) fn take_lead(&mut self, now: TimeMs, stored: &StoredLead) -> Option<AssignerOutput> {
         let waits = now < self.election_at || self.pending.is_some() || self.reload_at.is_some();
-        if waits || self.is_leaving || self.keyed.is_empty() {
+        if waits || self.is_leaving {
             return None;
         }
         let is_first = stored.version == RowVersion(0);
--- a/crates/balsam-decide/src/peers/mod.rs
+++ b/crates/balsam-decide/src/peers/mod.rs
@@ -1,5 +1,7 @@
 //! The other daemons of the deployment.
 
 mod registry;
+mod relay;
 
 pub use registry::PeerRegistry;
+pub use relay::{DIRECT_RECEIVERS_MAX, RelayGroup, StallGuard, relay_groups};
--- a/crates/balsam-decide/src/peers/registry.rs
+++ b/crates/balsam-decide/src/peers/registry.rs
@@ -7,6 +7,10 @@
 /// time covers restarts and most network partitions.
 const PEER_TIMEOUT_MS: u64 = 30_000;
 
+/// How long ago a daemon may have been heard of to pass on messages, in milliseconds: the time of
+/// two greetings, and some more for slow links.
+const RELAY_TIMEOUT_MS: u64 = 2_500;
+
 /// The daemons that this daemon has heard from, or that the leader's heartbeats have listed.
 #[derive(Debug)]
 pub struct PeerRegistry {
@@ -39,6 +43,16 @@
         peers
     }
 
+    /// Returns the daemons among `peers` that were heard of so recently that they can pass on
+    /// messages.
+    pub fn relays(&self, now: TimeMs, peers: &[SocketAddr]) -> Vec<SocketAddr> {
+        let is_recent = |address: &&SocketAddr| {
+            let heard_at = self.heard.get(*address);
+            heard_at.is_some_and(|at| now.since(*at) <= RELAY_TIMEOUT_MS)
+        };
+        peers.iter().filter(is_recent).copied().collect()
+    }
+
     /// Returns at most `max` of `peers`, which must be sorted, starting after the last one that the
     /// previous call returned. Consecutive calls thus return all peers in turn.
     pub fn next_round_robin(&mut self, peers: &[SocketAddr], max: usize) -> Vec<SocketAddr> {
--- /dev/null
+++ b/crates/balsam-decide/src/peers/relay.rs
@@ -0,0 +1,92 @@
+//! Divides the receivers of a message among daemons that pass it on.
+
+use balsam_types::{Set, TimeMs, new_set};
+use std::net::SocketAddr;
+
+/// Number of receivers up to which a daemon sends a message to each of them itself.
+pub const DIRECT_RECEIVERS_MAX: usize = 24;
+
+/// Time after which other daemons pass messages on, in milliseconds.
+///
+/// Messages of one turn take the same way and so arrive in order, while a relay that has failed
+/// misses its receivers only for one turn. It must not exceed the interval of heartbeats, of which
+/// several in a row would be lost otherwise.
+const TURN_MS: u64 = 250;
+
+/// Silence after which a daemon takes itself for having been suspended or cut off, in milliseconds.
+/// The leader's heartbeats arrive more often.
+const STALL_MS: u64 = 1_000;
+
+/// How long a daemon passes nothing on after such a silence, in milliseconds. The messages that have
+/// waited for it arrive in this time.
+const STALE_MESSAGES_MS: u64 = 200;
+
+/// A daemon that passes a message on, and those that it passes it on to.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RelayGroup {
+    /// The daemon that passes the message on.
+    pub relay: SocketAddr,
+    /// The daemons that it passes the message on to.
+    pub receivers: Vec<SocketAddr>,
+}
+
+/// Divides `receivers` into groups with a relay each, so that the sender and each relay send about
+/// the square root of their number of messages.
+///
+/// `candidates` are the receivers that are known to be running. Returns `None` if the sender should
+/// send all messages itself, because they are few or because there are not enough candidates.
+pub fn relay_groups(
+    now: TimeMs,
+    receivers: &[SocketAddr],
+    candidates: &[SocketAddr],
+) -> Option<Vec<RelayGroup>> {
+    let count = receivers.len().isqrt() + 1;
+    if receivers.len() <= DIRECT_RECEIVERS_MAX || candidates.len() < count {
+        return None;
+    }
+    let first = (now.0 / TURN_MS) as usize * count;
+    let relays = (0..count).map(|index| candidates[(first + index) % candidates.len()]);
+    let mut groups: Vec<RelayGroup> = relays
+        .map(|relay| RelayGroup {
+            relay,
+            receivers: Vec::new(),
+        })
+        .collect();
+    let mut chosen: Set<SocketAddr> = new_set();
+    chosen.extend(groups.iter().map(|group| group.relay));
+    let others = receivers
+        .iter()
+        .filter(|receiver| !chosen.contains(*receiver));
+    for (index, receiver) in others.enumerate() {
+        groups[index % count].receivers.push(*receiver);
+    }
+    Some(groups)
+}
+
+/// Keeps a daemon that was suspended or cut off from passing on messages that have waited for it.
+///
+/// The receivers would take an old heartbeat for a sign that the leader runs and knows all changes.
+#[derive(Debug)]
+pub struct StallGuard {
+    heard_at: TimeMs,
+    passes_on_from: TimeMs,
+}
+
+impl StallGuard {
+    /// Creates the guard of a daemon that has just started.
+    pub const fn new(now: TimeMs) -> Self {
+        Self {
+            heard_at: now,
+            passes_on_from: now,
+        }
+    }
+
+    /// Records the arrival of a message that is to be passed on, and returns whether it may be.
+    pub fn may_pass_on(&mut self, now: TimeMs) -> bool {
+        let silence_ms = now.since(std::mem::replace(&mut self.heard_at, now));
+        if silence_ms > STALL_MS {
+            self.passes_on_from = now.after(STALE_MESSAGES_MS);
+        }
+        now >= self.passes_on_from
+    }
+}
--- a/crates/balsam-decide/tests/feed_source.rs
+++ b/crates/balsam-decide/tests/feed_source.rs
@@ -1,9 +1,10 @@
 //! Tests how soon a daemon learns of changes that the leader follows on its behalf.
 
-use balsam_decide::feed::{Feed, FeedSource, FeedTable};
+use balsam_decide::feed::{Feed, FeedSource, FeedTable, SnapshotBudget};
 use balsam_types::TimeMs;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
+use rstest::rstest;
 
 const TABLE: FeedTable = FeedTable::Upstreams;
 
@@ -82,8 +83,8 @@
         feed_at_10(TimeMs(0)),
         feed_at_10(TimeMs(0)),
     );
-    leader.record_failure(TABLE);
-    cut_off.record_failure(TABLE);
+    leader.record_failure(TimeMs(0), TABLE);
+    cut_off.record_failure(TimeMs(0), TABLE);
     for step in 1..=16 {
         let now = TimeMs(step * HEARTBEAT_MS);
         for table in FeedTable::ALL {
@@ -104,7 +105,7 @@
 #[test]
 fn returned_alone() {
     let (mut leader, mut daemon) = (feed_at_10(TimeMs(0)), feed_at_10(TimeMs(0)));
-    daemon.record_failure(TABLE);
+    daemon.record_failure(TimeMs(0), TABLE);
     for step in 1..40 {
         let now = TimeMs(step * HEARTBEAT_MS);
         for table in FeedTable::ALL {
@@ -123,8 +124,8 @@
     for step in 1..40 {
         let now = TimeMs(step * HEARTBEAT_MS);
         for table in FeedTable::ALL {
-            leader.record_failure(table);
-            daemon.record_failure(table);
+            leader.record_failure(now, table);
+            daemon.record_failure(now, table);
         }
         daemon.heard(now, leader.state(now));
     }
@@ -169,7 +170,7 @@
             if !is_frozen && now.0.is_multiple_of(100) {
                 for table in FeedTable::ALL {
                     if now.0 < leader_cut_off_until_ms {
-                        leader.record_failure(table);
+                        leader.record_failure(now, table);
                         continue;
                     }
                     let has_changes = table == TABLE && leader.seen(table) < Some(last_change.1);
@@ -200,3 +201,171 @@
         }
     }
 }
+
+/// Plays an outage of the store and returns how many calls all daemons make for one table.
+fn calls_in_outage(daemons: u32, length_ms: u64) -> u64 {
+    let mut feeds: Vec<Feed> = (0..daemons)
+        .map(|index| feed_at_10(TimeMs(0)).with_turn(u64::from(index) * 1_000 / u64::from(daemons)))
+        .collect();
+    let mut leader = feed_at_10(TimeMs(0));
+    let mut calls = 0;
+    for now in (0..length_ms).step_by(50).map(TimeMs) {
+        for table in FeedTable::ALL {
+            leader.record_failure(now, table);
+        }
+        for feed in &mut feeds {
+            feed.set_daemons(daemons);
+            if now.0.is_multiple_of(HEARTBEAT_MS) {
+                feed.heard(now, leader.state(now));
+            }
+            if feed.source(now, TABLE) == FeedSource::Store {
+                feed.record_failure(now, TABLE);
+                calls += 1;
+            }
+        }
+    }
+    calls
+}
+
+/// Guards against an outage of the store in which all daemons of a large deployment call it
+/// continually: the platform charges for each call, and answers none. The bound is 40 calls a
+/// second, and one for each daemon at the start of its turn.
+#[rstest]
+fn rationed_probes(#[values(68, 295, 1_000)] daemons: u32) {
+    let calls = calls_in_outage(daemons, 8_000);
+    assert!(calls <= 40 * 8 + 40, "{calls} calls of {daemons} daemons");
+    assert!(calls >= 40 * 4, "{calls} calls of {daemons} daemons");
+}
+
+/// Guards that a large deployment notices within a second that the store responds to others while
+/// it does not respond to the leader.
+#[test]
+fn probes_replace_leader() {
+    let daemons = 295;
+    let mut leader = feed_at_10(TimeMs(0));
+    let mut feeds: Vec<Feed> = (0..daemons)
+        .map(|index| feed_at_10(TimeMs(0)).with_turn(index * 1_000 / daemons))
+        .collect();
+    for now in (0..4_000).step_by(50).map(TimeMs) {
+        for table in FeedTable::ALL {
+            leader.record_failure(now, table);
+        }
+        for feed in &mut feeds {
+            feed.set_daemons(daemons as u32);
+            if now.0.is_multiple_of(HEARTBEAT_MS) {
+                feed.heard(now, leader.state(now));
+            }
+            for table in FeedTable::ALL {
+                if feed.source(now, table) == FeedSource::Store {
+                    feed.record_response(now, table, 10, false);
+                }
+            }
+        }
+    }
+    assert!(feeds.iter().any(|feed| feed.should_replace(TimeMs(4_000))));
+}
+
+/// Guards that a daemon that starts beside a leader gets the tables from it without a call to the
+/// store, and reads them itself if the leader does not send them.
+#[test]
+fn first_tables() {
+    let started = TimeMs(5_000);
+    let mut leader = feed_at_10(started);
+    let mut daemon = Feed::new().with_first_read_at(started.after(400));
+    assert_eq!(daemon.source(started, TABLE), FeedSource::Leader);
+    let heard_at = started.after(200);
+    daemon.heard(heard_at, leader.state(heard_at));
+    assert!(daemon.needs_snapshot(heard_at, TABLE));
+    let mut now = heard_at;
+    while now < heard_at.after(500) {
+        for table in FeedTable::ALL {
+            leader.record_response(now, table, 10, false);
+        }
+        daemon.heard(now, leader.state(now));
+        assert_eq!(daemon.source(now, TABLE), FeedSource::Leader, "at {now:?}");
+        now = now.after(HEARTBEAT_MS);
+    }
+    assert_eq!(daemon.source(now, TABLE), FeedSource::Store);
+    assert!(daemon.accept_snapshot(now, TABLE, 10));
+    assert_eq!(daemon.source(now, TABLE), FeedSource::Leader);
+}
+
+/// Guards that a daemon without a leader reads the tables after its wait.
+#[test]
+fn first_tables_alone() {
+    let daemon = Feed::new().with_first_read_at(TimeMs(400));
+    assert_eq!(daemon.source(TimeMs(399), TABLE), FeedSource::Leader);
+    assert_eq!(daemon.source(TimeMs(400), TABLE), FeedSource::Store);
+}
+
+/// Guards that a restarted daemon does not take an old list from a leader that the store has not
+/// answered for a while: an upstream that has left since would be in use again. If the store does
+/// not answer this daemon either, an old list is better than none.
+#[test]
+fn first_tables_outdated() {
+    let mut leader = feed_at_10(TimeMs(0));
+    leader.record_failure(TimeMs(0), TABLE);
+    let mut daemon = Feed::new().with_first_read_at(TimeMs(400));
+    daemon.heard(TimeMs(100), leader.state(TimeMs(100)));
+    assert!(!daemon.needs_snapshot(TimeMs(100), TABLE));
+    assert!(!daemon.accept_snapshot(TimeMs(150), TABLE, 10));
+    assert_eq!(daemon.source(TimeMs(400), TABLE), FeedSource::Store);
+    daemon.record_failure(TimeMs(410), TABLE);
+    assert!(daemon.needs_snapshot(TimeMs(420), TABLE));
+    assert!(daemon.accept_snapshot(TimeMs(430), TABLE, 10));
+}
+
+/// Guards against a read of the store by every daemon of a large deployment as soon as the leader
+/// falls silent: the next leader is heard before most of their turns. The last turn must come
+/// within 1.5 s.
+#[test]
+fn silent_leader() {
+    let daemons = 295;
+    let readers_at = |now: TimeMs| {
+        let readers = (0..daemons).filter(|index| {
+            let mut feed = feed_at_10(TimeMs(0)).with_turn(index * 1_000 / daemons);
+            feed.set_daemons(daemons as u32);
+            feed.heard(TimeMs(0), feed_at_10(TimeMs(0)).state(TimeMs(0)));
+            feed.source(now, TABLE) == FeedSource::Store
+        });
+        readers.count() as u64
+    };
+    assert_eq!(readers_at(TimeMs(750)), 0);
+    assert!(readers_at(TimeMs(1_050)) <= daemons * 6 / 10);
+    assert_eq!(readers_at(TimeMs(1_400)), daemons);
+}
+
+/// Guards that calls are held back by the store unless they are rationed. Daemons that follow the
+/// store because the leader is silent would otherwise call it as fast as it answers.
+#[test]
+fn held_back_calls() {
+    let mut leader = feed_at_10(TimeMs(0));
+    let mut daemon = feed_at_10(TimeMs(0));
+    daemon.set_daemons(295);
+    daemon.heard(TimeMs(250), leader.state(TimeMs(250)));
+    assert!(!daemon.is_probing(TimeMs(300)), "a leader that works");
+    leader.record_failure(TimeMs(400), TABLE);
+    daemon.heard(TimeMs(500), leader.state(TimeMs(500)));
+    assert!(daemon.is_probing(TimeMs(550)), "a leader without the store");
+    assert!(!daemon.is_probing(TimeMs(2_000)), "a silent leader");
+}
+
+/// Guards that requests for snapshots from all daemons at once do not hold up the leader's
+/// heartbeats: what waits on its link must leave within the time of one heartbeat and one snapshot.
+#[test]
+fn bounded_snapshots() {
+    let (bytes_per_s, snapshot_bytes) = (1_000_000, 100_000);
+    let mut budget = SnapshotBudget::new(bytes_per_s);
+    let mut sent = 0;
+    for now in (1_000..3_000).step_by(50).map(TimeMs) {
+        let granted = (0..295).filter(|_| budget.take(now, snapshot_bytes));
+        sent += granted.count() as u64 * snapshot_bytes as u64;
+        let left = bytes_per_s * now.since(TimeMs(1_000)) / 1_000;
+        let waiting_ms = sent.saturating_sub(left) * 1_000 / bytes_per_s;
+        assert!(waiting_ms <= HEARTBEAT_MS + 100, "{waiting_ms} ms");
+    }
+    assert!(
+        sent >= 2 * bytes_per_s - snapshot_bytes as u64,
+        "{sent} bytes"
+    );
+}
--- a/crates/balsam-decide/tests/first_leader.rs
+++ b/crates/balsam-decide/tests/first_leader.rs
@@ -19,6 +19,9 @@
 /// milliseconds.
 const WEAK_DELAY_MS: u64 = 300;
 
+/// Interval of the leader's heartbeats in milliseconds.
+const HEARTBEAT_MS: u64 = 250;
+
 /// Number of daemons without a weak network link; they have the lowest indexes.
 const STRONG_DAEMONS: usize = 4;
 
@@ -42,7 +45,8 @@
             };
             let stagger_ms = weak_delay_ms + (index as u64 * 37) % 150;
             let timing = GrantTiming::new(10_000);
-            (me.clone(), Assigner::new(now, me, timing, stagger_ms))
+            let assigner = Assigner::new(now, me.clone(), timing, stagger_ms);
+            (me, assigner.with_first_read_delay(stagger_ms))
         };
         Self {
             daemons: (0..count).map(start).collect(),
@@ -86,6 +90,25 @@
         }
     }
 
+    /// Delivers the heartbeats of the leader to all daemons that have read its row.
+    fn send_heartbeats(&mut self, now: TimeMs) {
+        let mut leaders = self.daemons.iter();
+        let Some((leader, assigner)) = leaders.find(|(_, assigner)| assigner.is_leading()) else {
+            return;
+        };
+        let (incarnation, version) = (leader.incarnation, assigner.lead_version());
+        for index in 0..self.daemons.len() {
+            if self.daemons[index].1.lead_version() == version {
+                let heartbeat = AssignerInput::Heard {
+                    incarnation,
+                    is_settled: true,
+                    should_replace: false,
+                };
+                self.deliver(now, index, heartbeat);
+            }
+        }
+    }
+
     fn run(&mut self, from: TimeMs, length_ms: u64) {
         for step in 0..length_ms / STEP_MS {
             let now = from.after(step * STEP_MS);
@@ -97,6 +120,9 @@
             for (_, index, input) in due {
                 self.deliver(now, index, input);
             }
+            if now.0.is_multiple_of(HEARTBEAT_MS) {
+                self.send_heartbeats(now);
+            }
             for index in 0..self.daemons.len() {
                 self.deliver(now, index, AssignerInput::Tick);
             }
@@ -104,14 +130,18 @@
     }
 }
 
-/// Guards against a write of the leader's row by every daemon when all learn of their services at
-/// the same moment, and against a leader with a weak network link, which could not carry the
-/// messages to all daemons that follow the start.
+/// Guards against a write of the leader's row by every daemon when all start at the same moment, and
+/// against a leader with a weak network link, which could not carry the messages to all daemons that
+/// follow the start. The leader must be there before the services are known: until then every daemon
+/// would follow the store, while hundreds of upstreams register.
 #[rstest]
-fn one_strong_leader(#[values(10, 70)] count: usize) {
+fn one_strong_leader(#[values(10, 70, 295)] count: usize) {
     let start = TimeMs(100_000);
     let mut deployment = Deployment::start(start, count);
     deployment.run(start, 600);
+    let early = deployment.daemons.iter();
+    let early = early.filter(|(_, assigner)| assigner.is_leading()).count();
+    assert_eq!(early, 1, "leaders before there are services");
     let configured = start.after(600);
     for index in 0..count {
         let upstreams = [upstream(1, UpstreamState::Ready)];
@@ -133,6 +163,6 @@
         "{} writes",
         deployment.writes
     );
-    let reads_max = 2 * count + 1;
+    let reads_max = count + STRONG_DAEMONS + 1;
     assert!(deployment.reads <= reads_max, "{} reads", deployment.reads);
 }
--- a/crates/balsam-edge/src/control/follow.rs
+++ b/crates/balsam-edge/src/control/follow.rs
@@ -14,6 +14,10 @@
 /// must be known within two seconds, which bounds this time.
 const BATCH_WINDOW_MS: u64 = 250;
 
+/// Pause after a response without changes to a call that the store was not to hold back, in
+/// milliseconds. Without it a daemon that lacks a change would ask for it continually.
+const NO_CHANGES_PAUSE_MS: u64 = 100;
+
 /// Delay after the first failed call, in milliseconds. It doubles with each further failure up to
 /// `REFUSED_BACKOFF_MAX_MS`.
 const BACKOFF_MIN_MS: u64 = 100;
@@ -36,14 +40,18 @@
     pub(super) seen: Option<u64>,
     /// How long the store may delay its response while nothing changes, in milliseconds.
     pub(super) wait_ms: u64,
+    /// Number of updates of the table that the control task has handled.
+    pub(super) handled: u64,
 }
 
 impl Default for FollowParams {
     fn default() -> Self {
         Self {
-            source: FeedSource::Store,
+            // The control task decides when the first read is due.
+            source: FeedSource::Leader,
             seen: None,
             wait_ms: FEED_PEER_LONG_POLL_MS,
+            handled: 0,
         }
     }
 }
@@ -55,10 +63,15 @@
     store: StoreClient,
     params: watch::Receiver<FollowParams>,
     version: Option<u64>,
+    /// Whether the whole table must be read, because the store has forgotten the changes that this
+    /// daemon missed.
+    is_history_lost: bool,
+    /// Number of updates that were sent to the control task.
+    sent: u64,
     backoff_ms: u64,
     has_failed: bool,
-    /// Whether the last response contained changes.
-    had_changes: bool,
+    /// Whether the last response to a call for changes contained any.
+    had_changes: Option<bool>,
 }
 
 impl TableFollower {
@@ -73,9 +86,11 @@
             store,
             params,
             version: None,
+            is_history_lost: false,
+            sent: 0,
             backoff_ms: BACKOFF_MIN_MS,
             has_failed: false,
-            had_changes: false,
+            had_changes: None,
         }
     }
 
@@ -84,6 +99,7 @@
         while let Some(update) = self.next().await {
             self.has_failed = matches!(update, TableUpdate::Failed(_));
             let sent = control.send(ControlInput::Store(self.table, update)).await;
+            self.sent += 1;
             if sent.is_err() {
                 return;
             }
@@ -93,16 +109,20 @@
     /// Waits for the next update of the table. Returns `None` once the control task or the store's
     /// task has ended.
     async fn next(&mut self) -> Option<TableUpdate> {
-        if std::mem::take(&mut self.had_changes) {
+        let had_changes = self.had_changes.take();
+        if had_changes == Some(true) {
             sleep(Duration::from_millis(BATCH_WINDOW_MS)).await;
         }
         let current = self.next_params().await?;
-        let after = self
-            .version
-            .map(|known| current.seen.map_or(known, |seen| seen.max(known)));
+        // The table may be known from a snapshot of the leader without having been read here.
+        let after = current.seen.max(self.version);
+        let after = after.filter(|_| !self.is_history_lost);
         // After a failure, poll without waiting, so that the daemon learns that the store responds
         // again before the next change.
         let wait_ms = if self.has_failed { 0 } else { current.wait_ms };
+        if had_changes == Some(false) && wait_ms == 0 {
+            sleep(Duration::from_millis(NO_CHANGES_PAUSE_MS)).await;
+        }
         let update = match after {
             None => self.read().await.map(TableUpdate::Listed),
             Some(after) => self.follow(after, wait_ms).await.map(TableUpdate::Changed),
@@ -110,10 +130,12 @@
         match update {
             Ok(update) => {
                 self.backoff_ms = BACKOFF_MIN_MS;
-                self.had_changes =
-                    matches!(&update, TableUpdate::Changed(page) if !page.changes.is_empty());
+                if let TableUpdate::Changed(page) = &update {
+                    self.had_changes = Some(!page.changes.is_empty());
+                }
                 if let TableUpdate::Listed(page) | TableUpdate::Changed(page) = &update {
                     self.version = Some(page.version);
+                    self.is_history_lost = false;
                 }
                 Some(update)
             }
@@ -125,17 +147,19 @@
         }
     }
 
-    /// Waits until the table is to be read from the store.
+    /// Waits until the table is to be read from the store, as the control task decides after it has
+    /// handled the last update.
     async fn next_params(&mut self) -> Option<FollowParams> {
+        let sent = self.sent;
         let next_params = self
             .params
-            .wait_for(|current| current.source == FeedSource::Store);
+            .wait_for(|current| current.handled >= sent && current.source == FeedSource::Store);
         next_params.await.ok().map(|current| *current)
     }
 
     async fn back_off(&mut self, error: &StoreError) {
         match error {
-            StoreError::HistoryLost => self.version = None,
+            StoreError::HistoryLost => self.is_history_lost = true,
             StoreError::Unreachable => sleep(Duration::from_millis(UNREACHABLE_RETRY_MS)).await,
             _ => {
                 sleep(Duration::from_millis(self.backoff_ms)).await;
--- a/crates/balsam-edge/src/control/path.rs
+++ b/crates/balsam-edge/src/control/path.rs
@@ -1,7 +1,7 @@
 //! Starts the control path: the control task and the tasks that it uses.
 
 use super::ControlInput;
-use super::task::{ControlChannels, ControlTask, run};
+use super::task::{ControlChannels, ControlTask, StartDelays, run};
 use crate::PlatformChannels;
 use crate::metrics::EdgeMetrics;
 use crate::peer::{PeerSocket, PeerTask};
@@ -15,7 +15,7 @@
 use tokio::sync::{mpsc, watch};
 
 /// Capacity of the channel to the task of the peer socket.
-const CHANNEL_CAPACITY: usize = 256;
+const CHANNEL_CAPACITY: usize = 1_024;
 
 /// Extra delay of an election attempt on a machine of the least capacity, compared with one that
 /// can carry the leader's duties in full, in milliseconds. Together with the rest of a takeover it
@@ -26,6 +26,22 @@
 /// capacity, in milliseconds.
 const ELECTION_JITTER_MS: u64 = 150;
 
+/// Upper limit of the random delay until a restarted daemon looks up the leader, in milliseconds.
+const RESTART_JITTER_MS: u64 = 50;
+
+/// How long a daemon waits for a leader to send it the tables when the whole deployment starts, in
+/// milliseconds. It covers the election on machines that do not start at the same moment.
+const FIRST_START_TABLES_WAIT_MS: u64 = 1_500;
+
+/// How long a restarted daemon waits for a leader to send it the tables, in milliseconds: the time
+/// to look up the leader and to get its answer. After a restart of all daemons none has an answer,
+/// and all read the store, which serves them faster than one daemon could.
+const RESTART_TABLES_WAIT_MS: u64 = 150;
+
+/// Share of the machine's link that the leader uses for snapshots, in percent. The rest is for
+/// heartbeats, changes and requests.
+const SNAPSHOT_LINK_PERCENT: f64 = 50.0;
+
 /// Upper limit on the encoded length of an assignment with its owner and one former owner, in
 /// bytes.
 const ROW_BYTES_PER_ASSIGNMENT: usize = 256;
@@ -57,6 +73,23 @@
         let capacity_shortfall = 1.0 - settings.machine.leader_capacity();
         let election_delay_ms = (CAPACITY_DELAY_MAX_MS * capacity_shortfall) as u64
             + rand::random_range(0..ELECTION_JITTER_MS);
+        let delays = if settings.first_start {
+            StartDelays {
+                election_ms: election_delay_ms,
+                first_read_ms: election_delay_ms,
+                tables_ms: FIRST_START_TABLES_WAIT_MS,
+                turn: rand::random(),
+            }
+        } else {
+            StartDelays {
+                election_ms: election_delay_ms,
+                first_read_ms: rand::random_range(0..RESTART_JITTER_MS),
+                tables_ms: RESTART_TABLES_WAIT_MS,
+                turn: rand::random(),
+            }
+        };
+        let link_bytes_per_s = settings.machine.link_mbps * 1e6 / 8.0;
+        let snapshot_bytes_per_s = (link_bytes_per_s * SNAPSHOT_LINK_PERCENT / 100.0) as u64;
         let row_assignments_max = (settings.row_max_bytes / ROW_BYTES_PER_ASSIGNMENT).max(1);
         let credential = settings.peer_credential.clone();
         let thread = Arbiter::new();
@@ -77,7 +110,8 @@
                 metrics: self.metrics,
                 row_assignments_max,
             };
-            let task = ControlTask::new(this_daemon, timing, election_delay_ms, channels);
+            let task =
+                ControlTask::new(this_daemon, timing, delays, snapshot_bytes_per_s, channels);
             actix_rt::spawn(run(task, self.inputs));
         });
         thread
--- a/crates/balsam-edge/src/control/peers.rs
+++ b/crates/balsam-edge/src/control/peers.rs
@@ -13,6 +13,7 @@
 use balsam_decide::keys::{
     AssignerInput, LoadReport, RowVersion, StoredLead, StoredRanges, apply_delta, delta,
 };
+use balsam_decide::peers::DIRECT_RECEIVERS_MAX;
 use balsam_types::{Map, ServiceName, ServiceRanges, TimeMs};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -25,6 +26,10 @@
 /// Interval between two `Hello` messages to the leader, in milliseconds.
 const HELLO_INTERVAL_MS: u64 = 1_000;
 
+/// Upper limit on the daemons whose incarnations are remembered. With more, which replaced machines
+/// may cause, all are forgotten and greeted once more.
+const GREETED_BY_MAX: usize = 4_096;
+
 /// Upper limit on changed assignments in one datagram. Each takes about 90 bytes, and more with
 /// former owners.
 const PUSHED_ASSIGNMENTS_MAX: usize = 64;
@@ -36,6 +41,14 @@
 /// Upper limit on changes of upstreams in one datagram. Each entry takes about 150 bytes.
 const PUSHED_UPSTREAMS_MAX: usize = 40;
 
+/// Upper limit on changes of upstreams that are sent at once. The other daemons read longer lists
+/// from the store.
+const PUSHED_UPSTREAMS_TOTAL_MAX: usize = 400;
+
+/// How long assignments may be missing before they are read from the store, in milliseconds. The
+/// leader is asked for them first, which costs the store nothing.
+const MISSING_RANGES_READ_MS: u64 = 1_000;
+
 impl ControlTask {
     /// Sends a heartbeat as the leader, or a `Hello` to the leader, if it is due.
     pub(super) fn send_due_heartbeats(&mut self, now: TimeMs) {
@@ -129,7 +142,18 @@
     pub(super) fn handle_peer_message(&mut self, from: SocketAddr, message: PeerMessage) {
         self.peer_registry.heard(now(), from);
         match message {
-            PeerMessage::Hello(follower_status) => self.handle_hello(follower_status),
+            PeerMessage::Hello(follower_status) => {
+                let incarnation = follower_status.daemon.incarnation;
+                if self.greeted_by.len() >= GREETED_BY_MAX {
+                    self.greeted_by.clear();
+                }
+                let known = self.greeted_by.insert(from, incarnation);
+                self.handle_hello(follower_status);
+                if known != Some(incarnation) && self.assigner.is_leading() {
+                    // A daemon that has just started waits for the first heartbeat.
+                    self.send(vec![from], PeerMessage::Lead(self.heartbeat(Vec::new())));
+                }
+            }
             PeerMessage::Resign(incarnation) => self.decide(AssignerInput::Resigned(incarnation)),
             PeerMessage::Lead(heartbeat) => self.handle_heartbeat(heartbeat),
             PeerMessage::Ranges(delta) => self.apply_ranges_delta(&delta),
@@ -143,6 +167,8 @@
             PeerMessage::Sample { service, report } => {
                 self.decide(AssignerInput::Sampled { service, report });
             }
+            // The task of the socket has passed it on and delivers the message in it.
+            PeerMessage::Relay { .. } => {}
         }
     }
 
@@ -175,16 +201,13 @@
 
     /// Sends changes of the list of upstreams to the other daemons, as the leader.
     pub(super) fn push_upstreams(&mut self, base: u64, version: u64, update: &[UpstreamChange]) {
-        if !self.assigner.is_leading() || update.len() > PUSHED_UPSTREAMS_MAX {
+        if !self.assigner.is_leading() || update.len() > PUSHED_UPSTREAMS_TOTAL_MAX {
             return;
         }
         let peers = self.peer_registry.peers(now(), self.this_daemon.address);
-        let delta = UpstreamsDelta {
-            base,
-            version,
-            changes: update.to_vec(),
-        };
-        self.send(peers, PeerMessage::Upstreams(delta));
+        for delta in split_upstreams(base, version, update) {
+            self.send(peers.clone(), PeerMessage::Upstreams(delta));
+        }
     }
 
     fn handle_heartbeat(&mut self, heartbeat: Heartbeat) {
@@ -209,6 +232,7 @@
             self.peer_registry.heard(now(), *peer);
         }
         self.daemons = heartbeat.daemons;
+        self.feed.set_daemons(heartbeat.daemons);
         let missing_service = |(service, version): &(ServiceName, u64)| {
             let known = self.assigner.stored(service);
             known
@@ -220,10 +244,11 @@
             .iter()
             .filter_map(missing_service)
             .collect();
-        if !missing.is_empty() {
+        self.track_missing_ranges(now(), missing);
+        let mut missing_since = self.missing_ranges.values();
+        if missing_since.any(|since| now().since(*since) >= MISSING_RANGES_READ_MS) {
             self.decide(AssignerInput::Behind);
         }
-        self.track_missing_ranges(now(), missing);
         self.publish_ranges();
     }
 
@@ -294,6 +319,40 @@
     pub(super) fn send(&self, targets: Vec<SocketAddr>, message: PeerMessage) {
         // Messages that are dropped here are sent again later, or their content is read from the
         // store.
-        drop(self.peers.try_send(PeerOutput { targets, message }));
+        let relays = if targets.len() > DIRECT_RECEIVERS_MAX {
+            self.peer_registry.relays(now(), &targets)
+        } else {
+            Vec::new()
+        };
+        drop(self.peers.try_send(PeerOutput {
+            targets,
+            relays,
+            message,
+        }));
+    }
+}
+
+/// Splits changes into deltas that fit into a datagram each. Changes of one version stay together,
+/// so that a daemon that has a version has all its changes.
+fn split_upstreams(base: u64, version: u64, update: &[UpstreamChange]) -> Vec<UpstreamsDelta> {
+    let mut deltas: Vec<UpstreamsDelta> = Vec::new();
+    for group in update.chunk_by(|one, next| one.version() == next.version()) {
+        match deltas.last_mut() {
+            Some(delta) if delta.changes.len() + group.len() <= PUSHED_UPSTREAMS_MAX => {
+                delta.changes.extend_from_slice(group);
+            }
+            last => {
+                let base = last.map_or(base, |delta| {
+                    delta.version = delta.changes.last().map_or(base, UpstreamChange::version);
+                    delta.version
+                });
+                deltas.push(UpstreamsDelta {
+                    base,
+                    version,
+                    changes: group.to_vec(),
+                });
+            }
+        }
     }
+    deltas
 }
--- a/crates/balsam-edge/src/control/snapshots.rs
+++ b/crates/balsam-edge/src/control/snapshots.rs
@@ -7,7 +7,7 @@
 use balsam_decide::feed::FeedTable;
 use balsam_decide::keys::{AssignerInput, RowVersion, StoredRanges};
 use balsam_types::{ServiceName, TimeMs};
-use log::warn;
+use log::{debug, warn};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -15,14 +15,17 @@
 /// parts are missing.
 const REQUEST_INTERVAL_MS: u64 = 400;
 
-/// How long to wait for assignments from the leader's deltas and from the store before a snapshot
-/// is requested, in milliseconds.
-const MISSING_RANGES_WAIT_MS: u64 = 800;
+/// How long to wait for the leader's delta of assignments before a snapshot is requested, in
+/// milliseconds. A delta may arrive after the heartbeat that announces it.
+const MISSING_RANGES_WAIT_MS: u64 = 200;
 
 /// Upper limit on the datagrams of a snapshot that the leader sends to all daemons unrequested. A
 /// larger snapshot would saturate the leader's link.
 const PUSHED_PARTS_MAX: usize = 4;
 
+/// The same limit for assignments. All daemons would ask for them a moment later.
+const PUSHED_RANGES_PARTS_MAX: usize = 16;
+
 impl ControlTask {
     /// Records for which services this daemon lacks the newest assignments, and since when.
     pub(super) fn track_missing_ranges(&mut self, now: TimeMs, services: Vec<ServiceName>) {
@@ -41,7 +44,9 @@
         let tables = FeedTable::ALL.into_iter();
         let tables = tables.filter(|table| self.feed.needs_snapshot(now, *table));
         let ranges = self.missing_ranges.iter();
-        let ranges = ranges.filter(|(_, since)| now.since(**since) >= MISSING_RANGES_WAIT_MS);
+        let ranges = ranges.filter(|(service, since)| {
+            self.assigner.stored(service).is_none() || now.since(**since) >= MISSING_RANGES_WAIT_MS
+        });
         let ranges = ranges.map(|(service, _)| Topic::Ranges(service.clone()));
         let topics: Vec<Topic> = tables.map(Topic::Table).chain(ranges).collect();
         let Some(leader) = self.assigner.leader().map(|leader| leader.address) else {
@@ -54,7 +59,7 @@
     }
 
     /// Sends a snapshot to a daemon that requested it. Only the leader does so.
-    pub(super) fn send_snapshot(&self, from: SocketAddr, topic: &Topic) {
+    pub(super) fn send_snapshot(&mut self, from: SocketAddr, topic: &Topic) {
         if !self.assigner.is_leading() {
             return;
         }
@@ -63,6 +68,11 @@
         };
         match split_snapshot(topic, version, &snapshot) {
             Ok(parts) => {
+                let bytes = parts.iter().map(|part| part.bytes.len()).sum();
+                if !self.snapshot_budget.take(now(), bytes) {
+                    // The daemon asks again, and reads the store if it does not get an answer.
+                    return debug!("snapshot of {topic} not sent to {from}: too many requests");
+                }
                 for part in parts {
                     self.send(vec![from], PeerMessage::Part(part));
                 }
@@ -80,8 +90,12 @@
             return;
         }
         let peers = self.peer_registry.peers(now(), self.this_daemon.address);
+        let parts_max = match topic {
+            Topic::Table(_) => PUSHED_PARTS_MAX,
+            Topic::Ranges(_) => PUSHED_RANGES_PARTS_MAX,
+        };
         match split_snapshot(topic, version, &snapshot) {
-            Ok(parts) if parts.len() <= PUSHED_PARTS_MAX => {
+            Ok(parts) if parts.len() <= parts_max => {
                 for part in parts {
                     self.send(peers.clone(), PeerMessage::Part(part));
                 }
@@ -96,7 +110,10 @@
         match topic {
             Topic::Table(table) => {
                 let snapshot = match table {
-                    FeedTable::Config => Snapshot::Config(self.config.clone()?),
+                    FeedTable::Config => match &self.config {
+                        Some(config) => Snapshot::Config(config.clone()),
+                        None => Snapshot::NoConfig,
+                    },
                     FeedTable::Upstreams => Snapshot::Upstreams(self.directory.listed()),
                 };
                 Some((self.feed.seen(*table)?, snapshot))
@@ -134,6 +151,7 @@
         .emit();
         match snapshot {
             Snapshot::Config(config) => self.apply_config(config),
+            Snapshot::NoConfig => {}
             Snapshot::Upstreams(rows) => self.set_upstreams(version, rows, RowSource::Snapshot),
             Snapshot::Ranges(ranges) => {
                 let (version, ranges) = (RowVersion(version), Arc::new(ranges));
--- a/crates/balsam-edge/src/control/tables.rs
+++ b/crates/balsam-edge/src/control/tables.rs
@@ -69,7 +69,7 @@
     }
 
     fn store_failed(&mut self, table: FeedTable, error: &StoreError) {
-        self.feed.record_failure(table);
+        self.feed.record_failure(now(), table);
         self.directory.handle(now(), DirectoryInput::StoreFailed);
         if let Entry::Vacant(unavailable_since) = self.unavailable_since.entry(table) {
             unavailable_since.insert(now());
--- a/crates/balsam-edge/src/control/task.rs
+++ b/crates/balsam-edge/src/control/task.rs
@@ -13,13 +13,16 @@
 use balsam_decide::crashes::{CrashTracker, TrackerInput};
 use balsam_decide::directory::{Directory, DirectoryInput};
 use balsam_decide::feed::{
-    FEED_LEADER_LONG_POLL_MS, FEED_PEER_LONG_POLL_MS, Feed, FeedSource, FeedTable,
+    FEED_LEADER_LONG_POLL_MS, FEED_PEER_LONG_POLL_MS, Feed, FeedSource, FeedTable, SnapshotBudget,
 };
 use balsam_decide::keys::{
     Assigner, AssignerInput, AssignerOutput, DaemonIdentity, GrantTiming, OrderId,
 };
 use balsam_decide::peers::PeerRegistry;
-use balsam_types::{FencingToken, Map, RoutingConfig, ServiceName, ServiceRanges, TimeMs, new_map};
+use balsam_types::{
+    FencingToken, Incarnation, Map, RoutingConfig, ServiceName, ServiceRanges, TimeMs, new_map,
+};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot, watch};
@@ -43,6 +46,8 @@
     pub(super) directory: Directory,
     pub(super) assigner: Assigner,
     pub(super) peer_registry: PeerRegistry,
+    /// The incarnations of the daemons that have greeted this one.
+    pub(super) greeted_by: Map<SocketAddr, Incarnation>,
     pub(super) config: Option<RoutingConfig>,
     pub(super) snapshots: SnapshotAssembler,
     pub(super) watch: CrashTracker,
@@ -56,7 +61,10 @@
     pub(super) moved: Map<ServiceName, Vec<FencingToken>>,
     pub(super) moves_announced_at: TimeMs,
     pub(super) feed: Feed,
+    pub(super) snapshot_budget: SnapshotBudget,
     pub(super) follow_params: Map<FeedTable, watch::Sender<FollowParams>>,
+    /// Number of updates of each table that were handled.
+    pub(super) updates_handled: Map<FeedTable, u64>,
     /// Tables for which calls to the store fail, and since when.
     pub(super) unavailable_since: Map<FeedTable, TimeMs>,
     pub(super) next_heartbeat_at: TimeMs,
@@ -85,15 +93,33 @@
     pub(crate) row_assignments_max: usize,
 }
 
+/// When a daemon makes its first calls to the store, and when it tries to become leader.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct StartDelays {
+    /// Delay of each attempt to become leader, in milliseconds.
+    pub(crate) election_ms: u64,
+    /// Delay until the daemon looks up the leader, in milliseconds.
+    pub(crate) first_read_ms: u64,
+    /// How long the daemon waits for a leader to send it the tables, in milliseconds.
+    pub(crate) tables_ms: u64,
+    /// The place of this daemon among all daemons that call the store one after the other.
+    pub(crate) turn: u64,
+}
+
 impl ControlTask {
     /// Creates the task of a daemon.
     pub(crate) fn new(
         this_daemon: DaemonIdentity,
         timing: GrantTiming,
-        election_delay_ms: u64,
+        delays: StartDelays,
+        snapshot_bytes_per_s: u64,
         channels: ControlChannels,
     ) -> Self {
-        let assigner = Assigner::new(now(), this_daemon.clone(), timing, election_delay_ms);
+        let assigner = Assigner::new(now(), this_daemon.clone(), timing, delays.election_ms)
+            .with_first_read_delay(delays.first_read_ms);
+        let feed = Feed::new()
+            .with_first_read_at(now().after(delays.tables_ms))
+            .with_turn(delays.turn);
         Self {
             this_daemon,
             executor: Executor {
@@ -110,16 +136,19 @@
             directory: Directory::new(),
             assigner,
             peer_registry: PeerRegistry::new(),
+            greeted_by: new_map(),
             config: None,
             snapshots: SnapshotAssembler::new(),
             watch: CrashTracker::new(),
             missing_ranges: new_map(),
-            asked_at: now(),
+            asked_at: TimeMs(0),
             pending_orders: new_map(),
             moved: new_map(),
             moves_announced_at: now(),
-            feed: Feed::new(),
+            feed,
+            snapshot_budget: SnapshotBudget::new(snapshot_bytes_per_s),
             follow_params: new_map(),
+            updates_handled: new_map(),
             unavailable_since: new_map(),
             next_heartbeat_at: now(),
             next_hello_at: now(),
@@ -156,7 +185,10 @@
 impl ControlTask {
     fn handle(&mut self, input: ControlInput) {
         match input {
-            ControlInput::Store(table, update) => self.follow(table, update),
+            ControlInput::Store(table, update) => {
+                *self.updates_handled.entry(table).or_default() += 1;
+                self.follow(table, update);
+            }
             ControlInput::Committed(result) => {
                 events::committed(result);
                 let before = self.known_ranges();
@@ -200,16 +232,19 @@
                     self.feed.source(now(), *table)
                 },
                 seen: self.feed.seen(*table),
-                wait_ms: match (is_leader, self.feed.is_behind(*table)) {
-                    (true, _) => FEED_LEADER_LONG_POLL_MS,
-                    (false, true) => 0,
-                    (false, false) => FEED_PEER_LONG_POLL_MS,
+                wait_ms: if is_leader {
+                    FEED_LEADER_LONG_POLL_MS
+                } else if self.feed.is_behind(*table) || self.feed.is_probing(now()) {
+                    0
+                } else {
+                    FEED_PEER_LONG_POLL_MS
                 },
+                handled: self.updates_handled.get(table).copied().unwrap_or_default(),
             };
             orders.send_if_modified(|known| {
-                let source_changed = known.source != order.source;
+                let has_changed = known.source != order.source || known.handled != order.handled;
                 *known = order;
-                source_changed
+                has_changed
             });
         }
     }
--- a/crates/balsam-edge/src/peer/message.rs
+++ b/crates/balsam-edge/src/peer/message.rs
@@ -78,6 +78,16 @@
     Removed { version: u64, name: UpstreamName },
 }
 
+impl UpstreamChange {
+    /// Returns the store version of the change.
+    pub(crate) const fn version(&self) -> u64 {
+        match self {
+            Self::Changed(row) => row.version,
+            Self::Removed { version, .. } => *version,
+        }
+    }
+}
+
 /// Changes of the list of upstreams that the leader forwards.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct UpstreamsDelta {
@@ -151,12 +161,20 @@
         service: ServiceName,
         report: LoadReport,
     },
+    /// A message of `origin`, which the receiver takes as its own and passes on to `receivers`.
+    Relay {
+        origin: SocketAddr,
+        receivers: Vec<SocketAddr>,
+        message: Box<PeerMessage>,
+    },
 }
 
 /// A message and its destinations.
 #[derive(Clone, Debug)]
 pub(crate) struct PeerOutput {
     pub(crate) targets: Vec<SocketAddr>,
+    /// Destinations that can pass the message on to others.
+    pub(crate) relays: Vec<SocketAddr>,
     pub(crate) message: PeerMessage,
 }
 
--- a/crates/balsam-edge/src/peer/snapshot.rs
+++ b/crates/balsam-edge/src/peer/snapshot.rs
@@ -21,6 +21,8 @@
     Upstreams(Vec<UpstreamRow>),
     /// The assignments of a service.
     Ranges(ServiceRanges),
+    /// The store holds no configuration yet.
+    NoConfig,
 }
 
 /// Splits a snapshot into parts. Returns none if it is too large to send.
--- a/crates/balsam-edge/src/peer/task.rs
+++ b/crates/balsam-edge/src/peer/task.rs
@@ -1,8 +1,10 @@
 //! The task that owns the socket for datagrams between daemons.
 
-use super::PeerOutput;
 use super::message::{DATAGRAM_MAX_BYTES, decode, encode};
+use super::{PeerMessage, PeerOutput};
+use crate::clock::now;
 use crate::control::ControlInput;
+use balsam_decide::peers::{StallGuard, relay_groups};
 use balsam_types::KeyHash;
 use log::{debug, warn};
 use std::io;
@@ -14,7 +16,9 @@
 #[derive(Debug)]
 pub(crate) struct PeerTask {
     socket: UdpSocket,
+    address: SocketAddr,
     credential: u64,
+    stall_guard: StallGuard,
     control: mpsc::Sender<ControlInput>,
 }
 
@@ -50,13 +54,15 @@
     ) -> io::Result<Self> {
         Ok(Self {
             socket: UdpSocket::from_std(bound.socket)?,
+            address: bound.address,
+            stall_guard: StallGuard::new(now()),
             credential: KeyHash::of(credential).0,
             control,
         })
     }
 
     /// Runs until the control task closes the channel.
-    pub(crate) async fn run(self, mut outputs: mpsc::Receiver<PeerOutput>) {
+    pub(crate) async fn run(mut self, mut outputs: mpsc::Receiver<PeerOutput>) {
         let mut buffer = vec![0; DATAGRAM_MAX_BYTES];
         loop {
             tokio::select! {
@@ -65,7 +71,7 @@
                     None => return,
                 },
                 received = self.socket.recv_from(&mut buffer) => match received {
-                    Ok((length, from)) => self.receive(&buffer[..length], from),
+                    Ok((length, from)) => self.receive(&buffer[..length], from).await,
                     Err(error) => debug!("peer socket: receive failed: {error}"),
                 },
             }
@@ -73,23 +79,65 @@
     }
 
     async fn send(&self, output: PeerOutput) {
-        let bytes = match encode(self.credential, output.message) {
+        let PeerOutput {
+            targets,
+            relays,
+            message,
+        } = output;
+        let Some(groups) = relay_groups(now(), &targets, &relays) else {
+            return self.send_to_all(&targets, message).await;
+        };
+        for group in groups {
+            let message = PeerMessage::Relay {
+                origin: self.address,
+                receivers: group.receivers,
+                message: Box::new(message.clone()),
+            };
+            self.send_to_all(&[group.relay], message).await;
+        }
+    }
+
+    async fn send_to_all(&self, targets: &[SocketAddr], message: PeerMessage) {
+        let bytes = match encode(self.credential, message) {
             Ok(bytes) => bytes,
             Err(error) => return warn!("datagram not sent, cannot encode it: {error}"),
         };
-        for target in output.targets {
+        for target in targets {
             if let Err(error) = self.socket.send_to(&bytes, target).await {
                 debug!("datagram to {target} not sent: {error}");
             }
         }
     }
 
-    fn receive(&self, bytes: &[u8], from: SocketAddr) {
+    /// Passes a datagram to the control task, and on to the daemons that it is also meant for.
+    async fn receive(&mut self, bytes: &[u8], from: SocketAddr) {
         let message = match decode(self.credential, bytes) {
             Ok(Some(message)) => message,
             Ok(None) => return warn!("datagram from {from} dropped: wrong credential"),
             Err(error) => return warn!("datagram from {from} dropped: {error}"),
         };
+        let (from, message) = match message {
+            PeerMessage::Relay {
+                origin,
+                receivers,
+                message,
+            } => {
+                if matches!(*message, PeerMessage::Relay { .. }) {
+                    return warn!("datagram from {from} dropped: it was passed on twice");
+                }
+                let may_pass_on = self.stall_guard.may_pass_on(now());
+                if !receivers.is_empty() && may_pass_on {
+                    let passed_on = PeerMessage::Relay {
+                        origin,
+                        receivers: Vec::new(),
+                        message: message.clone(),
+                    };
+                    self.send_to_all(&receivers, passed_on).await;
+                }
+                (origin, *message)
+            }
+            message => (from, message),
+        };
         let input = ControlInput::Peer { from, message };
         // If the control task is busy, the message is dropped: messages between daemons are
         // repeated.
--- a/crates/balsam-edge/src/settings/file.rs
+++ b/crates/balsam-edge/src/settings/file.rs
@@ -34,6 +34,9 @@
     pub row_max_bytes: usize,
     /// Limits of the deployment.
     pub bounds: Bounds,
+    /// Whether all daemons of the deployment start for the first time, so that none has any state.
+    #[serde(default)]
+    pub first_start: bool,
     /// Least severe level that is logged.
     #[serde(default = "default_level")]
     pub log_level: LevelFilter,
--- a/crates/balsam-edge/tests/late_answers.rs
+++ b/crates/balsam-edge/tests/late_answers.rs
@@ -19,6 +19,13 @@
 /// rely on the leader's data.
 const LEADER_DELAY: Duration = Duration::from_millis(1_200);
 
+/// Delay of the store's list of upstreams to a daemon that starts, longer than the leader needs to
+/// catch up.
+const LIST_DELAY: Duration = Duration::from_secs(5);
+
+/// Time after which a daemon that starts reads the list from the store.
+const FIRST_READ_TIME: Duration = Duration::from_millis(700);
+
 /// Time in which the leader forwards a change.
 const PROPAGATION_TIME: Duration = Duration::from_millis(600);
 
@@ -48,21 +55,31 @@
 
 /// Fails if a full list of upstreams that is older than the leader's snapshot, but arrives after
 /// it, replaces the snapshot.
+///
+/// A daemon reads the list only if it starts while the leader's data is old.
 #[actix_rt::test]
 async fn list_behind_snapshot() {
     let leaving = Upstream::start("u1", &[Behavior::Respond]).await;
     let store = Store::start(rows(&[&leaving]));
     let _leader = start_leader(&store).await;
-    store.delay_upstreams(FOLLOWER, RESPONSE_DELAY);
+    store.delay_upstreams(LEADER, LEADER_DELAY);
+    sleep(LEADER_DELAY * 2).await;
+    store.delay_upstreams(FOLLOWER, LIST_DELAY);
     let follower = start_at(&store, FOLLOWER).await;
-    sleep(PROPAGATION_TIME / 3).await;
+    sleep(FIRST_READ_TIME).await;
+    assert!(
+        store.calls(FOLLOWER).await > 1,
+        "the list must be on its way"
+    );
+    store.delay_upstreams(LEADER, Duration::ZERO);
     store.put(with_state(&leaving, UpstreamState::Draining));
     wait_ready(&follower).await;
+    sleep(PROPAGATION_TIME).await;
     assert!(
         !is_used(&follower).await,
         "the snapshot says that the upstream is draining"
     );
-    sleep(RESPONSE_DELAY).await;
+    sleep(LIST_DELAY).await;
     assert!(
         !is_used(&follower).await,
         "the list from the store is older than the snapshot"
--- a/crates/balsam-edge/tests/support/mod.rs
+++ b/crates/balsam-edge/tests/support/mod.rs
@@ -68,6 +68,7 @@
             budget_slack: 6_000.0,
             hold_max_s: 10.0,
         },
+        first_start: false,
         log_level: log::LevelFilter::Off,
     }
 }
--- a/crates/balsam-edge/tests/table_feed.rs
+++ b/crates/balsam-edge/tests/table_feed.rs
@@ -113,6 +113,42 @@
     assert_eq!(store.calls(FOLLOWER).await, before);
 }
 
+/// Changes of upstreams that exceed one datagram must reach the other daemons without calls to the
+/// store. When hundreds of upstreams register in a few seconds, all daemons would otherwise read the
+/// same changes at the same time.
+#[actix_rt::test]
+async fn many_upstreams() {
+    let first = Upstream::start("u1", &[Behavior::Respond]).await;
+    let store = Store::start(rows(&[]));
+    let (_leader, follower) = start_two(&store).await;
+    let before = store.calls(FOLLOWER).await;
+    for number in 0..3 * PUSHED_PER_BATCH {
+        let mut other = entry(&first);
+        other.name = UpstreamName::new(format!("other-{number}")).expect("a valid name");
+        other.service = ServiceName::new("others").expect("a valid name");
+        store.put(upstream_row(other));
+    }
+    store.put(upstream_row(entry(&first)));
+    wait_status(&follower, "/read/x", 200).await;
+    sleep(Duration::from_secs(1)).await;
+    assert_eq!(store.calls(FOLLOWER).await, before);
+}
+
+/// A daemon that starts beside a leader must get the tables and the assignments from it. Its only
+/// call to the store looks up the leader.
+#[actix_rt::test]
+async fn started_later() {
+    let first = Upstream::start("u1", &[Behavior::Respond]).await;
+    let mut keyed = entry(&first);
+    keyed.name = UpstreamName::new("keyed").expect("a valid name");
+    keyed.service = ServiceName::new("keys").expect("a valid name");
+    let store = Store::start(rows(&[&first]));
+    store.put(upstream_row(keyed));
+    let (_leader, follower) = start_two(&store).await;
+    wait_status(&follower, "/read/x", 200).await;
+    assert_eq!(store.calls(FOLLOWER).await, 1);
+}
+
 /// A daemon whose calls the store refuses must get upstreams and configurations from the leader.
 #[actix_rt::test]
 async fn turned_away() {
