--- a/crates/balsam-edge/tests/surplus_connections.rs
+++ b/crates/balsam-edge/tests/surplus_connections.rs
@@ -1,47 +1,38 @@
-//! An upstream that resets the connections beyond those that it takes.
+//! Connections that an upstream resets because it has too many.
 
-mod support;
-
-use std::net::SocketAddr;
-use support::{Behavior, Caller, Store, Upstream, entry, rows, start_at, upstream_row, wait_ready};
-use tokio::io::AsyncReadExt;
+use balsam_edge::http::Connection;
+use std::time::Duration;
 use tokio::net::TcpListener;
+use tokio::time::sleep;
+
+/// Time limit of each step, long enough for a busy machine.
+const STEP_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// Starts an upstream that reads the request on its first connection and closes it without a
-/// response, and then resets each further connection at once.
-async fn start_overloaded() -> SocketAddr {
+/// A reset that arrives after the connection was opened must be noticed before a request is sent
+/// on it: an order that was sent may have run, and its caller cannot repeat it.
+#[actix_rt::test]
+async fn reset_after_opening() {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
     let address = listener.local_addr().expect("an address");
     actix_rt::spawn(async move {
-        let (mut first, _) = listener.accept().await.expect("a connection");
-        let length = first.read(&mut [0; 4_096]).await.expect("a request");
-        assert!(length > 0);
-        drop(first);
-        loop {
-            let (surplus, _) = listener.accept().await.expect("a connection");
-            // Closing without lingering sends a reset.
-            surplus.set_zero_linger().expect("a socket option");
-        }
+        let (surplus, _) = listener.accept().await.expect("a connection");
+        sleep(Duration::from_millis(20)).await;
+        // Closing without lingering sends a reset.
+        surplus.set_zero_linger().expect("a socket option");
     });
-    address
+    let connection = Connection::open(address, STEP_TIMEOUT).await;
+    let connection = connection.expect("an open connection");
+    assert!(connection.is_reusable(), "the reset comes later");
+    assert!(!connection.settle(STEP_TIMEOUT).await);
 }
 
-/// An order whose connection is reset before it is sent has not run. The caller must be told so,
-/// because it cannot repeat the order otherwise.
+/// A connection that the upstream keeps open must carry the request.
 #[actix_rt::test]
-async fn never_sent() {
-    let named = Upstream::start("u1", &[Behavior::Respond]).await;
-    let mut overloaded = entry(&named);
-    overloaded.address = start_overloaded().await;
-    let store = Store::start(rows(&[]));
-    store.put(upstream_row(overloaded));
-    let edge = start_at(&store, 1).await;
-    wait_ready(&edge).await;
-    let mut caller = Caller::open(edge.addresses().callers).await;
-    caller.request("POST", "/order/x", "o1").await;
-    assert_eq!(caller.response().await.0, 502, "the first order was read");
-    for order in ["o2", "o3"] {
-        caller.request("POST", "/order/x", order).await;
-        assert_eq!(caller.response().await.0, 503, "{order}");
-    }
+async fn stays_open() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
+    let address = listener.local_addr().expect("an address");
+    let connection = Connection::open(address, STEP_TIMEOUT).await;
+    let connection = connection.expect("an open connection");
+    let _accepted = listener.accept().await.expect("a connection");
+    assert!(connection.settle(Duration::from_millis(20)).await);
 }
