Pass on the heartbeats of the next leader, and ration calls without one

A daemon passed nothing on for 200 ms after a second without such messages, to keep one that was suspended from spreading old heartbeats. After the loss of a leader that held for every daemon when its turn came to pass on: the first heartbeats of the next leader reached only the relays of each turn, for up to four seconds at 295 daemons, in which the others would elect yet another leader. Found by reading the change once more; `next_leader` fails on the earlier guard by construction, which took the silence itself for the sign. The daemon's own timer now tells whether it was suspended.

Daemons that hear no leader while the store does not answer now look for its return in turns as well, after each has looked once (`rationed_without_leader`).

--- a/crates/balsam-decide/src/feed/machine.rs
+++ b/crates/balsam-decide/src/feed/machine.rs
@@ -302,7 +302,13 @@
         if now.since(*heard_at) > HEARTBEAT_TIMEOUT_MS {
             let spread_ms = self.daemons * SILENCE_SPREAD_MS_PER_DAEMON;
             let turn_ms = spread_ms.min(SILENCE_SPREAD_MAX_MS) * self.turn / TURN_SCALE;
-            return Some(heard_at.after(HEARTBEAT_TIMEOUT_MS + turn_ms));
+            let silent_since = heard_at.after(HEARTBEAT_TIMEOUT_MS);
+            let first_at = silent_since.after(turn_ms);
+            return Some(if known.is_unavailable {
+                first_at.max(self.probe_at(now, silent_since, known))
+            } else {
+                first_at
+            });
         }
         let behind_call_at = known.behind_since.map(|since| {
             let has_relays = self.daemons > DIRECT_RECEIVERS_MAX as u64;
@@ -315,7 +321,8 @@
         if reported.is_fresh() || behind_call_at.is_some() && !known.is_unavailable {
             return behind_call_at;
         }
-        Some(self.probe_at(now, known))
+        let stale_since = self.leader_stale_since.unwrap_or(now);
+        Some(self.probe_at(now, stale_since, known))
     }
 
     /// Returns when a daemon that has not read a table yet reads it from the store.
@@ -329,14 +336,14 @@
         waits_until.max(after_failure.unwrap_or_default())
     }
 
-    /// Returns when this daemon calls the store next while the store does not respond to the leader.
-    fn probe_at(&self, now: TimeMs, known: &KnownTable) -> TimeMs {
+    /// Returns when this daemon calls the store next while the store does not respond. The daemons
+    /// take turns from `since` on.
+    fn probe_at(&self, now: TimeMs, since: TimeMs, known: &KnownTable) -> TimeMs {
         let interval_ms = self.probe_interval_ms();
         if interval_ms == 0 {
             return now;
         }
-        let stale_since = self.leader_stale_since.unwrap_or(now);
-        let first_at = stale_since.after(interval_ms * self.turn / TURN_SCALE);
+        let first_at = since.after(interval_ms * self.turn / TURN_SCALE);
         let turns_passed = now.since(first_at) / interval_ms;
         let turn_at = first_at.after(turns_passed * interval_ms);
         if known
--- a/crates/balsam-decide/src/peers/mod.rs
+++ b/crates/balsam-decide/src/peers/mod.rs
@@ -4,4 +4,4 @@
 mod relay;
 
 pub use registry::PeerRegistry;
-pub use relay::{DIRECT_RECEIVERS_MAX, RelayGroup, StallGuard, relay_groups};
+pub use relay::{DIRECT_RECEIVERS_MAX, RelayGroup, SuspensionGuard, relay_groups};
--- a/crates/balsam-decide/src/peers/relay.rs
+++ b/crates/balsam-decide/src/peers/relay.rs
@@ -13,12 +13,11 @@
 /// several in a row would be lost otherwise.
 const TURN_MS: u64 = 250;
 
-/// Silence after which a daemon takes itself for having been suspended or cut off, in milliseconds.
-/// The leader's heartbeats arrive more often.
-const STALL_MS: u64 = 1_000;
+/// Pause of its timer after which a daemon takes itself for having been suspended, in milliseconds.
+const SUSPENDED_MS: u64 = 1_000;
 
-/// How long a daemon passes nothing on after such a silence, in milliseconds. The messages that have
-/// waited for it arrive in this time.
+/// How long a daemon passes nothing on after it was suspended, in milliseconds. The messages that
+/// have waited for it arrive in this time.
 const STALE_MESSAGES_MS: u64 = 200;
 
 /// A daemon that passes a message on, and those that it passes it on to.
@@ -63,30 +62,40 @@
     Some(groups)
 }
 
-/// Keeps a daemon that was suspended or cut off from passing on messages that have waited for it.
+/// Keeps a daemon that was suspended from passing on messages that have waited for it.
 ///
 /// The receivers would take an old heartbeat for a sign that the leader runs and knows all changes.
+/// Only the daemon's own timer shows a suspension: messages are also missing while there is no
+/// leader, and those of the next one must be passed on at once.
 #[derive(Debug)]
-pub struct StallGuard {
-    heard_at: TimeMs,
+pub struct SuspensionGuard {
+    ran_at: TimeMs,
     passes_on_from: TimeMs,
 }
 
-impl StallGuard {
+impl SuspensionGuard {
+    /// Interval at which [`Self::record_run`] must be called, in milliseconds.
+    pub const INTERVAL_MS: u64 = 250;
+
     /// Creates the guard of a daemon that has just started.
     pub const fn new(now: TimeMs) -> Self {
         Self {
-            heard_at: now,
+            ran_at: now,
             passes_on_from: now,
         }
     }
 
-    /// Records the arrival of a message that is to be passed on, and returns whether it may be.
-    pub fn may_pass_on(&mut self, now: TimeMs) -> bool {
-        let silence_ms = now.since(std::mem::replace(&mut self.heard_at, now));
-        if silence_ms > STALL_MS {
+    /// Records that the daemon runs.
+    pub fn record_run(&mut self, now: TimeMs) {
+        let pause_ms = now.since(std::mem::replace(&mut self.ran_at, now));
+        if pause_ms > SUSPENDED_MS {
             self.passes_on_from = now.after(STALE_MESSAGES_MS);
         }
+    }
+
+    /// Returns whether a message that has just arrived may be passed on.
+    pub fn may_pass_on(&mut self, now: TimeMs) -> bool {
+        self.record_run(now);
         now >= self.passes_on_from
     }
 }
--- a/crates/balsam-decide/tests/feed_source.rs
+++ b/crates/balsam-decide/tests/feed_source.rs
@@ -203,7 +203,9 @@
 }
 
 /// Plays an outage of the store and returns how many calls all daemons make for one table.
-fn calls_in_outage(daemons: u32, length_ms: u64) -> u64 {
+///
+/// The leader's heartbeats end after `heard_ms`.
+fn calls_in_outage(daemons: u32, length_ms: u64, heard_ms: u64) -> u64 {
     let mut feeds: Vec<Feed> = (0..daemons)
         .map(|index| feed_at_10(TimeMs(0)).with_turn(u64::from(index) * 1_000 / u64::from(daemons)))
         .collect();
@@ -215,7 +217,7 @@
         }
         for feed in &mut feeds {
             feed.set_daemons(daemons);
-            if now.0.is_multiple_of(HEARTBEAT_MS) {
+            if now.0.is_multiple_of(HEARTBEAT_MS) && now.0 < heard_ms {
                 feed.heard(now, leader.state(now));
             }
             if feed.source(now, TABLE) == FeedSource::Store {
@@ -232,11 +234,20 @@
 /// second, and one for each daemon at the start of its turn.
 #[rstest]
 fn rationed_probes(#[values(68, 295, 1_000)] daemons: u32) {
-    let calls = calls_in_outage(daemons, 8_000);
+    let calls = calls_in_outage(daemons, 8_000, 8_000);
     assert!(calls <= 40 * 8 + 40, "{calls} calls of {daemons} daemons");
     assert!(calls >= 40 * 4, "{calls} calls of {daemons} daemons");
 }
 
+/// Guards against the same when the leader is lost during the outage: each daemon looks once by
+/// itself, and then in its turn.
+#[rstest]
+fn rationed_without_leader(#[values(68, 295, 1_000)] daemons: u32) {
+    let calls = calls_in_outage(daemons, 8_000, 2_000);
+    let calls_max = 40 * 8 + 40 + u64::from(daemons);
+    assert!(calls <= calls_max, "{calls} calls of {daemons} daemons");
+}
+
 /// Guards that a large deployment notices within a second that the store responds to others while
 /// it does not respond to the leader.
 #[test]
--- a/crates/balsam-decide/tests/relay_groups.rs
+++ b/crates/balsam-decide/tests/relay_groups.rs
@@ -1,6 +1,6 @@
 //! Tests how a message to hundreds of daemons is divided among those that pass it on.
 
-use balsam_decide::peers::{DIRECT_RECEIVERS_MAX, PeerRegistry, StallGuard, relay_groups};
+use balsam_decide::peers::{DIRECT_RECEIVERS_MAX, PeerRegistry, SuspensionGuard, relay_groups};
 use balsam_types::TimeMs;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -64,9 +64,11 @@
 /// the leader may have ended meanwhile, and its knowledge is as old as the suspension.
 #[test]
 fn suspended_relay() {
-    let mut guard = StallGuard::new(TimeMs(1_000));
+    let mut guard = SuspensionGuard::new(TimeMs(1_000));
     for number in 1..8 {
-        assert!(guard.may_pass_on(TimeMs(1_000 + number * HEARTBEAT_MS)));
+        let now = TimeMs(1_000 + number * SuspensionGuard::INTERVAL_MS);
+        guard.record_run(now);
+        assert!(guard.may_pass_on(now));
     }
     let resumed = TimeMs(11_000);
     for waited in 0..30 {
@@ -75,6 +77,19 @@
     assert!(guard.may_pass_on(resumed.after(HEARTBEAT_MS)));
 }
 
+/// Guards that the first heartbeat of the next leader is passed on although there was none for
+/// seconds. Otherwise it would reach only the relays of each turn, and the other daemons would
+/// elect yet another leader.
+#[test]
+fn next_leader() {
+    let mut guard = SuspensionGuard::new(TimeMs(1_000));
+    assert!(guard.may_pass_on(TimeMs(1_000)));
+    for number in 1..20 {
+        guard.record_run(TimeMs(1_000 + number * SuspensionGuard::INTERVAL_MS));
+    }
+    assert!(guard.may_pass_on(TimeMs(6_000)));
+}
+
 /// Guards against daemons that hear no heartbeat for the time after which they replace the leader,
 /// although it runs, because their relays have failed: while a third of the daemons is cut off and
 /// the leader does not know it yet, hardly any may miss four heartbeats in a row.
--- a/crates/balsam-edge/src/peer/task.rs
+++ b/crates/balsam-edge/src/peer/task.rs
@@ -4,13 +4,15 @@
 use super::{PeerMessage, PeerOutput};
 use crate::clock::now;
 use crate::control::ControlInput;
-use balsam_decide::peers::{StallGuard, relay_groups};
+use balsam_decide::peers::{SuspensionGuard, relay_groups};
 use balsam_types::KeyHash;
 use log::{debug, warn};
 use std::io;
 use std::net::SocketAddr;
+use std::time::Duration;
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
+use tokio::time::{MissedTickBehavior, interval};
 
 /// Sends and receives the datagrams.
 #[derive(Debug)]
@@ -18,7 +20,7 @@
     socket: UdpSocket,
     address: SocketAddr,
     credential: u64,
-    stall_guard: StallGuard,
+    suspension_guard: SuspensionGuard,
     control: mpsc::Sender<ControlInput>,
 }
 
@@ -55,7 +57,7 @@
         Ok(Self {
             socket: UdpSocket::from_std(bound.socket)?,
             address: bound.address,
-            stall_guard: StallGuard::new(now()),
+            suspension_guard: SuspensionGuard::new(now()),
             credential: KeyHash::of(credential).0,
             control,
         })
@@ -64,8 +66,11 @@
     /// Runs until the control task closes the channel.
     pub(crate) async fn run(mut self, mut outputs: mpsc::Receiver<PeerOutput>) {
         let mut buffer = vec![0; DATAGRAM_MAX_BYTES];
+        let mut ticks = interval(Duration::from_millis(SuspensionGuard::INTERVAL_MS));
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
             tokio::select! {
+                _ = ticks.tick() => self.suspension_guard.record_run(now()),
                 output = outputs.recv() => match output {
                     Some(output) => self.send(output).await,
                     None => return,
@@ -125,7 +130,7 @@
                 if matches!(*message, PeerMessage::Relay { .. }) {
                     return warn!("datagram from {from} dropped: it was passed on twice");
                 }
-                let may_pass_on = self.stall_guard.may_pass_on(now());
+                let may_pass_on = self.suspension_guard.may_pass_on(now());
                 if !receivers.is_empty() && may_pass_on {
                     let passed_on = PeerMessage::Relay {
                         origin,
