Log how long orders took and when the next owner of a range was granted it

Cause: the leader's log has neither the first grant of a moving range nor the time at which an order was sent. When two upstreams hold a key, it cannot tell whether the leader forgot a grant of the former owner, whose release was answered after that grant, or reckoned that the grant had expired.

Change: an ordered line has took_ms, and the first grant of a moving range to its next owner is logged as granted. Renewals are still left out.

--- a/crates/balsam-decide/src/keys/assigner.rs
+++ b/crates/balsam-decide/src/keys/assigner.rs
@@ -456,6 +456,7 @@
                     range: due.range,
                     fence: due.fence,
                     kind: due.kind,
+                    ends_move: due.ends_move,
                     send_before,
                     timeout_ms,
                 }));
--- a/crates/balsam-decide/src/keys/message.rs
+++ b/crates/balsam-decide/src/keys/message.rs
@@ -86,6 +86,8 @@
     pub fence: FencingToken,
     /// What the upstream is to do.
     pub kind: OrderKind,
+    /// Whether this is the first grant of a moving range to its next owner.
+    pub ends_move: bool,
     /// When this daemon's right to give orders expires. The sender checks it once more, because
     /// time may pass between the decision and the sending.
     pub send_before: TimeMs,
--- a/crates/balsam-decide/src/keys/service.rs
+++ b/crates/balsam-decide/src/keys/service.rs
@@ -46,6 +46,8 @@
     pub(super) kind: OrderKind,
     /// Whether the owner has already acknowledged a grant of the same assignment.
     pub(super) is_renewal: bool,
+    /// Whether this is the first grant of a moving range to its next owner.
+    pub(super) ends_move: bool,
 }
 
 /// The state outside a service that its orders depend on.
@@ -225,6 +227,7 @@
             fence: assignment.fence,
             kind: OrderKind::Release,
             is_renewal: false,
+            ends_move: false,
         })
     }
 
@@ -261,6 +264,7 @@
             fence: assignment.fence,
             kind: OrderKind::Grant { hold_ms, handover },
             is_renewal: progress.is_granted,
+            ends_move: !progress.is_granted && assignment.is_moving(),
         })
     }
 
--- a/crates/balsam-edge/src/control/events.rs
+++ b/crates/balsam-edge/src/control/events.rs
@@ -77,14 +77,16 @@
         service: &'a ServiceName,
         moves: usize,
     },
-    /// An order to an upstream, a grant or a release of a key range, has ended with a result other
-    /// than `Granted`.
+    /// An order to an upstream, a grant or a release of a key range, has ended.
+    ///
+    /// Only the first grant of a moving range is logged with the result `granted`.
     Ordered {
         upstream: &'a UpstreamName,
         range: String,
         fence: u64,
         order: &'static str,
         result: &'static str,
+        took_ms: u64,
     },
 }
 
@@ -186,16 +188,20 @@
     pub(super) range: KeyRange,
     pub(super) fence: u64,
     pub(super) kind: OrderKind,
+    pub(super) ends_move: bool,
+    pub(super) decided_at: TimeMs,
 }
 
-/// Logs the result of an order. Granted orders are skipped, because each renewal ends in one.
-pub(super) fn ordered(pending: &PendingOrder, result: &OrderResult) {
+/// Logs the result of an order. Of the acknowledged grants, only those that let the next owner of a
+/// moving range hold its keys are logged, because each renewal ends in one as well.
+pub(super) fn ordered(now: TimeMs, pending: &PendingOrder, result: &OrderResult) {
     let order = match pending.kind {
         OrderKind::Grant { .. } => "grant",
         OrderKind::Release => "release",
     };
     let result = match result {
-        OrderResult::Granted => return,
+        OrderResult::Granted if !pending.ends_move => return,
+        OrderResult::Granted => "granted",
         OrderResult::Released { .. } => "released",
         OrderResult::Fenced => "fenced",
         OrderResult::Ended => "ended",
@@ -211,6 +217,7 @@
         fence: pending.fence,
         order,
         result,
+        took_ms: now.since(pending.decided_at),
     }
     .emit();
 }
--- a/crates/balsam-edge/src/control/task.rs
+++ b/crates/balsam-edge/src/control/task.rs
@@ -206,7 +206,7 @@
             ControlInput::Reloaded(Err(_)) => self.decide(AssignerInput::ReloadFailed),
             ControlInput::Ordered { id, result } => {
                 if let Some(pending_order) = self.pending_orders.remove(&id) {
-                    events::ordered(&pending_order, &result);
+                    events::ordered(now(), &pending_order, &result);
                 }
                 self.decide(AssignerInput::Ordered { id, result });
             }
@@ -291,6 +291,8 @@
                         range: order.range,
                         fence: order.fence.0,
                         kind: order.kind.clone(),
+                        ends_move: order.ends_move,
+                        decided_at: now(),
                     };
                     self.pending_orders.insert(order.id, pending_order);
                     self.executor.order(order);
