Keep grants that are newer than the release an upstream answers

Cause: an upstream answers a release when its work on the range has ended. OutstandingGrants::released then dropped every acknowledged grant of that upstream on the range, also one that was sent after the release. That happens when the range returns to the upstream meanwhile. The leader then believed that nobody held the range, and granted it to the next owner without any release.

Change: grants carry their fencing token. A release drops only grants with a lower token than its own. An upstream refuses those once it has released the range, so that one which it acknowledged was executed before the release; one with the same or a higher token may have been executed after it. For the same reason an acknowledged grant no longer replaces the record of another one with a higher token.

--- a/crates/balsam-decide/src/keys/assigner.rs
+++ b/crates/balsam-decide/src/keys/assigner.rs
@@ -319,8 +319,9 @@
         match result {
             OrderResult::Ended => self.outstanding.owner_ended(&sent.to),
             OrderResult::Released { .. } => {
+                let (range, fence) = sent.key;
                 self.outstanding
-                    .released(&sent.service, &sent.to, sent.key.0);
+                    .released(&sent.service, &sent.to, range, fence);
             }
             _ => {}
         }
@@ -444,7 +445,7 @@
                 self.sent.insert(id, sent);
                 let timeout_ms = match due.kind {
                     OrderKind::Grant { hold_ms, .. } => {
-                        self.outstanding.sent(id, name, &due.to, due.range, hold_ms);
+                        self.outstanding.sent(id, name, &due, hold_ms);
                         self.timing.grant_timeout_ms
                     }
                     OrderKind::Release => self.timing.release_timeout_ms,
--- a/crates/balsam-decide/src/keys/outstanding.rs
+++ b/crates/balsam-decide/src/keys/outstanding.rs
@@ -1,7 +1,8 @@
 //! Grants of this leader that may still be in force.
 
+use super::service::DueOrder;
 use super::{GrantTiming, OrderId};
-use balsam_types::{KeyRange, Owner, ServiceName, TimeMs};
+use balsam_types::{FencingToken, KeyRange, Owner, ServiceName, TimeMs};
 
 #[derive(Clone, Debug)]
 struct Grant {
@@ -9,6 +10,7 @@
     service: ServiceName,
     owner: Owner,
     range: KeyRange,
+    fence: FencingToken,
     hold_ms: u64,
     /// When the grant has expired for certain; `None` while the order is in flight.
     expires_at: Option<TimeMs>,
@@ -22,20 +24,20 @@
 }
 
 impl OutstandingGrants {
-    /// Records a grant that is about to be sent.
+    /// Records a grant of `hold_ms` that is about to be sent.
     pub(super) fn sent(
         &mut self,
         id: OrderId,
         service: &ServiceName,
-        owner: &Owner,
-        range: KeyRange,
+        due: &DueOrder,
         hold_ms: u64,
     ) {
         self.grants.push(Grant {
             id,
             service: service.clone(),
-            owner: owner.clone(),
-            range,
+            owner: due.to.clone(),
+            range: due.range,
+            fence: due.fence,
             hold_ms,
             expires_at: None,
             is_acknowledged: false,
@@ -71,13 +73,22 @@
         self.grants.retain(|grant| grant.id != id);
     }
 
-    /// Records that an owner has released a range.
+    /// Records that an owner has released a range with the fencing token `fence`.
     ///
-    /// Unacknowledged grants are kept, because the upstream may execute them after the release.
-    pub(super) fn released(&mut self, service: &ServiceName, owner: &Owner, range: KeyRange) {
+    /// Grants with this token or a higher one are kept, because the upstream may have executed them
+    /// after the release: the answer comes only when its work on the range has ended, and the range
+    /// may have returned to it meanwhile. Unacknowledged grants are kept for the same reason.
+    pub(super) fn released(
+        &mut self,
+        service: &ServiceName,
+        owner: &Owner,
+        range: KeyRange,
+        fence: FencingToken,
+    ) {
         let mut remainders = Vec::new();
         self.grants.retain_mut(|grant| {
-            if !grant.is_acknowledged || !grant.overlaps(service, owner, range) {
+            let may_be_newer = !grant.is_acknowledged || grant.fence >= fence;
+            if may_be_newer || !grant.overlaps(service, owner, range) {
                 return true;
             }
             if grant.range.last > range.last {
@@ -122,9 +133,11 @@
             && self.service == *service
     }
 
-    /// Returns whether an acknowledged grant supersedes this one, because it covers its keys.
+    /// Returns whether an acknowledged grant supersedes this one, because it covers its keys and no
+    /// release ends it that would not end this one as well.
     fn is_renewed_by(&self, renewal: &Self) -> bool {
         self.is_acknowledged
+            && self.fence <= renewal.fence
             && self.owner == renewal.owner
             && self.service == renewal.service
             && renewal.range.first <= self.range.first
--- a/crates/balsam-decide/tests/key_schedules.rs
+++ b/crates/balsam-decide/tests/key_schedules.rs
@@ -87,6 +87,21 @@
     assert_eq!(broken, 0, "schedules with two owners of a key");
 }
 
+/// Guards against two owners of a key while upstreams answer orders late, so that the answer to a
+/// release may arrive after that to a newer grant.
+#[test]
+fn late_answers() {
+    let broken = (0..SCHEDULES_PER_PART).filter(|seed| {
+        let cluster = Cluster::new(*seed, Flaw::None, Restart::Slow).with_late_answers();
+        cluster.run(LENGTH_MS).double_holds > 0
+    });
+    let broken: Vec<u64> = broken.collect();
+    assert!(
+        broken.is_empty(),
+        "two owners of a key with seeds {broken:?}"
+    );
+}
+
 /// Checks that the schedules detect a new leader that does not know how long grants last.
 #[test]
 fn long_hold_flaw() {
--- a/crates/balsam-decide/tests/key_world/upstream.rs
+++ b/crates/balsam-decide/tests/key_world/upstream.rs
@@ -19,6 +19,8 @@
     pub is_draining: bool,
     highest_fences: [u64; KEYS.len()],
     held_until: [TimeMs; KEYS.len()],
+    /// When the work ends that was in progress when a key was released.
+    working_until: [TimeMs; KEYS.len()],
     /// How much slower its clock runs beyond the permitted drift, in percent.
     pub extra_drift_percent: u64,
 }
@@ -33,6 +35,7 @@
             is_draining: false,
             highest_fences: [0; KEYS.len()],
             held_until: [TimeMs(0); KEYS.len()],
+            working_until: [TimeMs(0); KEYS.len()],
             extra_drift_percent: 0,
         }
     }
@@ -44,15 +47,24 @@
         self.is_draining = false;
         self.highest_fences = [0; KEYS.len()];
         self.held_until = [TimeMs(0); KEYS.len()];
+        self.working_until = [TimeMs(0); KEYS.len()];
     }
 
+    /// Returns whether it holds a key or still works on one that it has released.
     pub fn holds(&self, index: usize, now: TimeMs) -> bool {
-        self.is_up && now < self.held_until[index]
+        self.is_up && now < self.held_until[index].max(self.working_until[index])
     }
 
     /// Executes an order that arrived at `arrived_at`. If `keeps_tokens` is false, it forgets the
-    /// fencing tokens of releases.
-    pub fn apply(&mut self, arrived_at: TimeMs, order: &Order, keeps_tokens: bool) -> OrderResult {
+    /// fencing tokens of releases. Work on released keys goes on for `work_ms`, or until the grant
+    /// would have expired.
+    pub fn apply(
+        &mut self,
+        arrived_at: TimeMs,
+        order: &Order,
+        keeps_tokens: bool,
+        work_ms: u64,
+    ) -> OrderResult {
         let keys = (0..KEYS.len()).filter(|index| order.range.contains(ShardKey(KEYS[*index])));
         let keys: Vec<usize> = keys.collect();
         match &order.kind {
@@ -76,6 +88,8 @@
                     if keeps_tokens {
                         self.highest_fences[index] = self.highest_fences[index].max(order.fence.0);
                     }
+                    self.working_until[index] =
+                        self.held_until[index].min(arrived_at.after(work_ms));
                     self.held_until[index] = TimeMs(0);
                 }
                 OrderResult::Released { handover: None }
--- a/crates/balsam-decide/tests/key_world/world.rs
+++ b/crates/balsam-decide/tests/key_world/world.rs
@@ -42,6 +42,8 @@
     flaw: Flaw,
     restart: Restart,
     default_hold_ranges: usize,
+    /// Whether upstreams answer orders some time after they have executed them.
+    answers_late: bool,
     service: ServiceName,
     store: Store,
     daemons: Vec<Daemon>,
@@ -50,6 +52,9 @@
     delayed_orders: Vec<(TimeMs, TimeMs, usize, u64, Order)>,
     /// Commits to execute late, and when.
     delayed_commits: Vec<(TimeMs, Commit)>,
+    /// Answers to orders that are on their way: when they arrive, and at which daemon and
+    /// incarnation.
+    late_answers: Vec<(TimeMs, usize, u64, AssignerInput)>,
     next_born: u64,
 }
 
@@ -74,6 +79,7 @@
             flaw,
             restart,
             default_hold_ranges: usize::MAX,
+            answers_late: false,
             store: Store::new(&service),
             service,
             daemons: Vec::new(),
@@ -82,6 +88,7 @@
                 .collect(),
             delayed_orders: Vec::new(),
             delayed_commits: Vec::new(),
+            late_answers: Vec::new(),
             next_born: 100,
         };
         for upstream in &mut cluster.upstreams {
@@ -107,6 +114,12 @@
         self
     }
 
+    /// Lets upstreams answer orders late, releases after the work in progress has ended.
+    pub const fn with_late_answers(mut self) -> Self {
+        self.answers_late = true;
+        self
+    }
+
     fn start(&self, at: usize, incarnation: u64) -> Daemon {
         let mut timing = GrantTiming::new(10_000);
         timing.default_hold_ranges = self.default_hold_ranges;
@@ -236,7 +249,16 @@
         for (_, arrived_at, to, born, order) in due {
             let upstream = &mut self.upstreams[to];
             if upstream.is_up && upstream.born == born {
-                upstream.apply(arrived_at, &order, keeps_tokens);
+                upstream.apply(arrived_at, &order, keeps_tokens, 0);
+            }
+        }
+        let arrived: Vec<_> = self
+            .late_answers
+            .extract_if(.., |answer| answer.0 <= now)
+            .collect();
+        for (_, at, incarnation, answer) in arrived {
+            if self.daemons[at].incarnation == incarnation {
+                self.deliver(at, answer);
             }
         }
         let due: Vec<_> = self
@@ -412,6 +434,12 @@
             .expect("a known upstream");
         let is_cut = self.now < self.daemons[at].upstream_cut_until[to];
         let is_grant = matches!(order.kind, OrderKind::Grant { .. });
+        let answer_ms = if self.answers_late {
+            self.rng.random_range(0..order.timeout_ms * 3 / 2)
+        } else {
+            0
+        };
+        let timeout_ms = order.timeout_ms;
         let result = if is_cut || !self.upstreams[to].is_up {
             OrderResult::NoAnswer
         } else if self.chance(300) {
@@ -432,9 +460,22 @@
         } else {
             let now = self.now;
             let keeps_tokens = self.flaw != Flaw::ReleaseWithoutFence;
-            self.upstreams[to].apply(now, &order, keeps_tokens)
+            let executed = self.upstreams[to].apply(now, &order, keeps_tokens, answer_ms);
+            if answer_ms < timeout_ms {
+                executed
+            } else {
+                OrderResult::NoAnswer
+            }
         };
-        self.deliver(at, AssignerInput::Ordered { id, result });
+        let answered_at = self.now.after(answer_ms.min(timeout_ms));
+        let answer = AssignerInput::Ordered { id, result };
+        if answered_at > self.now {
+            let incarnation = self.daemons[at].incarnation;
+            self.late_answers
+                .push((answered_at, at, incarnation, answer));
+        } else {
+            self.deliver(at, answer);
+        }
     }
 
     fn check_holders(&self, report: &mut Report) {
