Do not ask the owner of a range to release it

What callers saw: requests for keys that had just got an owner were refused with 421 by that owner, and waited until it was granted the keys once more.

Cause: a range that moves away and back has its present owner among its former owners. The leader held the grant back until all former owners were free, and as soon as the owner was granted the range, this grant itself counted as one to be released.

Change: former owners that own the range are passed over. Their grants stay recorded and are ended, or waited for, when the range moves on.

Why it is safe: only another upstream's hold forbids a grant. A late grant with an older token finds the higher one or is replaced by it.

Tests: returned_keys::owner_keeps_range failed before (releases for owned ranges) and passes; all tests of balsam-decide pass, among them key_schedules::late_answers and its 18 other cases.

--- a/crates/balsam-decide/src/keys/service.rs
+++ b/crates/balsam-decide/src/keys/service.rs
@@ -163,7 +163,10 @@
         let mut due = Vec::new();
         for assignment in &stored.ranges.assignments {
             let mut is_free = true;
-            for former in &assignment.former {
+            // A range that moves back may have its owner among the former ones. Nobody else gets the
+            // keys that the owner still holds, so it has nothing to release.
+            let others = assignment.former.iter();
+            for former in others.filter(|former| **former != assignment.owner) {
                 if !self.is_free(context, service, assignment, former) {
                     is_free = false;
                     due.extend(self.release(context, assignment, former));
--- a/crates/balsam-decide/tests/returned_keys.rs
+++ b/crates/balsam-decide/tests/returned_keys.rs
@@ -39,6 +39,8 @@
     is_working: bool,
     /// Releases that the former owner has not answered, and when the leader stops waiting.
     unanswered: Vec<(OrderId, TimeMs)>,
+    /// Releases that the former owner received for ranges that it owns.
+    own_releases: usize,
 }
 
 impl LeaderSim {
@@ -54,6 +56,7 @@
             is_silent: false,
             is_working: false,
             unanswered: Vec::new(),
+            own_releases: 0,
         };
         sim.deliver(AssignerInput::Lead(StoredLead {
             version: RowVersion(0),
@@ -189,6 +192,11 @@
             OrderKind::Release => {
                 self.holds
                     .retain(|hold| hold.upstream != number || !overlap(hold.range, order.range));
+                let ranges = self.ranges.as_ref().expect("assignments");
+                let mut assignments = ranges.assignments.iter();
+                let assignment = assignments.find(|found| found.range == order.range);
+                self.own_releases +=
+                    usize::from(assignment.is_some_and(|found| found.owner == order.to));
                 if is_former && self.is_working {
                     let timeout_at = self.now.after(order.timeout_ms);
                     self.unanswered.push((order.id, timeout_at));
@@ -215,3 +223,14 @@
     sim.run(6_000);
     assert!(sim.holds_all(OTHER));
 }
+
+/// Guards against an owner that stops serving its keys because the leader asks it, as one of the
+/// former owners, to release them.
+#[test]
+fn owner_keeps_range() {
+    let mut sim = LeaderSim::start();
+    sim.return_ranges();
+    sim.run(1_000);
+    assert_eq!(sim.own_releases, 0);
+    assert!(sim.holds_all(FORMER));
+}
