Limit the time for the head of a request

Cause: a head had a limit for each pause but none in total. A client that sent one byte now and then kept a connection of the caller, metrics or readiness listener for hours. The metrics listener also waited without limit for a client that did not read its response.

The two other listeners allow 10 s for a whole head and 10 s for writing the response.

--- a/crates/balsam-edge/src/probe.rs
+++ b/crates/balsam-edge/src/probe.rs
@@ -20,8 +20,9 @@
 /// Upper limit on the head of a request, in bytes.
 const HEAD_MAX_BYTES: usize = 8 << 10;
 
-/// How long a connection may be idle before it is closed.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
+/// How long a connection may be idle, and a request or a response be on its way, before the
+/// connection is closed.
+const EXCHANGE_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// Pause after a failed accept.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
@@ -99,17 +100,9 @@
 async fn answer(mut stream: TcpStream, endpoint: &AdminEndpoint) -> io::Result<()> {
     let mut buffer = BytesMut::new();
     loop {
-        let head = match parse_request(&mut buffer, HEAD_MAX_BYTES) {
-            Ok(Some(head)) => head,
-            Ok(None) => {
-                buffer.reserve(1 << 10);
-                match timeout(IDLE_TIMEOUT, stream.read_buf(&mut buffer)).await {
-                    Ok(Ok(read)) if read > 0 => continue,
-                    Ok(Err(error)) => return Err(error),
-                    Ok(Ok(_)) | Err(_) => return Ok(()),
-                }
-            }
-            Err(error) => return Err(io::Error::other(error)),
+        let head = timeout(EXCHANGE_TIMEOUT, read_head(&mut stream, &mut buffer));
+        let Some(head) = head.await?? else {
+            return Ok(());
         };
         let (status, body) = endpoint.answer(&head);
         let close_field = [("Connection", "close")];
@@ -118,16 +111,34 @@
         } else {
             &close_field[..]
         };
-        let answer = encode_response(
+        let encoded = encode_response(
             status,
             std::iter::empty(),
             extra_fields,
             Framing::Length(body.len() as u64),
         );
-        stream.write_all(&answer.map_err(io::Error::other)?).await?;
-        stream.write_all(body.as_bytes()).await?;
+        let mut response = encoded.map_err(io::Error::other)?;
+        response.extend_from_slice(body.as_bytes());
+        timeout(EXCHANGE_TIMEOUT, stream.write_all(&response)).await??;
         if !head.keep_alive {
             return Ok(());
         }
     }
 }
+
+/// Reads the head of a request. Returns `None` if the client has closed the connection.
+async fn read_head(
+    stream: &mut TcpStream,
+    buffer: &mut BytesMut,
+) -> io::Result<Option<RequestHead>> {
+    loop {
+        let parsed = parse_request(buffer, HEAD_MAX_BYTES).map_err(io::Error::other)?;
+        if parsed.is_some() {
+            return Ok(parsed);
+        }
+        buffer.reserve(1 << 10);
+        if stream.read_buf(buffer).await? == 0 {
+            return Ok(None);
+        }
+    }
+}
--- a/crates/balsam-edge/src/request/connection.rs
+++ b/crates/balsam-edge/src/request/connection.rs
@@ -30,8 +30,8 @@
 /// Time limit for writing one piece of a response to a caller.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// Minimum of the time by which an idle connection outlives the configured limit; a longer limit is
-/// doubled instead.
+/// Minimum of the time by which an idle connection, or the head of a request, outlives the
+/// configured limit; a longer limit is doubled instead.
 ///
 /// Callers measure the idle time from the end of the last response, and their next request takes a
 /// while to arrive. On a saturated link the response alone takes several seconds. A request that is
@@ -86,6 +86,8 @@
     /// it.
     read_error: Option<ReadError>,
     last_active_at: Instant,
+    /// When the first bytes arrived of a head that is not complete yet.
+    head_started_at: Option<Instant>,
     /// Whether no further request is read.
     is_closing: bool,
 }
@@ -106,6 +108,7 @@
             in_flight: VecDeque::new(),
             read_error: None,
             last_active_at: Instant::now(),
+            head_started_at: None,
             is_closing: false,
         }
     }
@@ -139,13 +142,7 @@
             }
             let limits = self.limits();
             let is_idle = self.in_flight.is_empty();
-            let idle_limit = if self.reader.is_mid_request() || !self.buffer.is_empty() {
-                Duration::from_millis(limits.header_timeout_ms)
-            } else {
-                let limit = Duration::from_millis(limits.idle_timeout_ms);
-                limit + limit.max(IDLE_MARGIN_MIN)
-            };
-            let idle_at = self.last_active_at + idle_limit;
+            let idle_at = self.idle_at(limits);
             let has_space = self.buffer.len() < READ_AHEAD_MAX_BYTES;
             let current_phase = *self.phase.borrow();
             let is_drained = is_idle && self.buffer.is_empty() && !self.reader.is_mid_request();
@@ -201,6 +198,25 @@
             .map_or_else(CallerLimits::default, |table| table.limits())
     }
 
+    /// Returns when the connection has been idle for too long, or a request took too long to arrive.
+    ///
+    /// A head is limited in total, or else a caller could keep the connection for hours by sending it
+    /// byte by byte. A body may be long, and is limited by its length and by each pause.
+    fn idle_at(&self, limits: CallerLimits) -> Instant {
+        let header_timeout = Duration::from_millis(limits.header_timeout_ms);
+        let idle_timeout = Duration::from_millis(limits.idle_timeout_ms);
+        if self.reader.is_mid_request() {
+            return self.last_active_at + header_timeout;
+        }
+        match self.head_started_at {
+            Some(started_at) => {
+                let pause_at = self.last_active_at + header_timeout;
+                pause_at.min(started_at + with_margin(header_timeout))
+            }
+            None => self.last_active_at + with_margin(idle_timeout),
+        }
+    }
+
     /// Returns whether another request is accepted.
     ///
     /// From the leaving phase on, the daemon responds to the requests that it has accepted, and its
@@ -245,7 +261,12 @@
         while self.accepts_more() {
             let limits = self.limits();
             match self.reader.step(now(), &mut self.buffer, limits) {
-                Ok(ReadStep::Need) => break,
+                Ok(ReadStep::Need) => {
+                    let has_head_start = !self.buffer.is_empty() && !self.reader.is_mid_request();
+                    let started_at = self.head_started_at.unwrap_or_else(Instant::now);
+                    self.head_started_at = has_head_start.then_some(started_at);
+                    break;
+                }
                 Ok(ReadStep::Continue) => {
                     if self.in_flight.is_empty() {
                         let interim_response = Bytes::from_static(b"HTTP/1.1 100 Continue\r\n\r\n");
@@ -267,6 +288,7 @@
     }
 
     fn start(&mut self, request: CallerRequest) {
+        self.head_started_at = None;
         let (sender, reply) = oneshot::channel();
         let is_head_request = request.head.method.as_ref() == b"HEAD";
         let keep_alive = request.head.keep_alive;
@@ -363,3 +385,8 @@
         drop(timeout(LINGER_TIMEOUT, drain).await);
     }
 }
+
+/// Returns a configured limit with the margin for the time that bytes are on their way.
+fn with_margin(limit: Duration) -> Duration {
+    limit + limit.max(IDLE_MARGIN_MIN)
+}
