--- a/crates/balsam-decide/src/feed/mod.rs
+++ b/crates/balsam-decide/src/feed/mod.rs
@@ -6,7 +6,9 @@
 mod machine;
 mod message;
 mod snapshot_budget;
+mod snapshot_parts;
 
 pub use machine::{FEED_PEER_LONG_POLL_MS, Feed};
 pub use message::{FEED_LEADER_LONG_POLL_MS, FeedSource, FeedState, FeedTable, TableState};
 pub use snapshot_budget::SnapshotBudget;
+pub use snapshot_parts::{SNAPSHOT_PARTS_MAX, SnapshotPart, SnapshotParts};
--- a/crates/balsam-edge/src/control/snapshots.rs
+++ b/crates/balsam-edge/src/control/snapshots.rs
@@ -129,7 +129,7 @@
     /// Stores a part of a snapshot, and applies the snapshot once it is complete.
     pub(super) fn receive_part(&mut self, part: Part) {
         let topic = part.topic.clone();
-        match self.snapshots.add_part(part) {
+        match self.snapshots.add_part(now(), part) {
             Ok(Some((version, snapshot))) => self.apply_snapshot(&topic, version, snapshot),
             Ok(None) => {}
             Err(error) => warn!("snapshot of {topic} dropped, cannot decode it: {error}"),
--- a/crates/balsam-edge/src/peer/snapshot.rs
+++ b/crates/balsam-edge/src/peer/snapshot.rs
@@ -1,7 +1,8 @@
 //! Snapshots of the leader's data, split into parts that fit into datagrams.
 
 use super::message::{Part, Topic};
-use balsam_types::{Map, RoutingConfig, ServiceRanges, UpstreamRow, new_map};
+use balsam_decide::feed::{SNAPSHOT_PARTS_MAX, SnapshotPart, SnapshotParts};
+use balsam_types::{RoutingConfig, ServiceRanges, TimeMs, UpstreamRow};
 use bincode::config::standard;
 use bincode::error::{DecodeError, EncodeError};
 use serde::{Deserialize, Serialize};
@@ -9,8 +10,9 @@
 /// Length of one part in bytes. Together with its header fields it must fit into a datagram.
 const PART_BYTES: usize = 6 << 10;
 
-/// Upper limit on the parts of one snapshot. A row of the store has at most 64 KiB.
-const PARTS_MAX: usize = 64;
+/// Limit on the memory that a decoder may allocate for a snapshot, in bytes. Decoded entries are
+/// several times as large as their encoding.
+const DECODED_MAX_BYTES: usize = 8 << 20;
 
 /// Snapshot of one topic.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -34,7 +36,7 @@
     let bytes = bincode::serde::encode_to_vec(snapshot, standard())?;
     let pieces = bytes.chunks(PART_BYTES);
     let count = pieces.len();
-    if count > PARTS_MAX {
+    if count > SNAPSHOT_PARTS_MAX {
         return Ok(Vec::new());
     }
     let parts = pieces.enumerate().map(|(index, bytes)| Part {
@@ -47,21 +49,14 @@
     Ok(parts.collect())
 }
 
-/// The parts of one snapshot that have arrived so far.
-#[derive(Debug)]
-struct PartialSnapshot {
-    version: u64,
-    parts: Vec<Option<Vec<u8>>>,
-}
-
 /// Reassembles snapshots from their parts.
 #[derive(Debug)]
-pub(crate) struct SnapshotAssembler(Map<Topic, PartialSnapshot>);
+pub(crate) struct SnapshotAssembler(SnapshotParts<Topic>);
 
 impl SnapshotAssembler {
     /// Creates an assembler without parts.
     pub(crate) fn new() -> Self {
-        Self(new_map())
+        Self(SnapshotParts::new())
     }
 
     /// Adds a part. Returns the snapshot and its version once all parts have arrived.
@@ -69,34 +64,29 @@
     /// # Errors
     ///
     /// Returns a [`DecodeError`] if the complete snapshot cannot be decoded.
-    pub(crate) fn add_part(&mut self, part: Part) -> Result<Option<(u64, Snapshot)>, DecodeError> {
-        let (index, count) = (usize::from(part.index), usize::from(part.count));
-        if count > PARTS_MAX || index >= count {
-            return Ok(None);
-        }
-        let known = self.0.get(&part.topic);
-        if known.is_some_and(|known| known.version > part.version) {
-            return Ok(None);
-        }
-        let is_same =
-            known.is_some_and(|known| known.version == part.version && known.parts.len() == count);
-        if !is_same {
-            let parts = vec![None; count];
-            let version = part.version;
-            self.0
-                .insert(part.topic.clone(), PartialSnapshot { version, parts });
-        }
-        let Some(partial) = self.0.get_mut(&part.topic) else {
-            return Ok(None);
+    pub(crate) fn add_part(
+        &mut self,
+        now: TimeMs,
+        part: Part,
+    ) -> Result<Option<(u64, Snapshot)>, DecodeError> {
+        let Part {
+            topic,
+            version,
+            index,
+            count,
+            bytes,
+        } = part;
+        let part = SnapshotPart {
+            version,
+            index: usize::from(index),
+            count: usize::from(count),
+            bytes,
         };
-        partial.parts[index] = Some(part.bytes);
-        if partial.parts.iter().any(Option::is_none) {
+        let Some((version, bytes)) = self.0.add(now, &topic, part) else {
             return Ok(None);
-        }
-        let version = partial.version;
-        let bytes: Vec<u8> = partial.parts.drain(..).flatten().flatten().collect();
-        self.0.remove(&part.topic);
-        let (snapshot, _) = bincode::serde::decode_from_slice(&bytes, standard())?;
+        };
+        let config = standard().with_limit::<DECODED_MAX_BYTES>();
+        let (snapshot, _) = bincode::serde::decode_from_slice(&bytes, config)?;
         Ok(Some((version, snapshot)))
     }
 }
