Limit the bytes before the head of an upstream's answer in balsamswitchd

Cause: interim answers are taken from the buffer one by one, so that the limit on one head never applied to them. An upstream that sends them without end kept the daemon reading until the request's deadline.

--- a/crates/balsam-daemon/src/request/forward/exchange.rs
+++ b/crates/balsam-daemon/src/request/forward/exchange.rs
@@ -23,6 +23,9 @@
 /// The maximum number of bytes per read.
 const READ_BUFFER_BYTES: usize = 16 << 10;
 
+/// The maximum number of bytes before the end of an answer's head, interim answers included.
+const HEAD_MAX_BYTES: usize = 128 << 10;
+
 /// An answer whose head was received.
 #[derive(Debug)]
 pub(super) struct Started {
@@ -250,15 +253,22 @@
 }
 
 async fn read_head(exchange: &mut Exchange, method: &str) -> Result<ParsedHead, HeadFailure> {
+    let mut read_bytes = 0;
     loop {
         match parse_head(&mut exchange.buffer, method == "HEAD") {
             Ok(Some(parsed)) => return Ok(parsed),
             Ok(None) => {}
             Err(error) => return Err(malformed(&error)),
         }
+        let buffered_bytes = exchange.buffer.len();
         if !exchange.read_more().await {
             return Err(HeadFailure::Closed);
         }
+        read_bytes += exchange.buffer.len() - buffered_bytes;
+        if read_bytes > HEAD_MAX_BYTES {
+            debug!("answer head: more than {HEAD_MAX_BYTES} bytes, interim answers included");
+            return Err(HeadFailure::Malformed);
+        }
     }
 }
 
