Believe upstreams that announce their leaving or ask for a pause

What callers and upstreams saw: requests went on to an upstream that had said in its answers that it leaves, for as long as the store listed it as ready, and to one that had asked for a pause. Both are rules of the platform since this week; no code read either field.

Cause: the daemon knew of an upstream's state only what the store said.

Change: the adapter reads both fields strictly, into types of our own. The request path believes them only in the answer to the request itself, and reports them to the pool as soon as the head is read. The pool keeps them by the life of the upstream: a leaving one gets nothing that another one can run, and nothing at all after bounds.drain_s; a pausing one gets nothing until the pause has ended, from when the daemons resume one after the other. Requests that were assigned and not yet sent are withdrawn. Where nobody else may run a request it waits for a short pause, or is refused at once with the time that is left. The platform page has the decisions. What the leader and the other daemons should learn is left for later.

Tests: announcing_upstreams plays two daemons as processes, twelve callers and three upstreams for 9 s while the store lists all as ready. No test covers the check between the assignment of a request and its sending.

--- a/crates/balsam-decide/src/attempts/tracker.rs
+++ b/crates/balsam-decide/src/attempts/tracker.rs
@@ -87,6 +87,8 @@
     /// Records the outcome of an attempt and returns what follows.
     pub const fn note(&mut self, verdict: Verdict) -> Step {
         match verdict {
+            // The upstream announced that it takes no requests, which happens once in a while.
+            Verdict::Withdrawn => return Step::Retry,
             Verdict::Unreachable | Verdict::Surplus => {
                 self.connect_failures += 1;
                 return if self.connect_failures > CONNECT_FAILURES_MAX {
@@ -127,7 +129,9 @@
                     Step::End(self.ending())
                 }
             }
-            Verdict::Unreachable | Verdict::Surplus | Verdict::Dropped => Step::End(self.ending()),
+            Verdict::Unreachable | Verdict::Surplus | Verdict::Dropped | Verdict::Withdrawn => {
+                Step::End(self.ending())
+            }
         }
     }
 
--- a/crates/balsam-decide/src/pool/endpoint.rs
+++ b/crates/balsam-decide/src/pool/endpoint.rs
@@ -92,6 +92,12 @@
         self.connect_failures > 0 && now < self.backoff_until
     }
 
+    /// Lowers the concurrency limit to one request, from which it rises with responses in time, so
+    /// that requests return gradually after a pause.
+    pub(super) const fn restart_limit(&mut self) {
+        self.limit = self.limit.min(1.0);
+    }
+
     /// Returns the expected response time of another request, relative to that of an idle upstream
     /// with the mean latency of the route.
     ///
@@ -161,7 +167,7 @@
                 self.decrease_limit(LATE_LIMIT_FACTOR);
                 self.backoff_until = self.backoff_until.max(now.after(SHED_BACKOFF_MS));
             }
-            Verdict::NotHeld | Verdict::Dropped => {}
+            Verdict::NotHeld | Verdict::Dropped | Verdict::Withdrawn => {}
         }
     }
 
--- a/crates/balsam-decide/src/pool/machine.rs
+++ b/crates/balsam-decide/src/pool/machine.rs
@@ -1,9 +1,12 @@
 //! The state machine of the pool.
 
 use super::endpoint::Endpoint;
+use super::notices::Notices;
 use super::pick::{Choice, Chooser};
 use super::queue::{Queue, QueuedRequest};
-use super::{ClusterState, PoolInput, PoolOutput, PoolSettings, Refusal, Request, Verdict};
+use super::{
+    ClusterState, PoolInput, PoolOutput, PoolSettings, Refusal, Request, UpstreamNotice, Verdict,
+};
 use crate::budget::Budget;
 use crate::directory::DiscoveredUpstream;
 use crate::routing::TrafficSplits;
@@ -21,6 +24,19 @@
 /// Minimum of the time after which callers are told to retry, in milliseconds.
 const RETRY_AFTER_MIN_MS: u64 = 100;
 
+/// Time over which callers return after a pause of upstreams, in percent of the rest of the pause.
+const RETURN_SPREAD_PERCENT: u64 = 25;
+
+/// Maximum of that time, in milliseconds.
+const RETURN_SPREAD_MAX_MS: u64 = 2_000;
+
+/// Mean interval between two daemons that resume after a pause of an upstream, in milliseconds. It
+/// is about the time of a fast request.
+const RESUME_INTERVAL_MS: u64 = 10;
+
+/// Maximum of the time within which all daemons resume, in milliseconds.
+const RESUME_SPREAD_MAX_MS: u64 = 1_000;
+
 /// Weight of the newest response in the mean latency of a route.
 const ROUTE_EWMA_WEIGHT: f64 = 0.05;
 
@@ -37,6 +53,7 @@
     settings: PoolSettings,
     cluster: Option<ClusterState>,
     endpoints: Map<UpstreamName, Endpoint>,
+    notices: Notices,
     queues: Map<ServiceName, Queue>,
     splits: TrafficSplits,
     budget: Budget,
@@ -48,6 +65,7 @@
     pub fn new(settings: PoolSettings) -> Self {
         Self {
             budget: Budget::new(settings.budget),
+            notices: Notices::new(settings.drain_ms),
             settings,
             cluster: None,
             endpoints: new_map(),
@@ -62,6 +80,11 @@
         self.budget.all_left(now)
     }
 
+    /// Returns how many upstreams have announced that they leave, and how many pause now.
+    pub fn announced(&self, now: TimeMs) -> (usize, usize) {
+        self.notices.counts(now)
+    }
+
     /// Processes one input and returns the decisions that follow from it.
     pub fn handle(&mut self, now: TimeMs, input: PoolInput) -> Vec<PoolOutput> {
         let mut outputs = Vec::new();
@@ -72,6 +95,9 @@
                     queue.remove(id);
                 }
             }
+            PoolInput::Notice { upstream, notice } => {
+                self.record_notice(now, upstream, notice, &mut outputs);
+            }
             PoolInput::Done {
                 upstream,
                 route,
@@ -120,6 +146,15 @@
         match self.choose(now, &request, &service) {
             Choice::Upstream(upstream) => outputs.push(self.send(now, &request, service, upstream)),
             Choice::Wait(refusal) => self.enqueue(now, request, service, refusal, outputs),
+            Choice::Blocked { until } => {
+                let wait_ms = wait_ms(&request, Refusal::Announced);
+                let expires_at = now.after(wait_ms).min(request.give_up_at);
+                if until.is_some_and(|until| until < expires_at) {
+                    self.enqueue(now, request, service, Refusal::Announced, outputs);
+                } else {
+                    outputs.push(refuse_blocked(now, &request, until));
+                }
+            }
         }
     }
 
@@ -131,6 +166,7 @@
             now,
             cluster,
             endpoints: &self.endpoints,
+            notices: &self.notices,
             settings: &self.settings,
         };
         chooser.choose(request, service)
@@ -172,11 +208,7 @@
         refusal: Refusal,
         outputs: &mut Vec<PoolOutput>,
     ) {
-        let percent = match refusal {
-            Refusal::NoOwner => OWNER_WAIT_PERCENT,
-            Refusal::NoUpstream | Refusal::Busy | Refusal::Budget => WAIT_PERCENT,
-        };
-        let wait_ms = request.route.objective_ms * percent / 100;
+        let wait_ms = wait_ms(&request, refusal);
         let expires_at = now.after(wait_ms).min(request.give_up_at);
         if expires_at <= now || self.would_wait_too_long(now, &request, &service, wait_ms) {
             outputs.push(refuse(&request, refusal));
@@ -228,6 +260,38 @@
         rounds * route_latency_ms > wait_ms as f64
     }
 
+    /// Records an announcement, and finds other upstreams for the requests that wait.
+    fn record_notice(
+        &mut self,
+        now: TimeMs,
+        upstream: Arc<DiscoveredUpstream>,
+        notice: UpstreamNotice,
+        outputs: &mut Vec<PoolOutput>,
+    ) {
+        let resume_delay_ms = self.resume_delay_ms();
+        if !self.notices.record(now, &upstream, notice, resume_delay_ms) {
+            return;
+        }
+        let entry = &upstream.entry;
+        if notice.pause_ms.is_some()
+            && let Some(endpoint) = self.endpoints.get_mut(&entry.name)
+            && endpoint.born() == entry.born
+        {
+            endpoint.restart_limit();
+        }
+        let service = entry.service.clone();
+        outputs.push(PoolOutput::Withdraw { upstream, notice });
+        self.serve_queue(now, &service, outputs);
+    }
+
+    /// Returns how much later than asked this daemon ends a pause, in milliseconds, so that the
+    /// daemons resume one after the other.
+    fn resume_delay_ms(&self) -> u64 {
+        let daemons = self.cluster.as_ref().map_or(1, |cluster| cluster.daemons);
+        let spread_ms = u64::from(daemons).saturating_mul(RESUME_INTERVAL_MS);
+        self.settings.seed % spread_ms.clamp(1, RESUME_SPREAD_MAX_MS)
+    }
+
     fn record_outcome(
         &mut self,
         now: TimeMs,
@@ -265,6 +329,7 @@
                 .get(name)
                 .is_some_and(|found| found.entry.born == endpoint.born())
         });
+        self.notices.retain(now, &cluster.upstreams);
         if self.route_latencies_ms.len() > ROUTES_MAX {
             self.route_latencies_ms.clear();
         }
@@ -287,23 +352,33 @@
         };
         let mut index = 0;
         loop {
-            let choice = queue
-                .iter()
-                .nth(index)
-                .map(|queued| self.choose(now, &queued.request, service));
+            let choice = queue.iter().nth(index).map(|queued| {
+                (
+                    self.choose(now, &queued.request, service),
+                    queued.expires_at,
+                )
+            });
             match choice {
                 None => break,
-                Some(Choice::Upstream(upstream)) => {
+                Some((Choice::Upstream(upstream), _)) => {
                     if let Some(queued) = queue.take(index) {
                         outputs.push(self.send(now, &queued.request, queued.service, upstream));
                     }
                 }
-                Some(Choice::Wait(_)) => index += 1,
+                Some((Choice::Blocked { until }, expires_at))
+                    if until.is_none_or(|until| until >= expires_at) =>
+                {
+                    let blocked = queue.take(index);
+                    outputs
+                        .extend(blocked.map(|queued| refuse_blocked(now, &queued.request, until)));
+                }
+                Some((Choice::Wait(_) | Choice::Blocked { .. }, _)) => index += 1,
             }
         }
         for queued in queue.expire(now) {
             let refusal = match self.choose(now, &queued.request, service) {
                 Choice::Wait(refusal) => refusal,
+                Choice::Blocked { .. } => Refusal::Announced,
                 Choice::Upstream(_) => Refusal::Busy,
             };
             outputs.push(refuse(&queued.request, refusal));
@@ -314,6 +389,32 @@
     }
 }
 
+/// Returns how long a request may be queued, in milliseconds.
+fn wait_ms(request: &Request, refusal: Refusal) -> u64 {
+    let percent = match refusal {
+        Refusal::NoOwner => OWNER_WAIT_PERCENT,
+        Refusal::NoUpstream | Refusal::Busy | Refusal::Budget | Refusal::Announced => WAIT_PERCENT,
+    };
+    request.route.objective_ms * percent / 100
+}
+
+/// Refuses a request that no upstream takes before `until`. The callers are told to return a little
+/// later, at different times, so that they do not all return at once.
+fn refuse_blocked(now: TimeMs, request: &Request, until: Option<TimeMs>) -> PoolOutput {
+    let Some(until) = until else {
+        return refuse(request, Refusal::Announced);
+    };
+    let left_ms = until.since(now);
+    let spread_ms = (left_ms.saturating_mul(RETURN_SPREAD_PERCENT) / 100)
+        .clamp(RETRY_AFTER_MIN_MS, RETURN_SPREAD_MAX_MS);
+    let hash = request.id.0.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 32;
+    PoolOutput::Refuse {
+        id: request.id,
+        refusal: Refusal::Announced,
+        retry_after_ms: left_ms.saturating_add(hash % spread_ms),
+    }
+}
+
 fn refuse(request: &Request, refusal: Refusal) -> PoolOutput {
     let retry_after_ms = (request.route.objective_ms / 4).max(RETRY_AFTER_MIN_MS);
     PoolOutput::Refuse {
--- a/crates/balsam-decide/src/pool/message.rs
+++ b/crates/balsam-decide/src/pool/message.rs
@@ -60,6 +60,17 @@
     TimedOut,
     /// The caller disconnected or the request was not sent.
     Dropped,
+    /// The upstream announced that it leaves or pauses before the request was sent to it.
+    Withdrawn,
+}
+
+/// What an upstream announces about itself in an answer.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct UpstreamNotice {
+    /// Whether it leaves, so that it should get no more requests.
+    pub is_leaving: bool,
+    /// How long it wants no requests of this daemon, in milliseconds.
+    pub pause_ms: Option<u64>,
 }
 
 impl Verdict {
@@ -80,6 +91,8 @@
     Busy,
     /// The retry budget is exhausted.
     Budget,
+    /// All suitable upstreams have announced a pause, or that they leave.
+    Announced,
 }
 
 impl Refusal {
@@ -90,6 +103,7 @@
             Self::NoOwner => "no-owner",
             Self::Busy => "busy",
             Self::Budget => "retry-budget",
+            Self::Announced => "announced",
         }
     }
 }
@@ -116,6 +130,13 @@
     Request(Request),
     /// A queued request is no longer wanted.
     Cancel(RequestId),
+    /// An upstream has announced something about itself.
+    Notice {
+        /// The upstream.
+        upstream: Arc<DiscoveredUpstream>,
+        /// What it announced.
+        notice: UpstreamNotice,
+    },
     /// An attempt has ended.
     Done {
         /// The upstream.
@@ -150,6 +171,13 @@
         /// on a new one at once: if the upstream resets it, the request may have run.
         resets_connections: bool,
     },
+    /// Requests that were assigned to an upstream and have not been sent to it need another one.
+    Withdraw {
+        /// The upstream.
+        upstream: Arc<DiscoveredUpstream>,
+        /// What it announced.
+        notice: UpstreamNotice,
+    },
     /// Refuse the request without sending it.
     Refuse {
         /// The request.
@@ -168,4 +196,8 @@
     pub zone: ZoneName,
     /// The retry budget.
     pub budget: BudgetTerms,
+    /// How long a leaving upstream takes requests that no other one can run, in milliseconds.
+    pub drain_ms: u64,
+    /// A number that differs between daemons, so that they do not resume at the same moment.
+    pub seed: u64,
 }
--- a/crates/balsam-decide/src/pool/mod.rs
+++ b/crates/balsam-decide/src/pool/mod.rs
@@ -1,15 +1,18 @@
 //! Load balancing with concurrency limits: chooses an upstream for each request, or queues or
 //! refuses it.
 //!
-//! See [the platform page](../../../../docs/platform.md#sending).
+//! See [the platform page](../../../../docs/platform.md#sending), also for [what upstreams announce
+//! about themselves](../../../../docs/platform.md#announcements-of-upstreams).
 
 mod endpoint;
 mod machine;
 mod message;
+mod notices;
 mod pick;
 mod queue;
 
 pub use machine::Pool;
 pub use message::{
-    ClusterState, PoolInput, PoolOutput, PoolSettings, Refusal, Request, RequestId, Verdict,
+    ClusterState, PoolInput, PoolOutput, PoolSettings, Refusal, Request, RequestId, UpstreamNotice,
+    Verdict,
 };
--- a/crates/balsam-decide/src/pool/pick.rs
+++ b/crates/balsam-decide/src/pool/pick.rs
@@ -1,6 +1,7 @@
 //! Choice of an upstream for a request.
 
 use super::endpoint::Endpoint;
+use super::notices::{Notices, Standing};
 use super::{ClusterState, PoolSettings, Refusal, Request};
 use crate::directory::DiscoveredUpstream;
 use balsam_types::{Map, RouteKind, ServiceName, TimeMs, UpstreamName};
@@ -23,6 +24,27 @@
     Upstream(Arc<DiscoveredUpstream>),
     /// Queue the request, for this reason.
     Wait(Refusal),
+    /// All suitable upstreams have announced that they take no request before `until`, which is
+    /// `None` if they leave.
+    Blocked { until: Option<TimeMs> },
+}
+
+/// The upstreams of a service that a request may be sent to, by what they have announced.
+#[derive(Debug, Default)]
+struct Candidates<'a> {
+    open: Vec<&'a Arc<DiscoveredUpstream>>,
+    leaving: Vec<&'a Arc<DiscoveredUpstream>>,
+    /// When the first pause ends.
+    paused_until: Option<TimeMs>,
+    /// Whether some upstream leaves and takes no more requests.
+    has_left: bool,
+}
+
+impl Candidates<'_> {
+    fn add_pause(&mut self, until: TimeMs) {
+        let earliest = self.paused_until.map_or(until, |known| known.min(until));
+        self.paused_until = Some(earliest);
+    }
 }
 
 /// The state that a choice depends on.
@@ -31,6 +53,7 @@
     pub(super) now: TimeMs,
     pub(super) cluster: &'a ClusterState,
     pub(super) endpoints: &'a Map<UpstreamName, Endpoint>,
+    pub(super) notices: &'a Notices,
     pub(super) settings: &'a PoolSettings,
 }
 
@@ -63,6 +86,12 @@
         }) else {
             return Choice::Wait(Refusal::NoOwner);
         };
+        match self.notices.standing(self.now, upstream) {
+            // Nobody else can run the request until the key has another owner.
+            Standing::Open | Standing::Leaving => {}
+            Standing::Paused { until } => return Choice::Blocked { until: Some(until) },
+            Standing::Left => return Choice::Wait(Refusal::NoOwner),
+        }
         if self
             .endpoint(upstream)
             .is_none_or(|endpoint| endpoint.has_room(self.now))
@@ -73,24 +102,38 @@
         }
     }
 
-    /// Chooses the upstream with the least cost that has room and has not been tried.
+    /// Chooses the upstream with the least cost that has room and has not been tried. Upstreams that
+    /// leave are chosen only if no other one can run the request.
     fn cheapest(&self, request: &Request, service: &ServiceName) -> Choice {
         let ready = self.cluster.upstreams.of(service).iter();
-        let ready = ready.filter(|found| found.entry.is_ready());
         let untried = ready
-            .clone()
-            .filter(|found| !request.avoid.contains(&found.entry.name));
-        let available = |found: &&Arc<DiscoveredUpstream>| {
+            .filter(|found| found.entry.is_ready() && !request.avoid.contains(&found.entry.name));
+        let mut candidates = Candidates::default();
+        for found in untried {
+            match self.notices.standing(self.now, found) {
+                Standing::Open => candidates.open.push(found),
+                Standing::Leaving => candidates.leaving.push(found),
+                Standing::Paused { until } => candidates.add_pause(until),
+                Standing::Left => candidates.has_left = true,
+            }
+        }
+        let suitable = if candidates.open.is_empty() {
+            &candidates.leaving
+        } else {
+            &candidates.open
+        };
+        let available = suitable.iter().filter(|found| {
             self.endpoint(found)
                 .is_none_or(|endpoint| endpoint.has_room(self.now))
-        };
-        let cheapest = untried
-            .clone()
-            .filter(available)
-            .min_by(|a, b| self.cost(request, a).total_cmp(&self.cost(request, b)));
+        });
+        let cheapest =
+            available.min_by(|a, b| self.cost(request, a).total_cmp(&self.cost(request, b)));
         match cheapest {
             Some(found) => Choice::Upstream(Arc::clone(found)),
-            None if untried.count() > 0 => Choice::Wait(Refusal::Busy),
+            None if !suitable.is_empty() => Choice::Wait(Refusal::Busy),
+            None if candidates.has_left || candidates.paused_until.is_some() => Choice::Blocked {
+                until: candidates.paused_until,
+            },
             None => Choice::Wait(Refusal::NoUpstream),
         }
     }
--- a/crates/balsam-decide/tests/moved_keys.rs
+++ b/crates/balsam-decide/tests/moved_keys.rs
@@ -184,6 +184,8 @@
             window_ms: 10_000,
             daemons: 1,
         },
+        drain_ms: 2_000,
+        seed: 0,
     });
     pool.handle(TimeMs(0), PoolInput::Cluster(cluster_state.clone()));
     let request = Request {
--- a/crates/balsam-decide/tests/surplus_connections.rs
+++ b/crates/balsam-decide/tests/surplus_connections.rs
@@ -53,6 +53,8 @@
             window_ms: 10_000,
             daemons: 1,
         },
+        drain_ms: 2_000,
+        seed: 0,
     });
     pool.handle(
         TimeMs(0),
--- a/crates/balsam-edge/src/assembly.rs
+++ b/crates/balsam-edge/src/assembly.rs
@@ -8,7 +8,7 @@
 use crate::peer::PeerSocket;
 use crate::pool::{PoolClient, PoolTask};
 use crate::probe::{self, AdminEndpoint};
-use crate::request::{HeaderNames, Phase, Recorder, RequestContext, run_listener};
+use crate::request::{HeaderNames, NoticeReader, Phase, Recorder, RequestContext, run_listener};
 use crate::settings::{Listen, Settings};
 use crate::store::StoreRequest;
 use crate::view::{SyncStatus, View};
@@ -16,6 +16,7 @@
 use balsam_decide::pool::PoolSettings;
 use balsam_log::LostLines;
 use balsam_metrics::MetricsError;
+use balsam_types::KeyHash;
 use snafu::{ResultExt, Snafu};
 use std::io;
 use std::net::SocketAddr;
@@ -56,6 +57,8 @@
 pub struct Adapter {
     /// Names of the header fields.
     pub names: HeaderNames,
+    /// Reads what upstreams announce about themselves.
+    pub read_notice: NoticeReader,
     /// Starts the adapter's tasks and returns their channels. Called on the thread of the control
     /// path.
     pub connect: Box<dyn FnOnce() -> PlatformChannels + Send>,
@@ -185,6 +188,8 @@
         let pool = PoolSettings {
             zone: settings.zone.clone(),
             budget: settings.bounds.budget(),
+            drain_ms: settings.bounds.drain_ms(),
+            seed: KeyHash::of(settings.daemon.as_str()).0,
         };
         actix_rt::spawn(PoolTask::run(
             pool,
@@ -196,6 +201,7 @@
         let pool = PoolClient::new(pool_tx);
         let request_context = RequestContext {
             names: adapter.names,
+            read_notice: adapter.read_notice,
             views: views.clone(),
             pool: pool.clone(),
             control: control.clone(),
--- a/crates/balsam-edge/src/metrics/instruments.rs
+++ b/crates/balsam-edge/src/metrics/instruments.rs
@@ -32,6 +32,8 @@
     store_calls: Counter<u64>,
     budget_left: Gauge<f64>,
     suspects: Gauge<u64>,
+    announced: Gauge<u64>,
+    notices_ignored: Counter<u64>,
 }
 
 impl EdgeMetrics {
@@ -97,6 +99,14 @@
                 .u64_gauge("balsam.edge.requests.suspect")
                 .with_description("Requests that crashed upstreams, by state: refused or suspected")
                 .build(),
+            announced: meter
+                .u64_gauge("balsam.edge.upstreams.announced")
+                .with_description("Upstreams that announced to leave or to pause, by state")
+                .build(),
+            notices_ignored: meter
+                .u64_counter("balsam.edge.notices.ignored")
+                .with_description("Malformed announcements of upstreams, by field")
+                .build(),
         }))
     }
 
@@ -185,6 +195,21 @@
         }
     }
 
+    /// Sets how many upstreams have announced that they leave, and how many pause.
+    pub(crate) fn announced(&self, leaving: usize, paused: usize) {
+        for (state, count) in [("leaving", leaving), ("paused", paused)] {
+            let state = [KeyValue::new("state", state)];
+            self.0.announced.record(count as u64, &state);
+        }
+    }
+
+    /// Counts a malformed announcement of an upstream.
+    pub(crate) fn notice_ignored(&self, field: &'static str) {
+        self.0
+            .notices_ignored
+            .add(1, &[KeyValue::new("field", field)]);
+    }
+
     /// Sets whether this daemon is the leader, which assigns keys.
     pub(crate) fn leader(&self, is_leader: bool) {
         self.0.is_leader.record(u64::from(is_leader), &[]);
--- a/crates/balsam-edge/src/pool/lease.rs
+++ b/crates/balsam-edge/src/pool/lease.rs
@@ -1,12 +1,13 @@
 //! The permission to send one request to one upstream.
 
-use super::message::LeaseEnd;
+use super::message::{LeaseEnd, LeaseReport};
+use super::withdrawals::{LeaseNumber, Withdrawals};
 use crate::http::Connection;
 use balsam_decide::directory::DiscoveredUpstream;
-use balsam_decide::pool::Verdict;
+use balsam_decide::pool::{UpstreamNotice, Verdict};
 use balsam_types::{Route, ServiceName};
 use std::sync::Arc;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 
 /// A slot at an upstream. Its end is reported to the pool also if the request is dropped.
 #[derive(Debug)]
@@ -20,52 +21,83 @@
     /// Whether the upstream has reset connections a short time ago.
     pub(crate) resets_connections: bool,
     route: Arc<Route>,
-    // Each lease sends exactly one message, so the number of leases bounds this channel.
-    ends: Option<mpsc::UnboundedSender<LeaseEnd>>,
+    number: LeaseNumber,
+    withdrawals: watch::Receiver<Arc<Withdrawals>>,
+    // Each lease sends at most two messages, so the number of leases bounds this channel.
+    reports: Option<mpsc::UnboundedSender<LeaseReport>>,
 }
 
 impl Lease {
-    /// Creates a lease whose end is reported to `ends`.
+    /// Creates a lease that reports to `reports`. It may be withdrawn by a withdrawal that is newer
+    /// than its number.
     pub(super) const fn new(
         service: ServiceName,
         upstream: Arc<DiscoveredUpstream>,
-        idle: Option<Connection>,
         route: Arc<Route>,
-        ends: mpsc::UnboundedSender<LeaseEnd>,
+        number: LeaseNumber,
+        withdrawals: watch::Receiver<Arc<Withdrawals>>,
+        reports: mpsc::UnboundedSender<LeaseReport>,
     ) -> Self {
         Self {
             service,
             upstream,
-            idle,
+            idle: None,
             resets_connections: false,
             route,
-            ends: Some(ends),
+            number,
+            withdrawals,
+            reports: Some(reports),
         }
     }
 
+    /// Adds an idle connection to the upstream, if there is one.
+    pub(super) fn with_idle(mut self, idle: Option<Connection>) -> Self {
+        self.idle = idle;
+        self
+    }
+
     /// Sets whether the upstream has reset connections a short time ago.
     pub(super) const fn with_resets_connections(mut self, resets_connections: bool) -> Self {
         self.resets_connections = resets_connections;
         self
     }
 
+    /// Returns whether the upstream has announced since the start of the lease that it leaves or
+    /// pauses. The request should then not be sent, because another upstream may run it.
+    pub(crate) fn is_withdrawn(&self) -> bool {
+        let withdrawals = self.withdrawals.borrow();
+        withdrawals.is_withdrawn(&self.upstream.entry, self.number)
+    }
+
+    /// Reports what the upstream has announced about itself.
+    pub(crate) fn report_notice(&self, notice: UpstreamNotice) {
+        if notice == UpstreamNotice::default() {
+            return;
+        }
+        if let Some(reports) = &self.reports {
+            let upstream = Arc::clone(&self.upstream);
+            // The pool may have ended, in which case nobody needs the report.
+            drop(reports.send(LeaseReport::Notice { upstream, notice }));
+        }
+    }
+
     /// Ends the lease. A connection that may be reused goes back to the pool.
     pub(crate) fn end(mut self, verdict: Verdict, took_ms: u64, connection: Option<Connection>) {
         self.report_end(verdict, took_ms, connection);
     }
 
     fn report_end(&mut self, verdict: Verdict, took_ms: u64, connection: Option<Connection>) {
-        if let Some(ends) = self.ends.take() {
+        if let Some(reports) = self.reports.take() {
             let upstream = Arc::clone(&self.upstream);
             let route = Arc::clone(&self.route);
             // The pool may have ended, in which case nobody needs the report.
-            drop(ends.send(LeaseEnd {
+            drop(reports.send(LeaseReport::Ended(LeaseEnd {
                 upstream,
                 route,
                 verdict,
                 took_ms,
                 connection,
-            }));
+            })));
         }
     }
 }
--- a/crates/balsam-edge/src/pool/message.rs
+++ b/crates/balsam-edge/src/pool/message.rs
@@ -4,7 +4,7 @@
 use crate::http::Connection;
 use balsam_decide::budget::BudgetTerms;
 use balsam_decide::directory::DiscoveredUpstream;
-use balsam_decide::pool::{Refusal, Verdict};
+use balsam_decide::pool::{Refusal, UpstreamNotice, Verdict};
 use balsam_types::{Route, ServiceName, ShardKey, TimeMs, UpstreamName};
 use std::sync::Arc;
 use tokio::sync::{mpsc, oneshot};
@@ -43,6 +43,18 @@
     Budget(BudgetTerms),
 }
 
+/// A report of a lease to the pool.
+#[derive(Debug)]
+pub(crate) enum LeaseReport {
+    /// The upstream has announced something in its answer.
+    Notice {
+        upstream: Arc<DiscoveredUpstream>,
+        notice: UpstreamNotice,
+    },
+    /// The lease has ended.
+    Ended(LeaseEnd),
+}
+
 /// The end of a lease.
 #[derive(Debug)]
 pub(crate) struct LeaseEnd {
--- a/crates/balsam-edge/src/pool/mod.rs
+++ b/crates/balsam-edge/src/pool/mod.rs
@@ -4,6 +4,7 @@
 mod lease;
 mod message;
 mod task;
+mod withdrawals;
 
 pub(crate) use lease::Lease;
 pub(crate) use message::{LeaseError, LeaseRequest, PoolClient, PoolMessage};
--- a/crates/balsam-edge/src/pool/task.rs
+++ b/crates/balsam-edge/src/pool/task.rs
@@ -1,7 +1,8 @@
 //! The pool's task.
 
 use super::idle::IdleConnections;
-use super::message::{LeaseEnd, LeaseRequest};
+use super::message::{LeaseEnd, LeaseReport, LeaseRequest};
+use super::withdrawals::{LeaseNumber, Withdrawals};
 use super::{Lease, LeaseError, PoolMessage};
 use crate::clock::now;
 use crate::control::ControlInput;
@@ -9,7 +10,8 @@
 use crate::view::View;
 use balsam_decide::keys::LoadReport;
 use balsam_decide::pool::{Pool, PoolInput, PoolOutput, PoolSettings, Request, RequestId, Verdict};
-use balsam_types::{Map, Route, ServiceName, ShardKey, UpstreamEntry, new_map};
+use balsam_types::{Map, Route, ServiceName, ShardKey, UpstreamEntry, UpstreamName, new_map};
+use serde::Serialize;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot, watch};
@@ -25,6 +27,16 @@
 /// Upper limit on the responses of one report. Each takes about 30 bytes.
 const REPORT_ANSWERS_MAX: usize = 128;
 
+/// Log entry for an announcement that an upstream made about itself in an answer.
+#[derive(Debug, Serialize)]
+#[serde(tag = "kind", rename = "announced")]
+struct AnnouncedLogEntry<'a> {
+    upstream: &'a UpstreamName,
+    born: u64,
+    leaving: bool,
+    pause_ms: Option<u64>,
+}
+
 type Reply = oneshot::Sender<Result<Lease, LeaseError>>;
 
 /// State of the pool's task: the pool and the idle connections.
@@ -35,7 +47,9 @@
     replies: Map<RequestId, (Reply, Arc<Route>)>,
     reports: Map<ServiceName, LoadReport>,
     last_id: u64,
-    ends: mpsc::UnboundedSender<LeaseEnd>,
+    last_number: LeaseNumber,
+    withdrawals: watch::Sender<Arc<Withdrawals>>,
+    lease_reports: mpsc::UnboundedSender<LeaseReport>,
     control: mpsc::Sender<ControlInput>,
     metrics: EdgeMetrics,
 }
@@ -49,14 +63,16 @@
         control: mpsc::Sender<ControlInput>,
         metrics: EdgeMetrics,
     ) {
-        let (ends, mut lease_ends) = mpsc::unbounded_channel();
+        let (lease_reports, mut received) = mpsc::unbounded_channel();
         let mut task = Self {
             pool: Pool::new(settings),
             idle: IdleConnections::new(),
             replies: new_map(),
             reports: new_map(),
             last_id: 0,
-            ends,
+            last_number: LeaseNumber::default(),
+            withdrawals: watch::Sender::new(Arc::new(Withdrawals::new())),
+            lease_reports,
             control,
             metrics,
         };
@@ -77,7 +93,11 @@
                     Some(PoolMessage::Budget(terms)) => task.handle(PoolInput::Budget(terms)),
                     None => return,
                 },
-                Some(end) = lease_ends.recv() => task.end(end),
+                Some(report) = received.recv() => match report {
+                    LeaseReport::Notice { upstream, notice } =>
+                        task.handle(PoolInput::Notice { upstream, notice }),
+                    LeaseReport::Ended(end) => task.end(end),
+                },
                 changed = views.changed() => match changed {
                     Ok(()) => {
                         let cluster_state = views.borrow_and_update().cluster_state();
@@ -170,11 +190,28 @@
                     };
                     let entry = &upstream.entry;
                     let idle = self.idle.take(&entry.name, entry.born, route.kind);
-                    let lease = Lease::new(service, upstream, idle, route, self.ends.clone())
+                    self.last_number = self.last_number.next();
+                    let withdrawals = self.withdrawals.subscribe();
+                    let reports = self.lease_reports.clone();
+                    let number = self.last_number;
+                    let lease = Lease::new(service, upstream, route, number, withdrawals, reports)
+                        .with_idle(idle)
                         .with_resets_connections(resets_connections);
                     // If the request is gone, the lease is dropped here, which ends it.
                     drop(reply.send(Ok(lease)));
                 }
+                PoolOutput::Withdraw { upstream, notice } => {
+                    self.last_number = self.last_number.next();
+                    let mut withdrawals = Withdrawals::clone(&self.withdrawals.borrow());
+                    withdrawals.add(&upstream.entry, self.last_number);
+                    self.withdrawals.send_replace(Arc::new(withdrawals));
+                    balsam_log::decision(&AnnouncedLogEntry {
+                        upstream: &upstream.entry.name,
+                        born: upstream.entry.born.0,
+                        leaving: notice.is_leaving,
+                        pause_ms: notice.pause_ms,
+                    });
+                }
                 PoolOutput::Refuse {
                     id,
                     refusal,
@@ -196,6 +233,8 @@
         for (service, remaining) in self.pool.budget_left(now()) {
             self.metrics.budget_left(&service, remaining);
         }
+        let (leaving, paused) = self.pool.announced(now());
+        self.metrics.announced(leaving, paused);
         for (service, report) in self.reports.drain() {
             // If the control task is busy, the report is dropped: the next one follows soon.
             drop(
--- a/crates/balsam-edge/src/request/forward.rs
+++ b/crates/balsam-edge/src/request/forward.rs
@@ -3,6 +3,7 @@
 use super::HeaderNames;
 use super::reply::{BodyPart, Reply};
 use super::route::RoutedRequest;
+use super::serve::RequestContext;
 use crate::clock::{instant_at, now};
 use crate::http::{Connection, ExchangeError, Sent};
 use crate::pool::Lease;
@@ -71,10 +72,11 @@
 
 /// Sends a request to the upstream of a lease.
 pub(super) async fn forward(
-    names: &HeaderNames,
+    context: &RequestContext,
     routed: &RoutedRequest,
     mut lease: Lease,
 ) -> ForwardOutcome {
+    let names = &context.names;
     let started_at = now();
     let idle = lease.idle.take();
     let idle = idle.filter(|idle| !idle.has_refused(&routed.attempt_id));
@@ -95,12 +97,22 @@
         Err(verdict) => return end(lease, verdict, None, None),
     };
     opened_ms.set(now().since(started_at));
+    if lease.is_withdrawn() {
+        return end(lease, Verdict::Withdrawn, None, Some(connection));
+    }
     let remaining_ms = routed.deadline.since(now());
     let Some(bytes) = encode(names, routed, &lease, remaining_ms) else {
         return end(lease, Verdict::Dropped, None, Some(connection));
     };
     let mut progress = Progress::default();
-    let exchange = exchange(names, routed, &mut connection, &bytes, &mut progress);
+    let exchange = exchange(
+        context,
+        routed,
+        &lease,
+        &mut connection,
+        &bytes,
+        &mut progress,
+    );
     let (head, body) = match timeout_at(instant_at(routed.deadline), exchange).await {
         Err(_) => {
             connection.reset();
@@ -111,17 +123,7 @@
                 "request {}: exchange with {} failed: {error}",
                 routed.attempt_id, lease.upstream.entry.name
             );
-            let verdict = match progress {
-                Progress {
-                    sent: Sent::Nothing,
-                    ..
-                } => Verdict::Unreachable,
-                Progress {
-                    sent: Sent::Whole,
-                    has_head: false,
-                } if error.has_ended() && !connection.has_unread() => Verdict::Reset,
-                Progress { .. } => Verdict::Broken,
-            };
+            let verdict = progress.verdict(&error, &connection);
             connection.reset();
             return end(lease, verdict, None, None);
         }
@@ -298,6 +300,23 @@
     has_head: bool,
 }
 
+impl Progress {
+    /// Classifies an exchange that failed.
+    fn verdict(self, error: &ExchangeError, connection: &Connection) -> Verdict {
+        match self {
+            Self {
+                sent: Sent::Nothing,
+                ..
+            } => Verdict::Unreachable,
+            Self {
+                sent: Sent::Whole,
+                has_head: false,
+            } if error.has_ended() && !connection.has_unread() => Verdict::Reset,
+            Self { .. } => Verdict::Broken,
+        }
+    }
+}
+
 impl Default for Progress {
     fn default() -> Self {
         Self {
@@ -316,12 +335,14 @@
 }
 
 async fn exchange(
-    names: &HeaderNames,
+    context: &RequestContext,
     routed: &RoutedRequest,
+    lease: &Lease,
     connection: &mut Connection,
     bytes: &[u8],
     progress: &mut Progress,
 ) -> Result<(ParsedResponseHead, BufferedBody), ExchangeError> {
+    let names = &context.names;
     let is_head_request = routed.request.head.method.as_ref() == b"HEAD";
     let sent = &mut progress.sent;
     let mut head = connection.start(bytes, is_head_request, sent).await?;
@@ -341,6 +362,7 @@
         connection.body(&mut head.body, BUFFER_MAX_BYTES).await?;
         head = connection.next_head(is_head_request).await?;
     }
+    report_notice(context, routed, lease, &head);
     let length_bytes = match head.body {
         BodyDecoder::Length { left_bytes } => Some(left_bytes),
         BodyDecoder::Chunked(_) | BodyDecoder::UntilClose => None,
@@ -359,6 +381,29 @@
     Ok((head, BufferedBody::Whole(body.freeze())))
 }
 
+/// Reports what an upstream announces about itself in the head of a response, if the id shows that
+/// it is the response to this request and comes from this upstream.
+fn report_notice(
+    context: &RequestContext,
+    routed: &RoutedRequest,
+    lease: &Lease,
+    head: &ParsedResponseHead,
+) {
+    let name = lease.upstream.entry.name.as_str();
+    let responder = head.fields.text(context.names.upstream);
+    let has_id = head.fields.text(context.names.attempt_id) == Some(&routed.attempt_id);
+    if !has_id || responder.is_some_and(|responder| responder != name) {
+        return;
+    }
+    let read = (context.read_notice)(head.status, &head.fields);
+    if let Some(field) = read.ignored {
+        context
+            .recorder
+            .notice_ignored(&lease.upstream.entry.name, field);
+    }
+    lease.report_notice(read.notice);
+}
+
 /// Classifies a response.
 fn classify_response(names: &HeaderNames, head: &ParsedResponseHead, lease: &Lease) -> Verdict {
     let fields = &head.fields;
--- a/crates/balsam-edge/src/request/mod.rs
+++ b/crates/balsam-edge/src/request/mod.rs
@@ -11,7 +11,7 @@
 mod route;
 mod serve;
 
-pub use names::HeaderNames;
+pub use names::{HeaderNames, NoticeReader, ReadNotice};
 
 pub(crate) use accept::{Phase, run_listener};
 pub(crate) use record::Recorder;
--- a/crates/balsam-edge/src/request/names.rs
+++ b/crates/balsam-edge/src/request/names.rs
@@ -1,4 +1,19 @@
-//! Names of header fields, which the platform defines.
+//! Names of header fields, which the platform defines, and the reader of what upstreams announce.
+
+use balsam_decide::pool::UpstreamNotice;
+use balsam_http1::Fields;
+
+/// Reads what an upstream announces about itself from the status and the fields of a response.
+pub type NoticeReader = fn(u16, &Fields) -> ReadNotice;
+
+/// What an upstream announces about itself, as far as it is well-formed.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ReadNotice {
+    /// The announcement.
+    pub notice: UpstreamNotice,
+    /// The first field that is malformed and was ignored.
+    pub ignored: Option<&'static str>,
+}
 
 /// Names of the header fields that the daemon reads and sets.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/balsam-edge/src/request/record.rs
+++ b/crates/balsam-edge/src/request/record.rs
@@ -69,6 +69,14 @@
     status: u16,
 }
 
+/// Log entry for a malformed announcement of an upstream.
+#[derive(Debug, Serialize)]
+#[serde(tag = "kind", rename = "notice-ignored")]
+struct NoticeIgnoredLogEntry<'a> {
+    upstream: &'a UpstreamName,
+    field: &'static str,
+}
+
 impl Recorder {
     /// Creates a recorder that counts in `metrics`.
     pub(crate) const fn new(metrics: EdgeMetrics) -> Self {
@@ -92,6 +100,12 @@
         }
     }
 
+    /// Records that a field in which an upstream announces something was malformed.
+    pub(super) fn notice_ignored(&self, upstream: &UpstreamName, field: &'static str) {
+        self.metrics.notice_ignored(field);
+        balsam_log::decision(&NoticeIgnoredLogEntry { upstream, field });
+    }
+
     /// Records a request without a route.
     pub(super) fn unrouted(&self, id: Option<&str>, head: &RequestHead, reason: RouteError) {
         self.metrics
@@ -205,5 +219,6 @@
         Verdict::Reset => "reset",
         Verdict::TimedOut => "timed-out",
         Verdict::Dropped => "dropped",
+        Verdict::Withdrawn => "withdrawn",
     }
 }
--- a/crates/balsam-edge/src/request/serve.rs
+++ b/crates/balsam-edge/src/request/serve.rs
@@ -1,11 +1,11 @@
 //! Serves one request by up to the allowed number of attempts, one after the other.
 
-use super::HeaderNames;
 use super::forward::{AttemptEnded, ForwardOutcome, forward};
 use super::read::CallerRequest;
 use super::record::{Record, Recorder};
 use super::reply::Reply;
 use super::route::{RouteError, RoutedRequest, route};
+use super::{HeaderNames, NoticeReader};
 use crate::clock::{instant_at, now};
 use crate::control::ControlInput;
 use crate::pool::{LeaseError, LeaseRequest, PoolClient};
@@ -39,6 +39,7 @@
 #[derive(Clone, Debug)]
 pub(crate) struct RequestContext {
     pub(crate) names: HeaderNames,
+    pub(crate) read_notice: NoticeReader,
     pub(crate) views: watch::Receiver<Arc<View>>,
     pub(crate) pool: PoolClient,
     pub(crate) control: mpsc::Sender<ControlInput>,
@@ -138,7 +139,7 @@
             };
             let upstream = Arc::clone(&lease.upstream);
             self.record.attempt_started(&lease);
-            match forward(&self.context.names, &self.routed, lease).await {
+            match forward(&self.context, &self.routed, lease).await {
                 ForwardOutcome::StreamingResponse(streaming) => {
                     self.clear_suspicion();
                     let (response, stream) = streaming.split();
@@ -176,7 +177,9 @@
         let verdict = ended.verdict;
         let entry = &upstream.entry;
         self.record.attempt(&entry.name, &ended);
-        self.avoid.push(entry.name.clone());
+        if verdict != Verdict::Withdrawn {
+            self.avoid.push(entry.name.clone());
+        }
         match verdict {
             Verdict::Served => self.clear_suspicion(),
             Verdict::Reset => self.report_crash(entry, ended.took_ms),
--- a/crates/balsam-edge/src/settings/file.rs
+++ b/crates/balsam-edge/src/settings/file.rs
@@ -82,6 +82,10 @@
     pub budget_slack: f64,
     /// Longest duration of a grant of keys.
     pub hold_max_s: f64,
+    /// How long an upstream that leaves still takes requests. With the default, 0, it gets none once
+    /// it has announced its leaving in an answer.
+    #[serde(default)]
+    pub drain_s: f64,
 }
 
 const fn default_level() -> LevelFilter {
@@ -124,6 +128,10 @@
                 "bounds.hold_max_s",
                 self.bounds.hold_max_ms() != next.bounds.hold_max_ms(),
             ),
+            (
+                "bounds.drain_s",
+                self.bounds.drain_ms() != next.bounds.drain_ms(),
+            ),
         ];
         let changed = changed.into_iter().filter(|(_, differs)| *differs);
         changed.map(|(field, _)| field).collect()
@@ -210,6 +218,14 @@
                 }
             );
         }
+        ensure!(
+            (0.0..=3_600.0).contains(&self.drain_s),
+            OutOfRangeSnafu {
+                field: "bounds.drain_s",
+                value: self.drain_s.to_string(),
+                accepted: "0 to 3600 seconds",
+            }
+        );
         let counts = [
             ("bounds.retry_budget_ratio", self.retry_budget_ratio, 100.0),
             ("bounds.budget_slack", self.budget_slack, 1e6),
@@ -242,6 +258,11 @@
         to_ms(self.grace_s)
     }
 
+    /// Returns how long an upstream that leaves still takes requests, in milliseconds.
+    pub fn drain_ms(&self) -> u64 {
+        to_ms(self.drain_s)
+    }
+
     /// Returns the longest duration of a grant in milliseconds.
     pub fn hold_max_ms(&self) -> u64 {
         to_ms(self.hold_max_s)
--- a/crates/balsam-edge/tests/metrics_page.rs
+++ b/crates/balsam-edge/tests/metrics_page.rs
@@ -12,7 +12,11 @@
 const PAGE: &str = include_str!("../../../docs/OPERATIONS.md");
 
 /// Metrics of events that do not happen in this test.
-const UNTRIGGERED: [&str; 2] = ["balsam_edge_keys_moved", "balsam_edge_requests_suspect"];
+const UNTRIGGERED: [&str; 3] = [
+    "balsam_edge_keys_moved",
+    "balsam_edge_notices_ignored",
+    "balsam_edge_requests_suspect",
+];
 
 fn names(text: &str) -> BTreeSet<String> {
     let words = text.split(|letter: char| !(letter.is_ascii_alphanumeric() || letter == '_'));
--- a/crates/balsam-edge/tests/support/mod.rs
+++ b/crates/balsam-edge/tests/support/mod.rs
@@ -10,11 +10,13 @@
 pub use store::{Access, Store};
 pub use upstream::{Behavior, Upstream};
 
+use balsam_decide::pool::UpstreamNotice;
 use balsam_edge::order::OrderRequest;
-use balsam_edge::request::HeaderNames;
+use balsam_edge::request::{HeaderNames, ReadNotice};
 use balsam_edge::settings::{Bounds, Listen, Machine, Settings};
 use balsam_edge::store::StoreChange;
 use balsam_edge::{Adapter, Edge, PlatformChannels};
+use balsam_http1::Fields;
 use balsam_types::{
     CallerLimits, ConfigVersion, Credential, DaemonName, Route, RouteKind, RouteName,
     RoutingConfig, ServiceName, ServicePolicy, ServiceShare, StartTime, UpstreamEntry,
@@ -36,6 +38,18 @@
     key: "Test-Key",
 };
 
+/// Reads the announcements of the scripted upstreams.
+fn read_notice(status: u16, fields: &Fields) -> ReadNotice {
+    let pause_ms = fields.text("Test-Pause-Ms").map(str::parse);
+    ReadNotice {
+        notice: UpstreamNotice {
+            is_leaving: fields.get("Test-Leaving").is_some(),
+            pause_ms: pause_ms.and_then(Result::ok).filter(|_| status == 503),
+        },
+        ignored: fields.get("Test-Malformed").map(|_| "Test-Malformed"),
+    }
+}
+
 /// Credential of the operators.
 pub const OPERATOR_CREDENTIAL: &str = "operators-of-tests";
 
@@ -67,6 +81,7 @@
             budget_window_s: 10.0,
             budget_slack: 6_000.0,
             hold_max_s: 10.0,
+            drain_s: 1.0,
         },
         first_start: false,
         log_level: log::LevelFilter::Off,
@@ -150,6 +165,7 @@
     let store = store.client(client);
     let adapter = Adapter {
         names: NAMES,
+        read_notice,
         connect: Box::new(|| PlatformChannels { store, orders }),
         lost_lines: balsam_log::LostLines::default(),
     };
--- a/crates/balsam-edge/tests/support/upstream.rs
+++ b/crates/balsam-edge/tests/support/upstream.rs
@@ -34,6 +34,12 @@
     Endless(&'static str, &'static str),
     /// Responds after a delay.
     Slow(Duration),
+    /// Responds with further header fields.
+    Announce(&'static str),
+    /// Refuses the request as not run, with the request's id and further header fields.
+    RefuseAnnouncing(&'static str),
+    /// Sends a response to another request, with further header fields, before it responds.
+    AnnounceToAnother(&'static str),
 }
 
 pub struct Upstream {
@@ -137,13 +143,14 @@
         assert!(head.fields.get(NAMES.deadline_ms).is_some());
         events.send(id.clone()).expect("a listening test");
         let behavior = behaviors.try_recv().unwrap_or(last);
-        let response = |id: &str| {
+        let announce = |id: &str, fields: &str| {
             format!(
-                "HTTP/1.1 200 OK\r\nTest-Id: {id}\r\nTest-Signature: s-{id}\r\n\
+                "HTTP/1.1 200 OK\r\nTest-Id: {id}\r\nTest-Signature: s-{id}\r\n{fields}\
                  Content-Length: {}\r\n\r\nbody of {id}",
                 8 + id.len()
             )
         };
+        let response = |id: &str| announce(id, "");
         let text = match behavior {
             Behavior::Respond => response(&id),
             Behavior::RespondTwice => response(&id) + &response("another"),
@@ -158,6 +165,9 @@
                 refusal = refuse(&format!("Test-Id: {id}\r\n"));
                 refusal.clone()
             }
+            Behavior::Announce(fields) => announce(&id, fields),
+            Behavior::RefuseAnnouncing(fields) => refuse(&format!("Test-Id: {id}\r\n{fields}")),
+            Behavior::AnnounceToAnother(fields) => announce("another", fields) + &response(&id),
             Behavior::RepeatRefusal => refusal.clone() + &response(&id),
             Behavior::Endless(start, repeated) => {
                 write_endless(&mut stream, start, repeated).await;
