--- a/crates/balsam-decide/tests/key_world/mod.rs
+++ b/crates/balsam-decide/tests/key_world/mod.rs
@@ -1,5 +1,6 @@
 //! Simulated daemons, upstreams and a store for random schedules of faults.
 
+mod delivery;
 mod kinds;
 mod store;
 mod upstream;
--- a/crates/balsam-decide/tests/key_world/world.rs
+++ b/crates/balsam-decide/tests/key_world/world.rs
@@ -5,7 +5,7 @@
 use balsam_decide::directory::{DiscoveredUpstream, Upstreams};
 use balsam_decide::keys::{
     Assigner, AssignerInput, AssignerOutput, Commit, CommitResult, DaemonIdentity, GrantTiming,
-    Order, OrderKind, OrderResult,
+    Order,
 };
 use balsam_types::{
     DaemonName, Incarnation, ServiceName, StartTime, TimeMs, UpstreamEntry, UpstreamName,
@@ -18,18 +18,18 @@
 use std::sync::Arc;
 
 const DAEMONS: usize = 3;
-const UPSTREAMS: usize = 3;
+pub(super) const UPSTREAMS: usize = 3;
 const STEP_MS: u64 = 50;
 
 /// A simulated daemon.
-struct Daemon {
+pub(super) struct Daemon {
     assigner: Assigner,
-    incarnation: u64,
+    pub(super) incarnation: u64,
     frozen_until: TimeMs,
     store_cut_until: TimeMs,
     /// When the daemon stops, if it is about to stop.
     stops_at: Option<TimeMs>,
-    upstream_cut_until: [TimeMs; UPSTREAMS],
+    pub(super) upstream_cut_until: [TimeMs; UPSTREAMS],
     inputs: VecDeque<AssignerInput>,
     /// Orders that were decided but not yet sent when the daemon froze.
     unsent_orders: Vec<Order>,
@@ -37,28 +37,28 @@
 
 /// Simulated daemons, upstreams and their store.
 pub struct Cluster {
-    rng: StdRng,
-    now: TimeMs,
-    flaw: Flaw,
+    pub(super) rng: StdRng,
+    pub(super) now: TimeMs,
+    pub(super) flaw: Flaw,
     restart: Restart,
     default_hold_ranges: usize,
     /// Whether upstreams answer orders some time after they have executed them.
-    answers_late: bool,
+    pub(super) answers_late: bool,
     service: ServiceName,
-    store: Store,
-    daemons: Vec<Daemon>,
-    upstreams: Vec<Upstream>,
+    pub(super) store: Store,
+    pub(super) daemons: Vec<Daemon>,
+    pub(super) upstreams: Vec<Upstream>,
     /// Orders to execute late: when, when they arrived, and at which upstream and instance.
-    delayed_orders: Vec<(TimeMs, TimeMs, usize, u64, Order)>,
+    pub(super) delayed_orders: Vec<(TimeMs, TimeMs, usize, u64, Order)>,
     /// Commits to execute late, and when.
-    delayed_commits: Vec<(TimeMs, Commit)>,
+    pub(super) delayed_commits: Vec<(TimeMs, Commit)>,
     /// Answers to orders that are on their way: when they arrive, and at which daemon and
     /// incarnation.
-    late_answers: Vec<(TimeMs, usize, u64, AssignerInput)>,
+    pub(super) late_answers: Vec<(TimeMs, usize, u64, AssignerInput)>,
     next_born: u64,
 }
 
-fn name(at: usize) -> UpstreamName {
+pub(super) fn name(at: usize) -> UpstreamName {
     UpstreamName::new(format!("u{at}")).expect("a valid name")
 }
 
@@ -178,11 +178,11 @@
         report
     }
 
-    fn chance(&mut self, per_10_000: u32) -> bool {
+    pub(super) fn chance(&mut self, per_10_000: u32) -> bool {
         self.rng.random_range(0..10_000) < per_10_000
     }
 
-    fn random_time(&mut self, from_ms: u64, to_ms: u64) -> TimeMs {
+    pub(super) fn random_time(&mut self, from_ms: u64, to_ms: u64) -> TimeMs {
         self.now.after(self.rng.random_range(from_ms..to_ms))
     }
 
@@ -239,37 +239,6 @@
         }
     }
 
-    fn deliver_delayed(&mut self) {
-        let now = self.now;
-        let keeps_tokens = self.flaw != Flaw::ReleaseWithoutFence;
-        let due: Vec<_> = self
-            .delayed_orders
-            .extract_if(.., |delayed| delayed.0 <= now)
-            .collect();
-        for (_, arrived_at, to, born, order) in due {
-            let upstream = &mut self.upstreams[to];
-            if upstream.is_up && upstream.born == born {
-                upstream.apply(arrived_at, &order, keeps_tokens, 0);
-            }
-        }
-        let arrived: Vec<_> = self
-            .late_answers
-            .extract_if(.., |answer| answer.0 <= now)
-            .collect();
-        for (_, at, incarnation, answer) in arrived {
-            if self.daemons[at].incarnation == incarnation {
-                self.deliver(at, answer);
-            }
-        }
-        let due: Vec<_> = self
-            .delayed_commits
-            .extract_if(.., |delayed| delayed.0 <= now)
-            .collect();
-        for (_, commit) in due {
-            self.store.commit(&commit);
-        }
-    }
-
     fn run_daemon(&mut self, at: usize) {
         if self.now < self.daemons[at].frozen_until {
             return;
@@ -391,7 +360,7 @@
         }
     }
 
-    fn deliver(&mut self, at: usize, input: AssignerInput) {
+    pub(super) fn deliver(&mut self, at: usize, input: AssignerInput) {
         self.daemons[at].inputs.push_back(input);
     }
 
@@ -418,66 +387,6 @@
         self.store.commit(commit)
     }
 
-    fn send(&mut self, at: usize, order: Order) {
-        let id = order.id;
-        if self.now >= order.send_before && self.flaw != Flaw::NoCheckBeforeSend {
-            return self.deliver(
-                at,
-                AssignerInput::Ordered {
-                    id,
-                    result: OrderResult::NotSent,
-                },
-            );
-        }
-        let to = (0..UPSTREAMS)
-            .find(|to| name(*to) == order.to.upstream)
-            .expect("a known upstream");
-        let is_cut = self.now < self.daemons[at].upstream_cut_until[to];
-        let is_grant = matches!(order.kind, OrderKind::Grant { .. });
-        let answer_ms = if self.answers_late {
-            self.rng.random_range(0..order.timeout_ms * 3 / 2)
-        } else {
-            0
-        };
-        let timeout_ms = order.timeout_ms;
-        let result = if is_cut || !self.upstreams[to].is_up {
-            OrderResult::NoAnswer
-        } else if self.chance(300) {
-            if self.flaw == Flaw::RefusalIsEnd {
-                OrderResult::Ended
-            } else {
-                OrderResult::Unreached
-            }
-        } else if self.chance(400) {
-            let at = self.random_time(500, 12_000);
-            let born = self.upstreams[to].born;
-            self.delayed_orders.push((at, self.now, to, born, order));
-            if self.flaw == Flaw::LateGrantForgotten && is_grant {
-                OrderResult::Unreached
-            } else {
-                OrderResult::NoAnswer
-            }
-        } else {
-            let now = self.now;
-            let keeps_tokens = self.flaw != Flaw::ReleaseWithoutFence;
-            let executed = self.upstreams[to].apply(now, &order, keeps_tokens, answer_ms);
-            if answer_ms < timeout_ms {
-                executed
-            } else {
-                OrderResult::NoAnswer
-            }
-        };
-        let answered_at = self.now.after(answer_ms.min(timeout_ms));
-        let answer = AssignerInput::Ordered { id, result };
-        if answered_at > self.now {
-            let incarnation = self.daemons[at].incarnation;
-            self.late_answers
-                .push((answered_at, at, incarnation, answer));
-        } else {
-            self.deliver(at, answer);
-        }
-    }
-
     fn check_holders(&self, report: &mut Report) {
         for key in 0..KEYS.len() {
             let holders = self
--- a/crates/balsam-decide/tests/upstream_notices.rs
+++ b/crates/balsam-decide/tests/upstream_notices.rs
@@ -2,237 +2,17 @@
 
 #[allow(dead_code, reason = "this file uses a part of the module")]
 mod keyed;
+mod pool_sim;
 
-use balsam_decide::budget::BudgetTerms;
-use balsam_decide::directory::{DiscoveredUpstream, Upstreams};
-use balsam_decide::pool::{
-    ClusterState, Pool, PoolInput, PoolOutput, PoolSettings, Refusal, Request, RequestId,
-    UpstreamNotice, Verdict,
-};
-use balsam_decide::routing::RouteTable;
-use balsam_types::{
-    Assignment, CallerLimits, ConfigVersion, FencingToken, KeyRange, Owner, Route, RouteKind,
-    RouteName, RoutingConfig, ServicePolicy, ServiceRanges, ServiceShare, ShardKey, StartTime,
-    TimeMs, UpstreamState, ZoneName, new_map,
-};
-use keyed::{service, upstream};
+use balsam_decide::pool::{PoolInput, PoolOutput, Refusal, RequestId, UpstreamNotice, Verdict};
+use balsam_types::{TimeMs, UpstreamState};
+use keyed::upstream;
+use pool_sim::{DRAIN_MS, Decision, LEAVING, Sim, decisions, life, pause, sent};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use rstest::rstest;
 use std::sync::Arc;
 
-/// How long leaving upstreams take requests that no other one can run.
-const DRAIN_MS: u64 = 2_000;
-
-/// The latency objective of the route.
-const OBJECTIVE_MS: u64 = 1_000;
-
-const LEAVING: UpstreamNotice = UpstreamNotice {
-    is_leaving: true,
-    pause_ms: None,
-};
-
-const fn pause(pause_ms: u64) -> UpstreamNotice {
-    UpstreamNotice {
-        is_leaving: false,
-        pause_ms: Some(pause_ms),
-    }
-}
-
-/// What the pool decided on a request.
-#[derive(Clone, Debug, PartialEq, Eq)]
-enum Decision {
-    /// Sent to the upstream with this name.
-    Sent(String),
-    Refused {
-        refusal: Refusal,
-        retry_after_ms: u64,
-    },
-    Queued,
-}
-
-fn sent(name: &str) -> Decision {
-    Decision::Sent(name.to_owned())
-}
-
-/// A pool, its upstreams and the time.
-struct Sim {
-    pool: Pool,
-    route: Arc<Route>,
-    cluster: ClusterState,
-    now: TimeMs,
-    last_id: u64,
-}
-
-impl Sim {
-    fn new(numbers: &[u16], is_keyed: bool) -> Self {
-        Self::with_daemons(numbers, is_keyed, 1, 0)
-    }
-
-    /// Creates the pool of one of several daemons.
-    fn with_daemons(numbers: &[u16], is_keyed: bool, daemons: u32, seed: u64) -> Self {
-        let route = Arc::new(Route {
-            name: RouteName::new("r").expect("a valid name"),
-            host: Arc::from("h.example"),
-            prefix: Arc::from("/"),
-            kind: RouteKind::Idempotent,
-            timeout_ms: 4_000,
-            objective_ms: OBJECTIVE_MS,
-            rank: 0,
-            attempts_max: 2,
-            shares: vec![ServiceShare {
-                service: service(),
-                weight: 1,
-            }],
-        });
-        let mut services = new_map();
-        services.insert(service(), ServicePolicy { is_keyed });
-        let config = RoutingConfig {
-            version: ConfigVersion(1),
-            routes: vec![Arc::clone(&route)],
-            services,
-            limits: CallerLimits::default(),
-        };
-        let cluster = ClusterState {
-            table: Arc::new(RouteTable::new(config)),
-            upstreams: Arc::new(Upstreams::default()),
-            ranges: new_map(),
-            moved: new_map(),
-            daemons,
-        };
-        let pool = Pool::new(PoolSettings {
-            zone: ZoneName::new("z").expect("a valid name"),
-            budget: BudgetTerms {
-                ratio: 0.2,
-                slack: 60.0,
-                window_ms: 10_000,
-                daemons,
-            },
-            drain_ms: DRAIN_MS,
-            seed,
-        });
-        let mut sim = Self {
-            pool,
-            route,
-            cluster,
-            now: TimeMs(100_000),
-            last_id: 0,
-        };
-        sim.list(numbers);
-        sim
-    }
-
-    /// Lists upstreams as ready, each in its first life.
-    fn list(&mut self, numbers: &[u16]) {
-        let found = numbers
-            .iter()
-            .map(|number| upstream(*number, UpstreamState::Ready));
-        self.list_lives(found.collect());
-    }
-
-    fn list_lives(&mut self, found: Vec<Arc<DiscoveredUpstream>>) -> Vec<PoolOutput> {
-        self.cluster.upstreams = Arc::new(Upstreams::new(found));
-        let cluster = PoolInput::Cluster(self.cluster.clone());
-        self.pool.handle(self.now, cluster)
-    }
-
-    /// Makes an upstream the owner of all keys.
-    fn own_all(&mut self, number: u16) {
-        let entry = &upstream(number, UpstreamState::Ready).entry;
-        let mut ranges = ServiceRanges::new(service());
-        ranges.assignments.push(Assignment {
-            range: KeyRange {
-                first: 0,
-                last: u16::MAX,
-            },
-            fence: FencingToken(1),
-            owner: Owner {
-                upstream: entry.name.clone(),
-                born: entry.born,
-                address: entry.address,
-            },
-            former: Vec::new(),
-        });
-        self.cluster.ranges.insert(service(), Arc::new(ranges));
-        let cluster = PoolInput::Cluster(self.cluster.clone());
-        self.pool.handle(self.now, cluster);
-    }
-
-    fn notice(&mut self, number: u16, notice: UpstreamNotice) -> Vec<PoolOutput> {
-        let upstream = upstream(number, UpstreamState::Ready);
-        self.pool
-            .handle(self.now, PoolInput::Notice { upstream, notice })
-    }
-
-    fn request(&mut self) -> Decision {
-        self.last_id += 1;
-        let request = Request {
-            id: RequestId(self.last_id),
-            route: Arc::clone(&self.route),
-            service: None,
-            key: Some(ShardKey(7)),
-            give_up_at: self.now.after(4_000),
-            avoid: Vec::new(),
-            is_repeat: false,
-        };
-        let outputs = self.pool.handle(self.now, PoolInput::Request(request));
-        let decisions = decisions(&outputs);
-        let first = decisions.first();
-        first.map_or(Decision::Queued, |(_, decision)| decision.clone())
-    }
-
-    /// Sends a request, which is answered at once, and returns where it went.
-    fn call(&mut self) -> Decision {
-        let decision = self.request();
-        if let Decision::Sent(name) = &decision {
-            let number = name[1..].parse().expect("a number");
-            self.end(number, Verdict::Served);
-        }
-        decision
-    }
-
-    fn end(&mut self, number: u16, verdict: Verdict) -> Vec<PoolOutput> {
-        let done = PoolInput::Done {
-            upstream: upstream(number, UpstreamState::Ready),
-            route: Arc::clone(&self.route),
-            verdict,
-            took_ms: 5,
-        };
-        self.pool.handle(self.now, done)
-    }
-
-    fn wait(&mut self, ms: u64) -> Vec<(RequestId, Decision)> {
-        self.now = self.now.after(ms);
-        decisions(&self.pool.handle(self.now, PoolInput::Tick))
-    }
-}
-
-fn decisions(outputs: &[PoolOutput]) -> Vec<(RequestId, Decision)> {
-    let decisions = outputs.iter().filter_map(|output| match output {
-        PoolOutput::Send { id, upstream, .. } => Some((*id, sent(upstream.entry.name.as_str()))),
-        PoolOutput::Refuse {
-            id,
-            refusal,
-            retry_after_ms,
-        } => Some((
-            *id,
-            Decision::Refused {
-                refusal: *refusal,
-                retry_after_ms: *retry_after_ms,
-            },
-        )),
-        PoolOutput::Withdraw { .. } => None,
-    });
-    decisions.collect()
-}
-
-/// Returns an upstream in a later life.
-fn reborn(number: u16) -> Arc<DiscoveredUpstream> {
-    let mut found = DiscoveredUpstream::clone(&upstream(number, UpstreamState::Ready));
-    found.entry.born = StartTime(2);
-    Arc::new(found)
-}
-
 /// Guards against requests to an upstream that has announced its leaving, while the store's rows
 /// still say that it is ready.
 #[test]
@@ -268,7 +48,7 @@
     sim.wait(60_000);
     sim.list(&[1]);
     assert!(matches!(sim.call(), Decision::Refused { .. }));
-    sim.list_lives(vec![reborn(1)]);
+    sim.list_lives(vec![life(1, 2)]);
     assert_eq!(sim.call(), sent("u1"));
 }
 
@@ -329,7 +109,7 @@
     sim.notice(1, pause(pause_ms));
     sim.wait(3_600_000);
     assert!(matches!(sim.call(), Decision::Refused { .. }));
-    sim.list_lives(vec![reborn(1)]);
+    sim.list_lives(vec![life(1, 2)]);
     assert_eq!(sim.call(), sent("u1"));
 }
 
@@ -414,6 +194,10 @@
     let mut sims: Vec<Sim> = sims.collect();
     for sim in &mut sims {
         sim.own_all(1);
+        // Fast answers raise the concurrency limit of each daemon to all slots.
+        for _ in 0..200 {
+            assert_eq!(sim.call(), sent("u1"));
+        }
         sim.notice(1, pause(300));
         for _ in 0..20 {
             assert_eq!(sim.request(), Decision::Queued);
@@ -478,10 +262,7 @@
             let mut found = Vec::new();
             for number in 1..=3_u16 {
                 if rng.random_range(0..10) > 0 {
-                    let mut upstream =
-                        DiscoveredUpstream::clone(&upstream(number, UpstreamState::Ready));
-                    upstream.entry.born = StartTime(born[usize::from(number)]);
-                    found.push(Arc::new(upstream));
+                    found.push(life(number, born[usize::from(number)]));
                 }
             }
             found
@@ -491,19 +272,13 @@
             let index = usize::from(number);
             match rng.random_range(0..20) {
                 0 => {
-                    let mut upstream =
-                        DiscoveredUpstream::clone(&upstream(number, UpstreamState::Ready));
-                    upstream.entry.born = StartTime(born[index]);
-                    let upstream = Arc::new(upstream);
+                    let upstream = life(number, born[index]);
                     let (notice, now) = (LEAVING, sim.now);
                     leaving_at[index].get_or_insert(now);
                     sim.pool.handle(now, PoolInput::Notice { upstream, notice });
                 }
                 1 | 2 => {
-                    let mut upstream =
-                        DiscoveredUpstream::clone(&upstream(number, UpstreamState::Ready));
-                    upstream.entry.born = StartTime(born[index]);
-                    let upstream = Arc::new(upstream);
+                    let upstream = life(number, born[index]);
                     let (pause_ms, now) = (rng.random_range(1..3_000), sim.now);
                     paused_until[index] = paused_until[index].max(now.after(pause_ms));
                     let notice = pause(pause_ms);
