Keep asking for assignments after an older heartbeat has arrived

The newest announced version counts now, as long as the heartbeat names the service at all. missing_versions plays the order; the former code kept no versions, so that it cannot express it.

--- a/crates/balsam-decide/src/feed/mod.rs
+++ b/crates/balsam-decide/src/feed/mod.rs
@@ -6,6 +6,7 @@
 mod known;
 mod machine;
 mod message;
+mod missing;
 mod snapshot_budget;
 mod snapshot_parts;
 mod store_clock;
@@ -16,6 +17,7 @@
     FEED_LEADER_LONG_POLL_MS, FeedReading, FeedSource, FeedState, FeedTable, StoreResponse,
     TableReading, TableState,
 };
+pub use missing::MissingVersions;
 pub use snapshot_budget::SnapshotBudget;
 pub use snapshot_parts::{SNAPSHOT_PARTS_MAX, SnapshotPart, SnapshotParts};
 pub use store_clock::{StoreClock, StoreTimeMs};
--- a/crates/balsam-edge/src/control/peers.rs
+++ b/crates/balsam-edge/src/control/peers.rs
@@ -260,20 +260,16 @@
         }
         self.daemons = heartbeat.daemons;
         self.feed.set_daemons(heartbeat.daemons);
-        let missing_service = |(service, version): &(ServiceName, u64)| {
-            let known = self.assigner.stored(service);
-            known
-                .is_none_or(|known| known.version.0 < *version)
-                .then(|| service.clone())
-        };
-        let missing: Vec<ServiceName> = heartbeat
-            .ranges
+        let assigner = &self.assigner;
+        self.missing_ranges
+            .announce(now(), &heartbeat.ranges, |service| {
+                assigner.stored(service).map(|known| known.version.0)
+            });
+        let is_overdue = self
+            .missing_ranges
             .iter()
-            .filter_map(missing_service)
-            .collect();
-        self.track_missing_ranges(now(), missing);
-        let mut missing_since = self.missing_ranges.values();
-        if missing_since.any(|since| now().since(*since) >= MISSING_RANGES_READ_MS) {
+            .any(|(_, since)| now().since(since) >= MISSING_RANGES_READ_MS);
+        if is_overdue {
             self.decide(AssignerInput::Behind);
         }
         self.publish_ranges();
--- a/crates/balsam-edge/src/control/snapshots.rs
+++ b/crates/balsam-edge/src/control/snapshots.rs
@@ -6,7 +6,7 @@
 use crate::peer::{Part, PeerMessage, Snapshot, Topic, split_snapshot};
 use balsam_decide::feed::FeedTable;
 use balsam_decide::keys::{AssignerInput, RowVersion, StoredRanges};
-use balsam_types::{ServiceName, TimeMs};
+use balsam_types::TimeMs;
 use log::{debug, warn};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -27,15 +27,6 @@
 const PUSHED_RANGES_PARTS_MAX: usize = 16;
 
 impl ControlTask {
-    /// Records for which services this daemon lacks the newest assignments, and since when.
-    pub(super) fn track_missing_ranges(&mut self, now: TimeMs, services: Vec<ServiceName>) {
-        self.missing_ranges
-            .retain(|service, _| services.contains(service));
-        for service in services {
-            self.missing_ranges.entry(service).or_insert(now);
-        }
-    }
-
     /// Requests snapshots from the leader of the data that did not arrive from the store in time.
     pub(super) fn request_missing_snapshots(&mut self, now: TimeMs) {
         if self.assigner.is_leading() || now.since(self.asked_at) < REQUEST_INTERVAL_MS {
@@ -45,7 +36,7 @@
         let tables = tables.filter(|table| self.feed.needs_snapshot(now, *table));
         let ranges = self.missing_ranges.iter();
         let ranges = ranges.filter(|(service, since)| {
-            self.assigner.stored(service).is_none() || now.since(**since) >= MISSING_RANGES_WAIT_MS
+            self.assigner.stored(service).is_none() || now.since(*since) >= MISSING_RANGES_WAIT_MS
         });
         let ranges = ranges.map(|(service, _)| Topic::Ranges(service.clone()));
         let topics: Vec<Topic> = tables.map(Topic::Table).chain(ranges).collect();
--- a/crates/balsam-edge/src/control/task.rs
+++ b/crates/balsam-edge/src/control/task.rs
@@ -12,7 +12,9 @@
 use crate::view::{SyncStatus, View};
 use balsam_decide::crashes::{CrashTracker, TrackerInput};
 use balsam_decide::directory::{Directory, DirectoryInput};
-use balsam_decide::feed::{FEED_LEADER_LONG_POLL_MS, Feed, FeedSource, FeedTable, SnapshotBudget};
+use balsam_decide::feed::{
+    FEED_LEADER_LONG_POLL_MS, Feed, FeedSource, FeedTable, MissingVersions, SnapshotBudget,
+};
 use balsam_decide::keys::{
     Assigner, AssignerInput, AssignerOutput, DaemonIdentity, GrantTiming, OrderId,
 };
@@ -50,7 +52,7 @@
     pub(super) snapshots: SnapshotAssembler,
     pub(super) watch: CrashTracker,
     /// Services whose newest assignments are missing, and since when.
-    pub(super) missing_ranges: Map<ServiceName, TimeMs>,
+    pub(super) missing_ranges: MissingVersions<ServiceName>,
     /// When a snapshot was last requested.
     pub(super) asked_at: TimeMs,
     /// Orders that were sent and have no result yet.
@@ -137,7 +139,7 @@
             config: None,
             snapshots: SnapshotAssembler::new(),
             watch: CrashTracker::new(),
-            missing_ranges: new_map(),
+            missing_ranges: MissingVersions::new(),
             asked_at: TimeMs(0),
             pending_orders: new_map(),
             moved: new_map(),
