--- a/crates/balsam-edge/src/control/peers.rs
+++ b/crates/balsam-edge/src/control/peers.rs
@@ -74,6 +74,10 @@
                 vec![leader.address],
                 PeerMessage::Hello(self.follower_status()),
             );
+            if self.feed.take_clock_request(now) {
+                let request = PeerMessage::AskClock { asked_at: now };
+                self.send(vec![leader.address], request);
+            }
         }
     }
 
@@ -152,6 +156,9 @@
                 if known != Some(incarnation) && self.assigner.is_leading() {
                     // A daemon that has just started waits for the first heartbeat.
                     self.send(vec![from], PeerMessage::Lead(self.heartbeat(Vec::new())));
+                    if let Some(reading) = self.feed.reading() {
+                        self.send(vec![from], PeerMessage::Reading(reading));
+                    }
                 }
             }
             PeerMessage::Resign(incarnation) => self.decide(AssignerInput::Resigned(incarnation)),
@@ -167,6 +174,25 @@
             PeerMessage::Sample { service, report } => {
                 self.decide(AssignerInput::Sampled { service, report });
             }
+            PeerMessage::Reading(reading) => self.feed.record_reading(now(), reading),
+            PeerMessage::AskClock { asked_at } => {
+                if let Some(store_now) = self.feed.store_now(now()) {
+                    let answer = PeerMessage::Clock {
+                        asked_at,
+                        store_now,
+                    };
+                    self.send(vec![from], answer);
+                }
+            }
+            PeerMessage::Clock {
+                asked_at,
+                store_now,
+            } => {
+                // An answer that was meant for another machine shows a time of its clock.
+                if asked_at <= now() {
+                    self.feed.record_clock(now(), asked_at, store_now);
+                }
+            }
             // The task of the socket has passed it on and delivers the message in it.
             PeerMessage::Relay { .. } => {}
         }
@@ -199,9 +225,10 @@
         }
     }
 
-    /// Sends changes of the list of upstreams to the other daemons, as the leader.
+    /// Sends changes of the list of upstreams to the other daemons, as the leader or in its place.
     pub(super) fn push_upstreams(&mut self, base: u64, version: u64, update: &[UpstreamChange]) {
-        if !self.assigner.is_leading() || update.len() > PUSHED_UPSTREAMS_TOTAL_MAX {
+        let feeds_others = self.feed.feeds_others(self.assigner.is_leading());
+        if !feeds_others || update.len() > PUSHED_UPSTREAMS_TOTAL_MAX {
             return;
         }
         let peers = self.peer_registry.peers(now(), self.this_daemon.address);
@@ -233,20 +260,16 @@
         }
         self.daemons = heartbeat.daemons;
         self.feed.set_daemons(heartbeat.daemons);
-        let missing_service = |(service, version): &(ServiceName, u64)| {
-            let known = self.assigner.stored(service);
-            known
-                .is_none_or(|known| known.version.0 < *version)
-                .then(|| service.clone())
-        };
-        let missing: Vec<ServiceName> = heartbeat
-            .ranges
+        let assigner = &self.assigner;
+        self.missing_ranges
+            .announce(now(), &heartbeat.ranges, |service| {
+                assigner.stored(service).map(|known| known.version.0)
+            });
+        let is_overdue = self
+            .missing_ranges
             .iter()
-            .filter_map(missing_service)
-            .collect();
-        self.track_missing_ranges(now(), missing);
-        let mut missing_since = self.missing_ranges.values();
-        if missing_since.any(|since| now().since(*since) >= MISSING_RANGES_READ_MS) {
+            .any(|(_, since)| now().since(since) >= MISSING_RANGES_READ_MS);
+        if is_overdue {
             self.decide(AssignerInput::Behind);
         }
         self.publish_ranges();
@@ -324,11 +347,14 @@
         } else {
             Vec::new()
         };
-        drop(self.peers.try_send(PeerOutput {
+        let output = PeerOutput {
             targets,
             relays,
             message,
-        }));
+        };
+        if self.peers.try_send(output).is_err() {
+            self.metrics.peer_message_dropped("out");
+        }
     }
 }
 
