Name the parts of the feed in the terms of the field

No change of behaviour: readings of peers are broadcast, by the leader or by the first daemons in turn in its place.

--- a/crates/balsam-decide/src/feed/known.rs
+++ b/crates/balsam-decide/src/feed/known.rs
@@ -14,13 +14,13 @@
     /// When the table was first known.
     adopted_at: TimeMs,
     /// The newest reading of another daemon.
-    told: Option<TableReading>,
+    peer_reading: Option<TableReading>,
     /// The newest change that another daemon has announced.
     announced: u64,
     /// Since when this daemon lacks an announced change.
     behind_since: Option<TimeMs>,
-    /// Whether the store has responded since the others were last told what it holds.
-    is_untold: bool,
+    /// Whether the store has responded since the last broadcast.
+    has_unsent_reading: bool,
     /// When the store last responded, unless a call has failed since then.
     response_at: Option<TimeMs>,
     /// When a call last ended, with or without a response.
@@ -48,13 +48,13 @@
         self.called_at
     }
 
-    pub(super) const fn is_untold(&self) -> bool {
-        self.is_untold
+    pub(super) const fn has_unsent_reading(&self) -> bool {
+        self.has_unsent_reading
     }
 
-    /// Records that the others are told what this daemon has read.
-    pub(super) const fn record_tell(&mut self) {
-        self.is_untold = false;
+    /// Records that what is known of the table is broadcast.
+    pub(super) const fn mark_reading_sent(&mut self) {
+        self.has_unsent_reading = false;
     }
 
     pub(super) const fn is_unavailable(&self) -> bool {
@@ -67,7 +67,7 @@
         self.failed_at.filter(|at| *at >= proved_at)
     }
 
-    /// Returns what this daemon can tell others about the table.
+    /// Returns the known versions with the time at which the store held them.
     pub(super) fn reading(&self) -> Option<TableReading> {
         Some(TableReading {
             state: self.state?,
@@ -81,8 +81,8 @@
     }
 
     /// Returns the age of the newest reading of another daemon, in milliseconds.
-    pub(super) fn told_age_ms(&self, now: TimeMs, clock: &StoreClock) -> Option<u64> {
-        clock.age_ms(now, self.told?.read_at)
+    pub(super) fn peer_reading_age_ms(&self, now: TimeMs, clock: &StoreClock) -> Option<u64> {
+        clock.age_ms(now, self.peer_reading?.read_at)
     }
 
     /// Returns when the store stood at the known versions, on this daemon's clock. A table that
@@ -101,7 +101,7 @@
     ) -> bool {
         let was_unavailable = std::mem::take(&mut self.is_unavailable);
         self.failed_at = None;
-        self.is_untold = true;
+        self.has_unsent_reading = true;
         self.response_at = Some(now);
         self.called_at = Some(now);
         if self.state.is_none() {
@@ -145,32 +145,37 @@
     }
 
     /// Records what another daemon has read.
-    pub(super) fn record_told(&mut self, now: TimeMs, clock: &StoreClock, told: TableReading) {
-        let Some(age_ms) = clock.age_ms(now, told.read_at) else {
-            return self.record_announced(now, told.state.changed);
+    pub(super) fn record_peer_reading(
+        &mut self,
+        now: TimeMs,
+        clock: &StoreClock,
+        peer_reading: TableReading,
+    ) {
+        let Some(age_ms) = clock.age_ms(now, peer_reading.read_at) else {
+            return self.record_announced(now, peer_reading.state.changed);
         };
         let known = self
-            .told
+            .peer_reading
             .filter(|known| clock.age_ms(now, known.read_at).is_some());
-        if known.is_none_or(|known| known.read_at < told.read_at) {
-            self.told = Some(told);
+        if known.is_none_or(|known| known.read_at < peer_reading.read_at) {
+            self.peer_reading = Some(peer_reading);
         }
         // If the store responds to others, it is not unavailable; only this daemon cannot reach it.
         let read_at = now.before(age_ms);
         self.is_unavailable &= self.failed_at.is_some_and(|at| read_at <= at);
-        self.record_announced(now, told.state.changed);
+        self.record_announced(now, peer_reading.state.changed);
     }
 
     /// Compares the known versions with those that others know, and notes since when they are
     /// behind.
     fn update_lag(&mut self, now: TimeMs) {
-        // Whoever told the newest reading knew of no change after its last one, so a daemon that has
+        // The sender of the newest reading knew of no change after its last one, so a daemon that has
         // this change is as up to date.
-        if let (Some(state), Some(told)) = (&mut self.state, self.told)
-            && state.seen >= told.state.changed
+        if let (Some(state), Some(peer_reading)) = (&mut self.state, self.peer_reading)
+            && state.seen >= peer_reading.state.changed
         {
-            state.seen = state.seen.max(told.state.seen);
-            self.read_at = self.read_at.max(Some(told.read_at));
+            state.seen = state.seen.max(peer_reading.state.seen);
+            self.read_at = self.read_at.max(Some(peer_reading.read_at));
         }
         if self.state.is_some_and(|state| state.seen >= self.announced) {
             self.behind_since = None;
--- a/crates/balsam-decide/src/feed/machine.rs
+++ b/crates/balsam-decide/src/feed/machine.rs
@@ -47,13 +47,13 @@
 /// Scale of a daemon's turn.
 const TURN_SCALE: u64 = 1_000;
 
-/// Number of daemons, the first in turn, that tell the others what they read in place of the
-/// leader. Each message goes to every daemon, so few of them must send it.
-const SUBSTITUTES: u64 = 10;
+/// Number of daemons, the first in turn, that broadcast what they read in place of the leader. Each
+/// message goes to every daemon, so few of them must send it.
+const FALLBACK_FEEDERS_MAX: u64 = 10;
 
-/// How long a reading of one table waits to be told together with the other table's, in
-/// milliseconds. A change is told at once.
-const TELL_WAIT_MS: u64 = 250;
+/// How long a reading of one table waits to be broadcast together with the other table's, in
+/// milliseconds. A change is broadcast at once.
+const BROADCAST_WAIT_MS: u64 = 250;
 
 /// The time for a call to a store that does not respond, and for the delay before the next one, in
 /// milliseconds.
@@ -82,10 +82,10 @@
     turn: u64,
     /// Until when a starting daemon waits to hear from a leader.
     first_read_at: TimeMs,
-    /// When a reading is told to the others, if there is one that was not told yet.
-    tells_at: Option<TimeMs>,
-    /// Whether the last response arrived while nobody else told the others what the store holds.
-    is_substitute: bool,
+    /// When this daemon broadcasts what it has read, if the store has responded since it last did.
+    broadcast_at: Option<TimeMs>,
+    /// Whether the last response arrived while no other daemon broadcast what the store holds.
+    is_fallback_feeder: bool,
 }
 
 impl Feed {
@@ -163,17 +163,21 @@
     ) -> bool {
         self.clock
             .record(now, response.asked_at, response.store_now);
-        let told_age_ms = self.known(table).told_age_ms(now, &self.clock);
-        self.is_substitute = told_age_ms.is_none_or(|age_ms| age_ms > self.timing.turn_age_ms());
+        let peer_reading_age_ms = self.known(table).peer_reading_age_ms(now, &self.clock);
+        self.is_fallback_feeder =
+            peer_reading_age_ms.is_none_or(|age_ms| age_ms > self.timing.first_read_age_ms());
         let clock = self.clock;
         let was_unavailable = self.known_mut(table).record_response(now, &clock, response);
-        let has_both = self.config.is_untold() && self.upstreams.is_untold();
-        let tells_at = if response.has_changes || has_both {
+        let has_both = self.config.has_unsent_reading() && self.upstreams.has_unsent_reading();
+        let broadcast_at = if response.has_changes || has_both {
             now
         } else {
-            now.after(TELL_WAIT_MS)
+            now.after(BROADCAST_WAIT_MS)
         };
-        self.tells_at = Some(self.tells_at.map_or(tells_at, |at| at.min(tells_at)));
+        self.broadcast_at = Some(
+            self.broadcast_at
+                .map_or(broadcast_at, |at| at.min(broadcast_at)),
+        );
         was_unavailable
     }
 
@@ -220,24 +224,26 @@
     }
 
     /// Records what another daemon has read from the store.
-    pub fn record_reading(&mut self, now: TimeMs, reading: FeedReading) {
+    pub fn record_peer_reading(&mut self, now: TimeMs, reading: FeedReading) {
         let clock = self.clock;
         for table in FeedTable::ALL {
-            let told = reading.of(table);
-            self.known_mut(table).record_told(now, &clock, told);
+            let peer_reading = reading.of(table);
+            self.known_mut(table)
+                .record_peer_reading(now, &clock, peer_reading);
         }
     }
 
-    /// Returns what this daemon tells the others that it has read, if it is due.
+    /// Returns what this daemon broadcasts to the others, if that is due.
     ///
-    /// The leader tells them regularly. While it does not, the first daemons in turn to read the
-    /// store in its place do.
-    pub fn take_reading(&mut self, now: TimeMs, is_leading: bool) -> Option<FeedReading> {
-        let is_due = self.tells_at.is_some_and(|at| at <= now) && self.feeds_others(is_leading);
+    /// The leader does so regularly. While it does not, the first daemons in turn read the store
+    /// and broadcast in its place.
+    pub fn take_broadcast(&mut self, now: TimeMs, is_leading: bool) -> Option<FeedReading> {
+        let is_due =
+            self.broadcast_at.is_some_and(|at| at <= now) && self.broadcasts_changes(is_leading);
         let reading = self.reading().filter(|_| is_due)?;
-        self.tells_at = None;
+        self.broadcast_at = None;
         for table in FeedTable::ALL {
-            self.known_mut(table).record_tell();
+            self.known_mut(table).mark_reading_sent();
         }
         Some(reading)
     }
@@ -250,11 +256,11 @@
         })
     }
 
-    /// Returns whether this daemon passes on what it reads from the store.
-    pub const fn feeds_others(&self, is_leading: bool) -> bool {
+    /// Returns whether this daemon broadcasts what it reads from the store.
+    pub const fn broadcasts_changes(&self, is_leading: bool) -> bool {
         let place = self.turn * self.daemons / TURN_SCALE;
-        let is_first = self.daemons > UNPACED_DAEMONS_MAX && place < SUBSTITUTES;
-        is_leading || is_first && self.is_substitute
+        let is_first = self.daemons > UNPACED_DAEMONS_MAX && place < FALLBACK_FEEDERS_MAX;
+        is_leading || is_first && self.is_fallback_feeder
     }
 
     /// Returns the version up to which a table is known, or `None` if it was not read yet.
@@ -340,10 +346,10 @@
         }
         let proved_at = known.proved_at(now, &self.clock);
         if known.is_unavailable() {
-            let turns_from = proved_at.after(self.timing.turn_age_ms());
-            return self.probe_at(now, turns_from, known);
+            let probes_from = proved_at.after(self.timing.first_read_age_ms());
+            return self.probe_at(now, probes_from, known);
         }
-        let turn_at = proved_at.after(self.turn_age_ms());
+        let turn_at = proved_at.after(self.read_age_ms());
         known.behind_since().map_or(turn_at, |since| {
             let has_relays = self.daemons > DIRECT_RECEIVERS_MAX as u64;
             let wait_ms = if has_relays {
@@ -358,11 +364,11 @@
     /// Returns the age of the tables at which it is this daemon's turn to read the store, in
     /// milliseconds.
     ///
-    /// The first daemons are the farthest apart, so that what they pass on reaches the others before
+    /// The first daemons are the farthest apart, so that their broadcasts reach the others before
     /// their turn.
-    const fn turn_age_ms(&self) -> u64 {
-        let first_ms = self.timing.turn_age_ms();
-        let spread_ms = self.timing.call_age_ms().saturating_sub(first_ms);
+    const fn read_age_ms(&self) -> u64 {
+        let first_ms = self.timing.first_read_age_ms();
+        let spread_ms = self.timing.last_read_age_ms().saturating_sub(first_ms);
         first_ms + spread_ms * (self.turn * TURN_SCALE).isqrt() / TURN_SCALE
     }
 
--- a/crates/balsam-decide/src/feed/message.rs
+++ b/crates/balsam-decide/src/feed/message.rs
@@ -83,9 +83,9 @@
     pub read_at: StoreTimeMs,
 }
 
-/// What a daemon has read of the followed tables, as it tells the others.
+/// What a daemon has read of the followed tables.
 ///
-/// It does not matter who tells it, nor how long that takes: the times of the store show its order
+/// It does not matter who sends it, nor how long that takes: the times of the store show its order
 /// and its age.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct FeedReading {
--- a/crates/balsam-decide/src/feed/store_clock.rs
+++ b/crates/balsam-decide/src/feed/store_clock.rs
@@ -18,7 +18,7 @@
 
 /// A point in time on the store's clock, in milliseconds.
 ///
-/// The store's clock is the only one that all daemons can read, so times that they tell each other
+/// The store's clock is the only one that all daemons can read, so times that they send each other
 /// are on it.
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
--- a/crates/balsam-decide/src/feed/timing.rs
+++ b/crates/balsam-decide/src/feed/timing.rs
@@ -4,7 +4,7 @@
 
 /// Age of the tables from which daemons read the store in turns, in milliseconds: the time of the
 /// leader's long poll, of one interval of its messages, and of their way.
-const TURN_AGE_MS: u64 = FEED_LEADER_LONG_POLL_MS + 700;
+const FIRST_READ_AGE_MS: u64 = FEED_LEADER_LONG_POLL_MS + 700;
 
 /// The shortest bound on the age of the tables that can be kept, in milliseconds.
 const BOUND_MIN_MS: u64 = 2_000;
@@ -45,13 +45,13 @@
 
     /// Returns the age at which a daemon reads the store whatever the other daemons do, in
     /// milliseconds.
-    pub const fn call_age_ms(self) -> u64 {
+    pub const fn last_read_age_ms(self) -> u64 {
         self.serve_max_age_ms() - CALL_MS
     }
 
     /// Returns the age from which daemons read the store in turns, in milliseconds.
-    pub const fn turn_age_ms(self) -> u64 {
-        TURN_AGE_MS
+    pub const fn first_read_age_ms(self) -> u64 {
+        FIRST_READ_AGE_MS
     }
 }
 
--- a/crates/balsam-decide/tests/age_budget.rs
+++ b/crates/balsam-decide/tests/age_budget.rs
@@ -4,7 +4,7 @@
 use rstest::rstest;
 
 /// How long a reading may wait for the other table's, in milliseconds.
-const TELL_WAIT_MS: u64 = 250;
+const BROADCAST_WAIT_MS: u64 = 250;
 
 /// Time for two hops between daemons and for their processing, in milliseconds.
 const WAY_MS: u64 = 250;
@@ -18,9 +18,9 @@
 fn waits_fit(#[values(0, 500, 2_000, 2_500, 3_000, 6_000, 60_000)] bound_ms: u64) {
     let timing = FeedTiming::new(bound_ms);
     let bound_ms = bound_ms.max(2_000);
-    let usual_ms = FEED_LEADER_LONG_POLL_MS + TELL_WAIT_MS + WAY_MS;
-    assert!(usual_ms < timing.turn_age_ms());
-    assert!(timing.turn_age_ms() < timing.call_age_ms());
-    assert!(timing.call_age_ms() + CALL_MS <= timing.serve_max_age_ms());
+    let usual_ms = FEED_LEADER_LONG_POLL_MS + BROADCAST_WAIT_MS + WAY_MS;
+    assert!(usual_ms < timing.first_read_age_ms());
+    assert!(timing.first_read_age_ms() < timing.last_read_age_ms());
+    assert!(timing.last_read_age_ms() + CALL_MS <= timing.serve_max_age_ms());
     assert!(timing.serve_max_age_ms() + bound_ms / 20 <= bound_ms);
 }
--- a/crates/balsam-decide/tests/feed_source.rs
+++ b/crates/balsam-decide/tests/feed_source.rs
@@ -4,7 +4,7 @@
 
 use balsam_decide::feed::{Feed, FeedSource, FeedTable, FeedTiming, SnapshotBudget};
 use balsam_types::TimeMs;
-use feeds::{respond, tell};
+use feeds::{deliver_heartbeat, respond};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use rstest::rstest;
@@ -32,7 +32,7 @@
         for table in FeedTable::ALL {
             respond(&mut leader, now, table, 10 + step, false);
         }
-        tell(&mut daemon, now, &leader);
+        deliver_heartbeat(&mut daemon, now, &leader);
         assert_eq!(daemon.source(now, TABLE), FeedSource::Leader, "at {now:?}");
         assert_eq!(daemon.seen(TABLE), Some(10 + step));
     }
@@ -49,7 +49,7 @@
         !daemon.accept_delta(TimeMs(200), TABLE, 20, 30),
         "the delta to 20 was lost"
     );
-    tell(&mut daemon, TimeMs(250), &leader);
+    deliver_heartbeat(&mut daemon, TimeMs(250), &leader);
     assert_eq!(daemon.source(TimeMs(250), TABLE), FeedSource::Store);
     assert_eq!(daemon.seen(TABLE), Some(10), "the gap is not read yet");
     respond(&mut daemon, TimeMs(300), TABLE, 31, true);
@@ -91,8 +91,8 @@
     let end = TimeMs(16 * HEARTBEAT_MS);
     for now in (50..=end.0).step_by(50).map(TimeMs) {
         if now.0.is_multiple_of(HEARTBEAT_MS) {
-            tell(&mut reachable, now, &leader);
-            tell(&mut cut_off, now, &leader);
+            deliver_heartbeat(&mut reachable, now, &leader);
+            deliver_heartbeat(&mut cut_off, now, &leader);
         }
         for table in FeedTable::ALL {
             if reachable.source(now, table) == FeedSource::Store {
@@ -101,7 +101,7 @@
         }
         let age_ms = reachable.staleness_ms(now);
         assert!(
-            age_ms <= FeedTiming::default().call_age_ms(),
+            age_ms <= FeedTiming::default().last_read_age_ms(),
             "{age_ms} ms at {now:?}"
         );
     }
@@ -122,7 +122,7 @@
         for table in FeedTable::ALL {
             respond(&mut leader, now, table, 10, false);
         }
-        tell(&mut daemon, now, &leader);
+        deliver_heartbeat(&mut daemon, now, &leader);
     }
     assert!(!respond(&mut daemon, TimeMs(10_000), TABLE, 20, true));
 }
@@ -138,7 +138,7 @@
             leader.record_failure(now, table);
             daemon.record_failure(now, table);
         }
-        tell(&mut daemon, now, &leader);
+        deliver_heartbeat(&mut daemon, now, &leader);
     }
     assert!(respond(&mut daemon, TimeMs(10_000), TABLE, 20, true));
     assert!(!respond(&mut daemon, TimeMs(10_500), TABLE, 20, false));
@@ -150,7 +150,7 @@
 fn overdue_change() {
     let (mut leader, mut daemon) = (feed_at_10(TimeMs(0)), feed_at_10(TimeMs(0)));
     respond(&mut leader, TimeMs(100), TABLE, 20, true);
-    tell(&mut daemon, TimeMs(250), &leader);
+    deliver_heartbeat(&mut daemon, TimeMs(250), &leader);
     assert!(!daemon.needs_snapshot(TimeMs(500), TABLE));
     assert!(daemon.needs_snapshot(TimeMs(1_000), TABLE));
     daemon.accept_snapshot(TimeMs(1_050), TABLE, 20);
@@ -195,7 +195,7 @@
                 }
             }
             if !is_frozen && now.0.is_multiple_of(HEARTBEAT_MS) && rng.random_bool(0.9) {
-                tell(&mut daemon, now, &leader);
+                deliver_heartbeat(&mut daemon, now, &leader);
             }
             for table in FeedTable::ALL {
                 if daemon.source(now, table) == FeedSource::Store {
@@ -229,7 +229,7 @@
         for feed in &mut feeds {
             feed.set_daemons(daemons);
             if now.0.is_multiple_of(HEARTBEAT_MS) && now.0 < heard_ms {
-                tell(feed, now, &leader);
+                deliver_heartbeat(feed, now, &leader);
             }
             if feed.source(now, TABLE) == FeedSource::Store {
                 feed.record_failure(now, TABLE);
@@ -273,7 +273,7 @@
         for feed in &mut feeds {
             feed.set_daemons(daemons as u32);
             if now.0.is_multiple_of(HEARTBEAT_MS) {
-                tell(feed, now, &leader);
+                deliver_heartbeat(feed, now, &leader);
             }
             for table in FeedTable::ALL {
                 if feed.source(now, table) == FeedSource::Store {
@@ -294,14 +294,14 @@
     let mut daemon = Feed::new().with_first_read_at(started.after(400));
     assert_eq!(daemon.source(started, TABLE), FeedSource::Leader);
     let heard_at = started.after(200);
-    tell(&mut daemon, heard_at, &leader);
+    deliver_heartbeat(&mut daemon, heard_at, &leader);
     assert!(daemon.needs_snapshot(heard_at, TABLE));
     let mut now = heard_at;
     while now < heard_at.after(500) {
         for table in FeedTable::ALL {
             respond(&mut leader, now, table, 10, false);
         }
-        tell(&mut daemon, now, &leader);
+        deliver_heartbeat(&mut daemon, now, &leader);
         assert_eq!(daemon.source(now, TABLE), FeedSource::Leader, "at {now:?}");
         now = now.after(HEARTBEAT_MS);
     }
@@ -326,7 +326,7 @@
     let mut leader = feed_at_10(TimeMs(0));
     leader.record_failure(TimeMs(0), TABLE);
     let mut daemon = Feed::new().with_first_read_at(TimeMs(400));
-    tell(&mut daemon, TimeMs(100), &leader);
+    deliver_heartbeat(&mut daemon, TimeMs(100), &leader);
     assert!(!daemon.needs_snapshot(TimeMs(100), TABLE));
     assert!(!daemon.accept_snapshot(TimeMs(150), TABLE, 10));
     assert_eq!(daemon.source(TimeMs(400), TABLE), FeedSource::Store);
@@ -362,14 +362,14 @@
     let mut leader = feed_at_10(TimeMs(0));
     let mut daemon = feed_at_10(TimeMs(0));
     daemon.set_daemons(daemons);
-    tell(&mut daemon, TimeMs(0), &leader);
+    deliver_heartbeat(&mut daemon, TimeMs(0), &leader);
     for table in FeedTable::ALL {
         leader.record_failure(TimeMs(0), table);
     }
     let (length_s, mut calls) = (12, 0);
     for now in (50..length_s * 1_000).step_by(50).map(TimeMs) {
         if is_heard && now.0.is_multiple_of(HEARTBEAT_MS) {
-            tell(&mut daemon, now, &leader);
+            deliver_heartbeat(&mut daemon, now, &leader);
         }
         if daemon.source(now, TABLE) == FeedSource::Store {
             respond(&mut daemon, now, TABLE, 10, false);
--- a/crates/balsam-decide/tests/feeds/mod.rs
+++ b/crates/balsam-decide/tests/feeds/mod.rs
@@ -23,9 +23,9 @@
 }
 
 /// Delivers a heartbeat of the leader, and what it has read from the store.
-pub fn tell(daemon: &mut Feed, now: TimeMs, leader: &Feed) {
+pub fn deliver_heartbeat(daemon: &mut Feed, now: TimeMs, leader: &Feed) {
     daemon.heard(now, leader.state(now));
     if let Some(reading) = leader.reading() {
-        daemon.record_reading(now, reading);
+        daemon.record_peer_reading(now, reading);
     }
 }
--- a/crates/balsam-decide/tests/late_followers.rs
+++ b/crates/balsam-decide/tests/late_followers.rs
@@ -39,7 +39,7 @@
 }
 
 /// Delivers a heartbeat of a leader that the store answered at `read_at`, and what it has read.
-fn tell(feed: &mut Feed, now: TimeMs, version: u64, read_at: TimeMs, sent_at: TimeMs) {
+fn deliver_heartbeat(feed: &mut Feed, now: TimeMs, version: u64, read_at: TimeMs, sent_at: TimeMs) {
     let state = TableState {
         changed: version,
         seen: version,
@@ -56,7 +56,7 @@
         state,
         read_at: StoreTimeMs(read_at.0),
     };
-    feed.record_reading(
+    feed.record_peer_reading(
         now,
         FeedReading {
             config: reading,
@@ -68,7 +68,7 @@
 /// Plays a schedule from a change on, and returns how long the daemon takes to read the store.
 fn first_call_ms(turn: u64, mut play: impl FnMut(&mut Feed, TimeMs)) -> Option<u64> {
     let mut feed = feed_at_16(CHANGED_AT, turn);
-    tell(&mut feed, CHANGED_AT, 16, CHANGED_AT, CHANGED_AT);
+    deliver_heartbeat(&mut feed, CHANGED_AT, 16, CHANGED_AT, CHANGED_AT);
     let steps = (STEP_MS..4 * BOUND_MS).step_by(STEP_MS as usize);
     steps.into_iter().find(|elapsed_ms| {
         let now = CHANGED_AT.after(*elapsed_ms);
@@ -82,8 +82,8 @@
     now.0.is_multiple_of(HEARTBEAT_MS)
 }
 
-/// The leader's heartbeats arrive in time and tell that its own calls to the store take long, so
-/// that the other daemons call in turns.
+/// The leader's heartbeats arrive in time and say that its own calls to the store take long, so that
+/// the other daemons call in turns.
 #[test]
 fn starved_leader() {
     let late: Vec<(u64, Option<u64>)> = (0..1_000)
@@ -91,7 +91,7 @@
         .map(|turn| {
             let called_ms = first_call_ms(turn, |feed, now| {
                 if is_heartbeat(now) {
-                    tell(feed, now, 16, CHANGED_AT, now);
+                    deliver_heartbeat(feed, now, 16, CHANGED_AT, now);
                 }
             });
             (turn, called_ms)
@@ -108,9 +108,9 @@
     let called_ms = first_call_ms(500, |feed, now| {
         let read_at = now.before(100);
         if now.0.is_multiple_of(2 * HEARTBEAT_MS) {
-            tell(feed, now, 18, read_at, now);
+            deliver_heartbeat(feed, now, 18, read_at, now);
         } else if is_heartbeat(now) {
-            tell(feed, now, 16, CHANGED_AT.before(100), CHANGED_AT);
+            deliver_heartbeat(feed, now, 16, CHANGED_AT.before(100), CHANGED_AT);
         }
     });
     assert!(
@@ -127,7 +127,7 @@
         if is_heartbeat(now) {
             let sent_at = now.before(BOUND_MS);
             let version = if sent_at < CHANGED_AT { 16 } else { 18 };
-            tell(feed, now, version, sent_at.before(100), sent_at);
+            deliver_heartbeat(feed, now, version, sent_at.before(100), sent_at);
         }
     });
     assert!(
--- a/crates/balsam-decide/tests/provable_age.rs
+++ b/crates/balsam-decide/tests/provable_age.rs
@@ -1,4 +1,4 @@
-//! Plays deployments in which daemons tell each other what they have read from the store, over
+//! Plays deployments in which daemons send each other what they have read from the store, over
 //! messages that are lost, late or out of order. Whatever happens, a daemon that serves requests
 //! knows every change that is older than the bound.
 
@@ -27,7 +27,7 @@
 /// Number of changes of a burst, one a step.
 const BURST_CHANGES: u64 = 40;
 
-/// What one daemon tells another.
+/// A message from one daemon to another.
 #[derive(Clone, Copy, Debug)]
 enum Message {
     Heartbeat(FeedState),
@@ -145,7 +145,7 @@
         }
     }
 
-    /// Lets a daemon handle what has arrived, and call and tell others as it decides.
+    /// Lets a daemon handle what has arrived, and call the store and broadcast as it decides.
     fn run(&mut self, index: usize, at_ms: u64) {
         let is_leading = index == self.leader;
         let is_refused = is_leading
@@ -178,7 +178,7 @@
             let state = self.daemons[index].feed.state(now);
             self.send(index, at_ms, Message::Heartbeat(state));
         }
-        if let Some(reading) = self.daemons[index].feed.take_reading(now, is_leading) {
+        if let Some(reading) = self.daemons[index].feed.take_broadcast(now, is_leading) {
             self.send(index, at_ms, Message::Reading(reading));
         }
         let daemon = &mut self.daemons[index];
@@ -196,7 +196,7 @@
         let has_changes = table == TABLE && base < version;
         let response = response(asked_at, answered_at, version, has_changes);
         daemon.feed.record_response(now, table, response);
-        if has_changes && daemon.feed.feeds_others(is_leading) {
+        if has_changes && daemon.feed.broadcasts_changes(is_leading) {
             self.send(index, at_ms, Message::Delta { base, version });
         }
     }
@@ -210,7 +210,7 @@
         for (_, message) in arrived {
             match message {
                 Message::Heartbeat(state) => daemon.feed.heard(now, state),
-                Message::Reading(reading) => daemon.feed.record_reading(now, reading),
+                Message::Reading(reading) => daemon.feed.record_peer_reading(now, reading),
                 Message::Delta { base, version } => {
                     daemon.feed.accept_delta(now, TABLE, base, version);
                 }
--- a/crates/balsam-edge/src/control/freshness.rs
+++ b/crates/balsam-edge/src/control/freshness.rs
@@ -1,4 +1,4 @@
-//! Tells the other daemons and the request tasks how old the tables are.
+//! Shows the other daemons and the request tasks how old the tables are.
 
 use super::events::ControlEvent;
 use super::task::ControlTask;
@@ -7,10 +7,10 @@
 use balsam_decide::feed::FeedTable;
 
 impl ControlTask {
-    /// Tells the other daemons what this daemon has read from the store, if it is due.
-    pub(super) fn tell_reading(&mut self) {
+    /// Broadcasts what this daemon has read from the store, if that is due.
+    pub(super) fn broadcast_reading(&mut self) {
         let is_leading = self.assigner.is_leading();
-        if let Some(reading) = self.feed.take_reading(now(), is_leading) {
+        if let Some(reading) = self.feed.take_broadcast(now(), is_leading) {
             let peers = self.peer_registry.peers(now(), self.this_daemon.address);
             self.send(peers, PeerMessage::Reading(reading));
         }
--- a/crates/balsam-edge/src/control/peers.rs
+++ b/crates/balsam-edge/src/control/peers.rs
@@ -174,7 +174,7 @@
             PeerMessage::Sample { service, report } => {
                 self.decide(AssignerInput::Sampled { service, report });
             }
-            PeerMessage::Reading(reading) => self.feed.record_reading(now(), reading),
+            PeerMessage::Reading(reading) => self.feed.record_peer_reading(now(), reading),
             PeerMessage::AskClock { asked_at } => {
                 if let Some(store_now) = self.feed.store_now(now()) {
                     let answer = PeerMessage::Clock {
@@ -227,8 +227,8 @@
 
     /// Sends changes of the list of upstreams to the other daemons, as the leader or in its place.
     pub(super) fn push_upstreams(&mut self, base: u64, version: u64, update: &[UpstreamChange]) {
-        let feeds_others = self.feed.feeds_others(self.assigner.is_leading());
-        if !feeds_others || update.len() > PUSHED_UPSTREAMS_TOTAL_MAX {
+        let broadcasts_changes = self.feed.broadcasts_changes(self.assigner.is_leading());
+        if !broadcasts_changes || update.len() > PUSHED_UPSTREAMS_TOTAL_MAX {
             return;
         }
         let peers = self.peer_registry.peers(now(), self.this_daemon.address);
--- a/crates/balsam-edge/src/control/snapshots.rs
+++ b/crates/balsam-edge/src/control/snapshots.rs
@@ -79,7 +79,7 @@
         };
         let is_leading = self.assigner.is_leading();
         let may_push = match topic {
-            Topic::Table(_) => self.feed.feeds_others(is_leading),
+            Topic::Table(_) => self.feed.broadcasts_changes(is_leading),
             Topic::Ranges(_) => is_leading,
         };
         if !may_push {
--- a/crates/balsam-edge/src/control/task.rs
+++ b/crates/balsam-edge/src/control/task.rs
@@ -179,7 +179,7 @@
             },
             _ = ticks.tick() => task.tick(),
         }
-        task.tell_reading();
+        task.broadcast_reading();
         task.publish_freshness();
         task.update_followers();
     }
