Reset a connection on which a request crosses its close

Callers whose request reached an idle connection just after a stopping daemon had closed it got no answer and no reset for up to half a second.

Cause: the daemon half-closed idle connections like ones that end with a response, and for 500 ms read and dropped whatever still came. That protects a response on its way; an idle connection has none.

Such connections are now closed at once, so that the kernel answers with a reset, from which callers know that nobody has read the request.

--- a/crates/balsam-edge/src/request/connection.rs
+++ b/crates/balsam-edge/src/request/connection.rs
@@ -122,7 +122,9 @@
         // Cancels the requests in flight.
         self.in_flight.clear();
         match end {
-            End::Disconnected => {}
+            // Without a response on its way there is nothing to linger for, and a request that
+            // crosses the close must not be read: a reset tells its caller at once.
+            End::Disconnected | End::Idle => {}
             End::Truncated => {
                 // Reset the connection, because a regular close would make a truncated body look
                 // complete.
@@ -131,7 +133,7 @@
                     debug!("caller connection: cannot be reset and is closed instead: {error}");
                 }
             }
-            End::Finished | End::Idle => self.linger().await,
+            End::Finished => self.linger().await,
         }
     }
 
--- a/crates/balsam-edge/tests/support/caller.rs
+++ b/crates/balsam-edge/tests/support/caller.rs
@@ -6,11 +6,14 @@
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 /// Time limit for each read.
 const READ_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Pause between two writes that show whether the connection was reset.
+const WRITE_PAUSE: Duration = Duration::from_millis(10);
+
 pub struct Caller {
     stream: TcpStream,
     buffer: BytesMut,
@@ -65,6 +68,21 @@
         self.buffer.freeze()
     }
 
+    /// Waits until the daemon has closed its side of the connection.
+    pub async fn wait_closed(&mut self) {
+        assert_eq!(self.fill().await, 0, "bytes in place of a close");
+    }
+
+    /// Returns whether the daemon resets the connection within `limit`.
+    pub async fn is_reset_within(&mut self, limit: Duration) -> bool {
+        let reset = async {
+            while self.stream.write_all(b"\r\n").await.is_ok() {
+                sleep(WRITE_PAUSE).await;
+            }
+        };
+        timeout(limit, reset).await.is_ok()
+    }
+
     async fn fill(&mut self) -> usize {
         let read = self.stream.read_buf(&mut self.buffer);
         timeout(READ_TIMEOUT, read)
