Give no lease to a daemon that is in no roster, again

Cause: the edit waits for the members of open rosters. A daemon that was removed as silent is in none until it joins again, but its table reads extended its lease all the same; rounds of heartbeats did not.

removed_holds_no_lease failed before (lease until 2,500 instead of 2,000 ms) and passes now, as do settings_faults and whole_path.

--- a/crates/balsam-decide/src/node/table.rs
+++ b/crates/balsam-decide/src/node/table.rs
@@ -146,7 +146,10 @@
         self.adopt_entries(now, entries, out);
         self.due.decide = true;
         if self.state.epoch >= epoch {
-            self.lease.table_confirmed(now, started_at);
+            // Nobody waits for the lease of a daemon that is in no roster.
+            if self.is_member() {
+                self.lease.table_confirmed(now, started_at);
+            }
             self.table.confirmed_at = self.table.confirmed_at.max(Some(started_at));
         } else {
             self.table.read_soon(now);
