Play relays that fail, in schedules and between daemons

provable_age sent every message directly, so that no schedule had a daemon that passes messages on and fails.

--- a/crates/balsam-decide/tests/provable_age.rs
+++ b/crates/balsam-decide/tests/provable_age.rs
@@ -5,10 +5,12 @@
 use balsam_decide::feed::{
     Feed, FeedReading, FeedSource, FeedState, FeedTable, FeedTiming, StoreResponse, StoreTimeMs,
 };
+use balsam_decide::peers::relay_groups;
 use balsam_types::TimeMs;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use rstest::rstest;
+use std::net::{Ipv4Addr, SocketAddr};
 
 const TABLE: FeedTable = FeedTable::Upstreams;
 
@@ -27,12 +29,67 @@
 /// Number of changes of a burst, one a step.
 const BURST_CHANGES: u64 = 40;
 
+/// How long ago a daemon may have run to pass messages on.
+const RELAY_TIMEOUT_MS: u64 = 2_500;
+
+/// When relays fail, just before the burst of changes.
+const RELAYS_FAIL_AT_MS: u64 = LENGTH_MS / 2 - 200;
+
+/// Length of a turn of relays.
+const TURN_MS: u64 = 250;
+
+/// How long relays stay frozen.
+const FREEZE_MS: u64 = 4_000;
+
 /// A message from one daemon to another.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 enum Message {
     Heartbeat(FeedState),
     Reading(FeedReading),
-    Delta { base: u64, version: u64 },
+    Delta {
+        base: u64,
+        version: u64,
+    },
+    /// A message that the receiver takes as its own and passes on.
+    Relay {
+        receivers: Vec<usize>,
+        message: Box<Message>,
+    },
+}
+
+/// The way of messages from the daemon that broadcasts them to the others.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Passing {
+    /// The sender sends to each receiver itself.
+    Direct,
+    /// Other daemons pass messages on, in turns.
+    Relayed,
+    /// As [`Self::Relayed`], but all relays drop what they should pass on, for the turns that
+    /// begin in the time of one.
+    TurnCut,
+    /// As [`Self::Relayed`], but a tenth of the daemons freeze, and pass on late what has waited
+    /// for them.
+    RelaysFreeze,
+    /// As [`Self::Relayed`], but a tenth of the daemons leave without notice.
+    RelaysLeave,
+}
+
+impl Passing {
+    /// Returns whether a daemon is frozen or gone.
+    fn has_stopped(self, index: usize, at_ms: u64) -> bool {
+        let stopped_until = match self {
+            Self::Direct | Self::Relayed | Self::TurnCut => return false,
+            Self::RelaysFreeze => RELAYS_FAIL_AT_MS + FREEZE_MS,
+            Self::RelaysLeave => LENGTH_MS,
+        };
+        index % 10 == 8 && (RELAYS_FAIL_AT_MS..stopped_until).contains(&at_ms)
+    }
+
+    /// Returns whether relays drop what they should pass on.
+    fn is_cut(self, at_ms: u64) -> bool {
+        let cut = RELAYS_FAIL_AT_MS..RELAYS_FAIL_AT_MS + 2 * TURN_MS;
+        self == Self::TurnCut && cut.contains(&at_ms)
+    }
 }
 
 /// How a schedule treats messages and daemons.
@@ -46,6 +103,7 @@
     is_leader_refused: bool,
     /// Whether another daemon becomes the leader in the third quarter.
     has_new_leader: bool,
+    passing: Passing,
 }
 
 #[derive(Debug)]
@@ -54,9 +112,13 @@
     /// How far this daemon's clock is ahead of the store's.
     clock_ahead_ms: u64,
     starved_until: u64,
+    /// When the daemon last had processor time.
+    ran_at: u64,
     inbox: Vec<(u64, Message)>,
     /// The times at which a call for each table was sent and will be answered.
     calls: [Option<(u64, u64)>; 2],
+    /// The version of the table that requests are served by.
+    applied: u64,
     /// Whether the last call has failed.
     failed: bool,
     /// Until when requests are served, as the control path has last published it.
@@ -97,8 +159,10 @@
                 feed,
                 clock_ahead_ms,
                 starved_until: 0,
+                ran_at: 0,
                 inbox: Vec::new(),
                 calls: [None; 2],
+                applied: 1,
                 failed: false,
             }
         };
@@ -130,7 +194,8 @@
             }
             for index in 0..self.daemons.len() {
                 self.starve(index, at_ms);
-                if self.daemons[index].starved_until <= at_ms {
+                let has_stopped = self.faults.passing.has_stopped(index, at_ms);
+                if !has_stopped && self.daemons[index].starved_until <= at_ms {
                     self.run(index, at_ms);
                 }
                 self.check(index, at_ms);
@@ -152,6 +217,7 @@
             && self.faults.is_leader_refused
             && (LENGTH_MS / 4..LENGTH_MS / 2).contains(&at_ms);
         let now = self.daemons[index].now(at_ms);
+        self.daemons[index].ran_at = at_ms;
         self.receive(index, at_ms);
         for (number, table) in FeedTable::ALL.into_iter().enumerate() {
             let daemon = &mut self.daemons[index];
@@ -196,6 +262,9 @@
         let has_changes = table == TABLE && base < version;
         let response = response(asked_at, answered_at, version, has_changes);
         daemon.feed.record_response(now, table, response);
+        if has_changes {
+            daemon.applied = version;
+        }
         if has_changes && daemon.feed.broadcasts_changes(is_leading) {
             self.send(index, at_ms, Message::Delta { base, version });
         }
@@ -208,24 +277,57 @@
             daemon.inbox.drain(..).partition(|(at, _)| *at <= at_ms);
         daemon.inbox = waiting;
         for (_, message) in arrived {
+            let message = match message {
+                Message::Relay { receivers, message } => {
+                    if !self.faults.passing.is_cut(at_ms) {
+                        self.send_to_all(&receivers, at_ms, &message);
+                    }
+                    *message
+                }
+                message => message,
+            };
+            let daemon = &mut self.daemons[index];
             match message {
                 Message::Heartbeat(state) => daemon.feed.heard(now, state),
                 Message::Reading(reading) => daemon.feed.record_peer_reading(now, reading),
                 Message::Delta { base, version } => {
-                    daemon.feed.accept_delta(now, TABLE, base, version);
+                    if daemon.feed.accept_delta(now, TABLE, base, version) {
+                        daemon.applied = version;
+                    }
                 }
+                Message::Relay { .. } => unreachable!("passed on twice"),
             }
         }
     }
 
+    /// Sends a message to all other daemons, over relays if there are any.
     fn send(&mut self, from: usize, at_ms: u64, message: Message) {
-        for index in 0..self.daemons.len() {
-            if index == from || self.rng.random_bool(self.faults.loss) {
+        let receivers: Vec<usize> = (0..self.daemons.len()).filter(|to| *to != from).collect();
+        if self.faults.passing == Passing::Direct {
+            return self.send_to_all(&receivers, at_ms, &message);
+        }
+        let is_recent = |to: &&usize| at_ms - self.daemons[**to].ran_at <= RELAY_TIMEOUT_MS;
+        let candidates = receivers.iter().filter(is_recent).copied().map(address);
+        let candidates: Vec<SocketAddr> = candidates.collect();
+        let receivers: Vec<SocketAddr> = receivers.into_iter().map(address).collect();
+        let groups = relay_groups(TimeMs(at_ms), &receivers, &candidates);
+        for group in groups.expect("enough daemons") {
+            let passed_on = Message::Relay {
+                receivers: group.receivers.into_iter().map(index_of).collect(),
+                message: Box::new(message.clone()),
+            };
+            self.send_to_all(&[index_of(group.relay)], at_ms, &passed_on);
+        }
+    }
+
+    fn send_to_all(&mut self, receivers: &[usize], at_ms: u64, message: &Message) {
+        for index in receivers {
+            if self.rng.random_bool(self.faults.loss) {
                 continue;
             }
             let delay_ms = self.rng.random_range(5..=self.faults.delay_max_ms);
-            let arrival = (at_ms + delay_ms, message);
-            self.daemons[index].inbox.push(arrival);
+            let arrival = (at_ms + delay_ms, message.clone());
+            self.daemons[*index].inbox.push(arrival);
         }
     }
 
@@ -240,15 +342,25 @@
         if daemon.failed {
             return;
         }
-        let known = daemon.feed.seen(TABLE).unwrap_or_default();
+        let applied = daemon.applied;
         let required = self.version_at(at_ms.saturating_sub(BOUND_MS));
         assert!(
-            known >= required,
-            "daemon {index} serves by version {known} at {at_ms} ms, {required} is older than the bound"
+            applied >= required,
+            "daemon {index} serves by version {applied} at {at_ms} ms, {required} is older than the bound"
         );
     }
 }
 
+/// Returns the address of a daemon.
+fn address(index: usize) -> SocketAddr {
+    SocketAddr::from((Ipv4Addr::LOCALHOST, index as u16 + 1))
+}
+
+/// Returns the daemon at an address.
+fn index_of(address: SocketAddr) -> usize {
+    usize::from(address.port()) - 1
+}
+
 fn response(asked_at: TimeMs, answered_at: u64, version: u64, has_changes: bool) -> StoreResponse {
     StoreResponse {
         asked_at,
@@ -264,6 +376,7 @@
     starved_max_ms: 0,
     is_leader_refused: false,
     has_new_leader: false,
+    passing: Passing::Direct,
 };
 
 /// Guards the promise under each fault, and that it does not cost the callers: outside starvation
@@ -282,6 +395,24 @@
         starved_max_ms: 4_000,
         is_leader_refused: true,
         has_new_leader: true,
+        passing: Passing::Direct,
+    },
+    0.7
+)]
+#[case::relayed(Faults { passing: Passing::Relayed, ..CALM }, 0.999)]
+#[case::lossy_relays(Faults { passing: Passing::Relayed, loss: 0.3, ..CALM }, 0.99)]
+#[case::late_relays(Faults { passing: Passing::Relayed, delay_max_ms: 2_000, ..CALM }, 0.99)]
+#[case::turn_cut(Faults { passing: Passing::TurnCut, ..CALM }, 0.99)]
+#[case::relays_freeze(Faults { passing: Passing::RelaysFreeze, ..CALM }, 0.95)]
+#[case::relays_leave(Faults { passing: Passing::RelaysLeave, ..CALM }, 0.95)]
+#[case::all_relayed(
+    Faults {
+        loss: 0.2,
+        delay_max_ms: 2_000,
+        starved_max_ms: 4_000,
+        is_leader_refused: true,
+        has_new_leader: true,
+        passing: Passing::RelaysFreeze,
     },
     0.7
 )]
--- a/crates/balsam-edge/tests/support/store.rs
+++ b/crates/balsam-edge/tests/support/store.rs
@@ -27,7 +27,7 @@
     Access(usize, Access),
     Delay(usize, Duration),
     Calls(usize, oneshot::Sender<u64>),
-    HasClusterRow(Arc<str>, oneshot::Sender<bool>),
+    ClusterRow(Arc<str>, oneshot::Sender<Option<Bytes>>),
 }
 
 struct Row {
@@ -108,12 +108,17 @@
 
     /// Returns whether the daemons have written a cluster row.
     pub async fn has_cluster_row(&self, key: &str) -> bool {
-        let (reply, found) = oneshot::channel();
+        self.cluster_row(key).await.is_some()
+    }
+
+    /// Returns the value of a cluster row.
+    pub async fn cluster_row(&self, key: &str) -> Option<Bytes> {
+        let (reply, value) = oneshot::channel();
         drop(
             self.commands
-                .send(Command::HasClusterRow(Arc::from(key), reply)),
+                .send(Command::ClusterRow(Arc::from(key), reply)),
         );
-        found.await.expect("a running store")
+        value.await.expect("a running store")
     }
 
     /// Returns the number of calls that a daemon has made.
@@ -160,9 +165,12 @@
                 let count = self.calls.get(&client).copied().unwrap_or(0);
                 reply.send(count).expect("a test that waits");
             }
-            Command::HasClusterRow(key, reply) => {
-                let found = self.rows.contains_key(&("own", key));
-                reply.send(found).expect("a test that waits");
+            Command::ClusterRow(key, reply) => {
+                let value = match self.rows.get(&("own", key)).map(|row| &row.change) {
+                    Some(StoreChange::Cluster { value, .. }) => value.clone(),
+                    _ => None,
+                };
+                reply.send(value).expect("a test that waits");
             }
             Command::Call(client, request) => {
                 *self.calls.entry(client).or_default() += 1;
