--- a/crates/balsam-decide/tests/provable_age.rs
+++ b/crates/balsam-decide/tests/provable_age.rs
@@ -242,10 +242,10 @@
         }
         if is_leading && at_ms.is_multiple_of(HEARTBEAT_MS) {
             let state = self.daemons[index].feed.state(now);
-            self.send(index, at_ms, Message::Heartbeat(state));
+            self.send(index, at_ms, &Message::Heartbeat(state));
         }
         if let Some(reading) = self.daemons[index].feed.take_broadcast(now, is_leading) {
-            self.send(index, at_ms, Message::Reading(reading));
+            self.send(index, at_ms, &Message::Reading(reading));
         }
         let daemon = &mut self.daemons[index];
         daemon.serves_until = daemon.feed.serves_until(now);
@@ -266,7 +266,7 @@
             daemon.applied = version;
         }
         if has_changes && daemon.feed.broadcasts_changes(is_leading) {
-            self.send(index, at_ms, Message::Delta { base, version });
+            self.send(index, at_ms, &Message::Delta { base, version });
         }
     }
 
@@ -301,10 +301,10 @@
     }
 
     /// Sends a message to all other daemons, over relays if there are any.
-    fn send(&mut self, from: usize, at_ms: u64, message: Message) {
+    fn send(&mut self, from: usize, at_ms: u64, message: &Message) {
         let receivers: Vec<usize> = (0..self.daemons.len()).filter(|to| *to != from).collect();
         if self.faults.passing == Passing::Direct {
-            return self.send_to_all(&receivers, at_ms, &message);
+            return self.send_to_all(&receivers, at_ms, message);
         }
         let is_recent = |to: &&usize| at_ms - self.daemons[**to].ran_at <= RELAY_TIMEOUT_MS;
         let candidates = receivers.iter().filter(is_recent).copied().map(address);
--- a/crates/balsam-edge/src/control/peers.rs
+++ b/crates/balsam-edge/src/control/peers.rs
@@ -261,13 +261,12 @@
         self.daemons = heartbeat.daemons;
         self.feed.set_daemons(heartbeat.daemons);
         let assigner = &self.assigner;
+        let known = |service: &ServiceName| Some(assigner.stored(service)?.version.0);
         self.missing_ranges
-            .announce(now(), &heartbeat.ranges, |service| {
-                assigner.stored(service).map(|known| known.version.0)
-            });
+            .announce(now(), &heartbeat.ranges, known);
         let is_overdue = self
             .missing_ranges
-            .iter()
+            .iter(known)
             .any(|(_, since)| now().since(since) >= MISSING_RANGES_READ_MS);
         if is_overdue {
             self.decide(AssignerInput::Behind);
--- a/crates/balsam-edge/src/control/snapshots.rs
+++ b/crates/balsam-edge/src/control/snapshots.rs
@@ -6,7 +6,7 @@
 use crate::peer::{Part, PeerMessage, Snapshot, Topic, split_snapshot};
 use balsam_decide::feed::FeedTable;
 use balsam_decide::keys::{AssignerInput, RowVersion, StoredRanges};
-use balsam_types::TimeMs;
+use balsam_types::{ServiceName, TimeMs};
 use log::{debug, warn};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -34,7 +34,8 @@
         }
         let tables = FeedTable::ALL.into_iter();
         let tables = tables.filter(|table| self.feed.needs_snapshot(now, *table));
-        let ranges = self.missing_ranges.iter();
+        let known = |service: &ServiceName| Some(self.assigner.stored(service)?.version.0);
+        let ranges = self.missing_ranges.iter(known);
         let ranges = ranges.filter(|(service, since)| {
             self.assigner.stored(service).is_none() || now.since(*since) >= MISSING_RANGES_WAIT_MS
         });
