Keep a new leader whose tables are from before its term

Callers were refused or served late whenever the leader changed, because the former leader took its place back within a fifth of a second, and all orders of keys began anew twice.

Cause: a daemon replaces a leader to which the store has not responded for 3 s, by the age in the leader's heartbeats. A follower seldom calls the store, so the age that a new leader first reports is from before its term.

The term must now last 3 s as well. A leader that leaves is replaced at once as before, by its flag.

new_leader_kept failed before (replaced after 0 ms) and passes now. Why single daemons miss four heartbeats in a row is not traced: the leader and they run meanwhile, so that the messages are late or lost on links that downloads fill.

--- a/crates/balsam-decide/src/feed/machine.rs
+++ b/crates/balsam-decide/src/feed/machine.rs
@@ -432,13 +432,19 @@
     }
 
     /// Returns whether this daemon should replace the leader, because the store responds to this
-    /// daemon and has not responded to the leader for a long time.
-    pub fn should_replace(&self, now: TimeMs) -> bool {
+    /// daemon and has not responded to the leader for a long time of its term, which this daemon
+    /// knows of since `leader_since`.
+    ///
+    /// A follower seldom calls the store, so a new leader reports an age from before its term until
+    /// its first call is answered.
+    pub fn should_replace(&self, now: TimeMs, leader_since: TimeMs) -> bool {
+        let is_term_long = now.since(leader_since) > REPLACE_LEADER_AFTER_MS;
         let is_unavailable = |(heard_at, reported): &(TimeMs, FeedState)| {
             now.since(*heard_at) <= HEARTBEAT_TIMEOUT_MS
                 && reported.age_ms > REPLACE_LEADER_AFTER_MS
         };
-        self.heard.as_ref().is_some_and(is_unavailable)
+        is_term_long
+            && self.heard.as_ref().is_some_and(is_unavailable)
             && self.response_age_ms(now) <= STORE_REACHABLE_MS
     }
 }
--- a/crates/balsam-decide/src/keys/assigner.rs
+++ b/crates/balsam-decide/src/keys/assigner.rs
@@ -45,6 +45,8 @@
 /// What a standby daemon knows about the current leader, or about the last one.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(super) struct FollowedLeader {
+    /// When this daemon learned of its election.
+    pub(super) since: TimeMs,
     /// Whether all grants of the leaders before it have expired.
     pub(super) is_settled: bool,
     /// Whether it has sent its last order.
--- a/crates/balsam-decide/src/keys/leadership.rs
+++ b/crates/balsam-decide/src/keys/leadership.rs
@@ -30,6 +30,7 @@
             .is_some_and(|leader| leader.daemon == self.me.daemon);
         let is_vacant = is_own || stored.leader.is_none();
         self.followed = FollowedLeader {
+            since: now,
             is_settled: false,
             has_ended: is_own,
         };
@@ -87,6 +88,11 @@
         self.reload_at = Some(now);
     }
 
+    /// Returns when this daemon learned of the election of the leader that it follows.
+    pub const fn leader_since(&self) -> TimeMs {
+        self.followed.since
+    }
+
     /// Postpones the next attempt to become leader, or advances it if the leader should be replaced.
     pub(super) fn heartbeat_received(
         &mut self,
--- a/crates/balsam-decide/tests/feed_source.rs
+++ b/crates/balsam-decide/tests/feed_source.rs
@@ -106,8 +106,35 @@
         );
     }
     let now = end;
-    assert!(reachable.should_replace(now));
-    assert!(!cut_off.should_replace(now));
+    assert!(reachable.should_replace(now, TimeMs(0)));
+    assert!(!cut_off.should_replace(now, TimeMs(0)));
+}
+
+/// Guards against former leaders that replace a new one at once, because its tables were last read
+/// long before its term.
+#[test]
+fn new_leader_kept() {
+    let elected_at = TimeMs(20_000);
+    let mut former_leader = feed_at_10(TimeMs(0));
+    let mut new_leader = feed_at_10(TimeMs(0));
+    let mut replaced_at = None;
+    for now in (elected_at.0..).step_by(HEARTBEAT_MS as usize).map(TimeMs) {
+        for table in FeedTable::ALL {
+            respond(&mut former_leader, now, table, 10, false);
+            new_leader.record_failure(now, table);
+        }
+        deliver_heartbeat(&mut former_leader, now, &new_leader);
+        if former_leader.should_replace(now, elected_at) {
+            replaced_at = Some(now);
+            break;
+        }
+    }
+    // The store does not respond to the new one either, so that it is replaced in the end.
+    let term_ms = replaced_at.map(|at| at.since(elected_at));
+    assert!(
+        term_ms.is_some_and(|term_ms| (3_000..3_500).contains(&term_ms)),
+        "{term_ms:?}"
+    );
 }
 
 /// Guards that a daemon whose own calls failed does not take the next response for the end of an
@@ -282,7 +309,11 @@
             }
         }
     }
-    assert!(feeds.iter().any(|feed| feed.should_replace(TimeMs(4_000))));
+    assert!(
+        feeds
+            .iter()
+            .any(|feed| feed.should_replace(TimeMs(4_000), TimeMs(0)))
+    );
 }
 
 /// Guards that a daemon that starts beside a leader gets the tables from it without a call to the
--- a/crates/balsam-edge/src/control/peers.rs
+++ b/crates/balsam-edge/src/control/peers.rs
@@ -251,7 +251,9 @@
         self.decide(AssignerInput::Heard {
             incarnation,
             is_settled: heartbeat.is_settled,
-            should_replace: self.feed.should_replace(now())
+            should_replace: self
+                .feed
+                .should_replace(now(), self.assigner.leader_since())
                 || heartbeat.is_leaving && heartbeat.tables.is_fresh(),
         });
         self.watch(None, TrackerInput::LeaderDigest(heartbeat.refused));
