--- a/crates/balsam-edge/src/request/mod.rs
+++ b/crates/balsam-edge/src/request/mod.rs
@@ -1,5 +1,5 @@
-//! The request path, a pipeline of filters: accept, read, wait for current tables, route, acquire a lease on an upstream,
-//! forward, respond, record.
+//! The request path, a pipeline of filters: accept, read, wait for current tables, route, acquire a
+//! lease on an upstream, forward, respond, record.
 
 mod accept;
 mod connection;
