--- /dev/null
+++ b/crates/balsam-decide/src/pace/mod.rs
@@ -0,0 +1,9 @@
+//! The pace at which requests are sent to an upstream that has started or recovered.
+//!
+//! See [the design note](../../../../docs/design/pace.md).
+
+mod machine;
+mod message;
+
+pub use machine::Pace;
+pub use message::{PaceOutcome, PaceTerms, PaceVerdict};
--- a/crates/balsam-decide/tests/moved_keys.rs
+++ b/crates/balsam-decide/tests/moved_keys.rs
@@ -147,7 +147,7 @@
         }],
     };
     let mut services = new_map();
-    services.insert(service(), ServicePolicy { is_keyed: true });
+    services.insert(service(), ServicePolicy::new(true));
     RoutingConfig {
         version: ConfigVersion(1),
         routes: vec![Arc::new(route)],
--- a/crates/balsam-decide/tests/pool_sim/mod.rs
+++ b/crates/balsam-decide/tests/pool_sim/mod.rs
@@ -80,7 +80,7 @@
             }],
         });
         let mut services = new_map();
-        services.insert(service(), ServicePolicy { is_keyed });
+        services.insert(service(), ServicePolicy::new(is_keyed));
         let config = RoutingConfig {
             version: ConfigVersion(1),
             routes: vec![Arc::clone(&route)],
--- a/crates/balsam-decide/tests/surplus_connections.rs
+++ b/crates/balsam-decide/tests/surplus_connections.rs
@@ -33,7 +33,7 @@
         }],
     };
     let mut services = new_map();
-    services.insert(service(), ServicePolicy { is_keyed: false });
+    services.insert(service(), ServicePolicy::new(false));
     RoutingConfig {
         version: ConfigVersion(1),
         routes: vec![Arc::new(route)],
--- a/crates/balsam-edge/tests/support/mod.rs
+++ b/crates/balsam-edge/tests/support/mod.rs
@@ -119,10 +119,10 @@
         })
     });
     let mut services = new_map();
-    services.insert(service(), ServicePolicy { is_keyed: false });
+    services.insert(service(), ServicePolicy::new(false));
     // A leader is elected only if some service is keyed.
     let keyed = ServiceName::new("keys").expect("a valid name");
-    services.insert(keyed, ServicePolicy { is_keyed: true });
+    services.insert(keyed, ServicePolicy::new(true));
     RoutingConfig {
         version: ConfigVersion(version),
         routes: routes.to_vec(),
--- a/crates/balsam-types/src/lib.rs
+++ b/crates/balsam-types/src/lib.rs
@@ -31,5 +31,6 @@
 pub use request::{HeaderField, RequestHead, RequestKey, ResponseHead};
 pub use routing::{
     CallerLimits, ConfigVersion, Route, RouteKind, RoutingConfig, ServicePolicy, ServiceShare,
+    WarmupTerms,
 };
 pub use upstreams::{StartTime, UpstreamEntry, UpstreamRow, UpstreamState};
--- a/crates/balsam-types/src/routing.rs
+++ b/crates/balsam-types/src/routing.rs
@@ -81,11 +81,41 @@
     pub shares: Vec<ServiceShare>,
 }
 
+/// What upstreams of a service tolerate while they are cold, right after their start.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WarmupTerms {
+    /// How long an upstream is cold after its start, in milliseconds.
+    pub duration_ms: u64,
+    /// The mean interval between two requests that a cold upstream tolerates, in microseconds.
+    pub interval_us: u64,
+}
+
 /// The operator's configuration of a service.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ServicePolicy {
     /// Whether each key is owned by a single upstream.
     pub is_keyed: bool,
+    /// What cold upstreams tolerate, if that is limited. Not part of the encoding between daemons,
+    /// which earlier builds read by position.
+    #[serde(skip)]
+    pub warmup: Option<WarmupTerms>,
+}
+
+impl ServicePolicy {
+    /// Creates the policy of a service without limits for cold upstreams.
+    pub const fn new(is_keyed: bool) -> Self {
+        Self {
+            is_keyed,
+            warmup: None,
+        }
+    }
+
+    /// Sets what cold upstreams tolerate.
+    #[must_use]
+    pub const fn with_warmup(mut self, warmup: Option<WarmupTerms>) -> Self {
+        self.warmup = warmup;
+        self
+    }
 }
 
 /// Size and time limits for caller connections.
