Let one daemon keep the room of a group of upstreams

Cause: 59 or 79 daemons that each count one request in flight as their own room send an upstream of three slots up to twenty times what it can run, and its own queue, first come first served, decides who waits.

A keeper grants permits for a group of upstreams, in one order by rank and deadline for all daemons. The leader chooses the keepers; a daemon whose keeper does not answer goes by its own limits as before.

--- a/crates/balsam-decide/src/pool/machine.rs
+++ b/crates/balsam-decide/src/pool/machine.rs
@@ -2,6 +2,8 @@
 
 use super::endpoint::Endpoint;
 use super::notices::Notices;
+use super::patience::CallerPatience;
+use super::permits::{Permit, Permits};
 use super::pick::{Choice, Chooser};
 use super::queue::{Queue, QueuedRequest};
 use super::{
@@ -50,14 +52,16 @@
 /// Assigns requests to upstreams, and queues or refuses requests for which no upstream is free.
 #[derive(Debug)]
 pub struct Pool {
-    settings: PoolSettings,
-    cluster: Option<ClusterState>,
+    pub(super) settings: PoolSettings,
+    pub(super) cluster: Option<ClusterState>,
     endpoints: Map<UpstreamName, Endpoint>,
     notices: Notices,
     queues: Map<ServiceName, Queue>,
     splits: TrafficSplits,
     budget: Budget,
-    route_latencies_ms: Map<RouteName, f64>,
+    pub(super) route_latencies_ms: Map<RouteName, f64>,
+    pub(super) patience: CallerPatience,
+    pub(super) permits: Permits,
 }
 
 impl Pool {
@@ -66,6 +70,8 @@
         Self {
             budget: Budget::new(settings.budget),
             notices: Notices::new(settings.drain_ms),
+            permits: Permits::new(settings.zone.clone(), settings.first_permit_id),
+            patience: CallerPatience::new(),
             settings,
             cluster: None,
             endpoints: new_map(),
@@ -85,6 +91,11 @@
         self.notices.counts(now)
     }
 
+    /// Returns how many requests wait for a permit.
+    pub fn awaited_permits(&self) -> usize {
+        self.permits.awaited()
+    }
+
     /// Processes one input and returns the decisions that follow from it.
     pub fn handle(&mut self, now: TimeMs, input: PoolInput) -> Vec<PoolOutput> {
         let mut outputs = Vec::new();
@@ -103,22 +114,36 @@
                 route,
                 verdict,
                 took_ms,
+                permit,
+                report,
             } => {
                 self.record_outcome(now, &upstream, &route, verdict, took_ms);
+                if let Some(permit) = permit {
+                    let outcome = (verdict, took_ms);
+                    outputs.push(self.give_back(now, permit, &route, outcome, report));
+                }
                 let service = upstream.entry.service.clone();
                 self.serve_queue(now, &service, &mut outputs);
             }
             PoolInput::Budget(terms) => self.budget.set_terms(terms),
             PoolInput::Cluster(cluster) => self.set_cluster(now, cluster, &mut outputs),
-            PoolInput::Tick => self.check_queues(now, &mut outputs),
+            PoolInput::Room { from, message } => {
+                self.handle_keeper(now, from, message, &mut outputs);
+            }
+            PoolInput::Tick => {
+                self.check_permits(now, &mut outputs);
+                self.check_queues(now, &mut outputs);
+            }
         }
         outputs
     }
 
-    /// Returns when the pool needs a [`PoolInput::Tick`], or `None` if no request is queued.
+    /// Returns when the pool needs a [`PoolInput::Tick`], or `None` if nothing is awaited.
     pub fn next_wakeup(&self, now: TimeMs) -> Option<TimeMs> {
-        let next = self.queues.values().filter_map(Queue::next_expiry).min()?;
-        Some(next.min(now.after(QUEUE_CHECK_MS)))
+        let next = self.queues.values().filter_map(Queue::next_expiry).min();
+        let next = next.map(|next| next.min(now.after(QUEUE_CHECK_MS)));
+        let next = next.into_iter().chain(self.permits.next_check(now));
+        next.min()
     }
 
     /// Sends, queues or refuses a request.
@@ -143,8 +168,36 @@
             outputs.push(refuse(&request, Refusal::Budget));
             return;
         }
+        self.assign(now, request, service, outputs);
+    }
+
+    /// Assigns a request to an upstream, or queues or refuses it.
+    pub(super) fn assign(
+        &mut self,
+        now: TimeMs,
+        request: Request,
+        service: ServiceName,
+        outputs: &mut Vec<PoolOutput>,
+    ) {
         match self.choose(now, &request, &service) {
-            Choice::Upstream(upstream) => outputs.push(self.send(now, &request, service, upstream)),
+            Choice::Upstream(upstream) => {
+                self.ask_or_send(now, request, service, upstream, outputs);
+            }
+            choice => self.wait_or_refuse(now, request, service, &choice, outputs),
+        }
+    }
+
+    /// Queues a request that no upstream can take now, or refuses it if it would wait in vain.
+    pub(super) fn wait_or_refuse(
+        &mut self,
+        now: TimeMs,
+        request: Request,
+        service: ServiceName,
+        choice: &Choice,
+        outputs: &mut Vec<PoolOutput>,
+    ) {
+        match *choice {
+            Choice::Upstream(_) => {}
             Choice::Wait(refusal) => self.enqueue(now, request, service, refusal, outputs),
             Choice::Blocked { until } => {
                 let wait_ms = wait_ms(&request, Refusal::Announced);
@@ -158,27 +211,33 @@
         }
     }
 
-    fn choose(&self, now: TimeMs, request: &Request, service: &ServiceName) -> Choice {
-        let Some(cluster) = &self.cluster else {
-            return Choice::Wait(Refusal::NoUpstream);
-        };
-        let chooser = Chooser {
+    pub(super) fn choose(&self, now: TimeMs, request: &Request, service: &ServiceName) -> Choice {
+        match self.chooser(now, service) {
+            Some(chooser) => chooser.choose(request, service),
+            None => Choice::Wait(Refusal::NoUpstream),
+        }
+    }
+
+    /// Returns the choice of upstreams of a service, or `None` before the deployment is known.
+    pub(super) fn chooser(&self, now: TimeMs, service: &ServiceName) -> Option<Chooser<'_>> {
+        Some(Chooser {
             now,
-            cluster,
+            cluster: self.cluster.as_ref()?,
             endpoints: &self.endpoints,
             notices: &self.notices,
             settings: &self.settings,
-        };
-        chooser.choose(request, service)
+            has_keeper: self.needs_permits(service),
+        })
     }
 
     /// Counts a request at its upstream and in the retry budget, and sends it.
-    fn send(
+    pub(super) fn send(
         &mut self,
         now: TimeMs,
         request: &Request,
         service: ServiceName,
         upstream: Arc<DiscoveredUpstream>,
+        permit: Option<Permit>,
     ) -> PoolOutput {
         if request.is_repeat && !self.budget.take(now, &service) {
             return refuse(request, Refusal::Budget);
@@ -196,6 +255,7 @@
             service,
             resets_connections: endpoint.resets_connections(now),
             upstream,
+            permit,
         }
     }
 
@@ -333,7 +393,15 @@
         if self.route_latencies_ms.len() > ROUTES_MAX {
             self.route_latencies_ms.clear();
         }
+        let known = self.cluster.as_ref();
+        let has_changed = known.is_none_or(|known| {
+            !Arc::ptr_eq(&known.upstreams, &cluster.upstreams)
+                || !Arc::ptr_eq(&known.keepers, &cluster.keepers)
+        });
         self.cluster = Some(cluster);
+        if has_changed {
+            self.adopt_keepers();
+        }
         self.check_queues(now, outputs);
     }
 
@@ -362,7 +430,10 @@
                 None => break,
                 Some((Choice::Upstream(upstream), _)) => {
                     if let Some(queued) = queue.take(index) {
-                        outputs.push(self.send(now, &queued.request, queued.service, upstream));
+                        let QueuedRequest {
+                            request, service, ..
+                        } = queued;
+                        self.ask_or_send(now, request, service, upstream, outputs);
                     }
                 }
                 Some((Choice::Blocked { until }, expires_at))
@@ -415,7 +486,7 @@
     }
 }
 
-fn refuse(request: &Request, refusal: Refusal) -> PoolOutput {
+pub(super) fn refuse(request: &Request, refusal: Refusal) -> PoolOutput {
     let retry_after_ms = (request.route.objective_ms / 4).max(RETRY_AFTER_MIN_MS);
     PoolOutput::Refuse {
         id: request.id,
--- a/crates/balsam-decide/src/pool/message.rs
+++ b/crates/balsam-decide/src/pool/message.rs
@@ -1,12 +1,16 @@
 //! Inputs and outputs of the [`Pool`](super::Pool).
 
+use super::ask::EndReport;
+use super::permits::Permit;
 use crate::budget::BudgetTerms;
 use crate::directory::{DiscoveredUpstream, Upstreams};
+use crate::room::{KeeperList, RoomMessage};
 use crate::routing::RouteTable;
 use balsam_types::{
     FencingToken, Map, Route, ServiceName, ServiceRanges, Set, ShardKey, TimeMs, UpstreamName,
     ZoneName,
 };
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 /// Identifies one attempt of a request at the pool.
@@ -24,7 +28,11 @@
     pub service: Option<ServiceName>,
     /// The shard key, if the caller sent one.
     pub key: Option<ShardKey>,
-    /// The time after which the caller no longer waits.
+    /// When the daemon received the request.
+    pub received_at: TimeMs,
+    /// The time until which the caller waits.
+    pub caller_deadline: TimeMs,
+    /// The time after which the request is given up.
     pub give_up_at: TimeMs,
     /// Upstreams that received earlier attempts of the request.
     pub avoid: Vec<UpstreamName>,
@@ -121,6 +129,8 @@
     pub moved: Map<ServiceName, Arc<Set<FencingToken>>>,
     /// Number of daemons that share the upstreams, this one included.
     pub daemons: u32,
+    /// The daemons that keep the room of upstreams; empty if none is known.
+    pub keepers: Arc<KeeperList>,
 }
 
 /// Inputs of the [`Pool`](super::Pool).
@@ -147,6 +157,17 @@
         verdict: Verdict,
         /// The time from sending the request to the response, in milliseconds.
         took_ms: u64,
+        /// The permit under which the request was sent, which ends.
+        permit: Option<Permit>,
+        /// What the upstream has told.
+        report: EndReport,
+    },
+    /// A keeper has sent a message.
+    Room {
+        /// Where the keeper receives datagrams.
+        from: SocketAddr,
+        /// The message.
+        message: RoomMessage,
     },
     /// The retry budget has changed.
     Budget(BudgetTerms),
@@ -170,6 +191,15 @@
         /// Whether the upstream has reset connections a short time ago. A request must not be sent
         /// on a new one at once: if the upstream resets it, the request may have run.
         resets_connections: bool,
+        /// The permit for the request, if a keeper has granted one.
+        permit: Option<Permit>,
+    },
+    /// Send a message to a keeper, which may be this daemon.
+    Room {
+        /// Where the keeper receives datagrams.
+        keeper: SocketAddr,
+        /// The message.
+        message: RoomMessage,
     },
     /// Requests that were assigned to an upstream and have not been sent to it need another one.
     Withdraw {
@@ -200,4 +230,10 @@
     pub drain_ms: u64,
     /// A number that differs between daemons, so that they do not resume at the same moment.
     pub seed: u64,
+    /// Number of daemons for each slot of an upstream from which on keepers are asked for permits; 0
+    /// if they never are.
+    pub room_daemons_per_slot: u32,
+    /// The number before that of the first permit that is asked for. It should differ between the
+    /// lives of a daemon.
+    pub first_permit_id: u64,
 }
--- a/crates/balsam-decide/src/pool/mod.rs
+++ b/crates/balsam-decide/src/pool/mod.rs
@@ -4,15 +4,20 @@
 //! See [the platform page](../../../../docs/platform.md#sending), also for [what upstreams announce
 //! about themselves](../../../../docs/platform.md#announcements-of-upstreams).
 
+mod ask;
 mod endpoint;
 mod machine;
 mod message;
 mod notices;
+mod patience;
+mod permits;
 mod pick;
 mod queue;
 
+pub use ask::EndReport;
 pub use machine::Pool;
 pub use message::{
     ClusterState, PoolInput, PoolOutput, PoolSettings, Refusal, Request, RequestId, UpstreamNotice,
     Verdict,
 };
+pub use permits::Permit;
--- a/crates/balsam-decide/src/pool/pick.rs
+++ b/crates/balsam-decide/src/pool/pick.rs
@@ -55,6 +55,9 @@
     pub(super) endpoints: &'a Map<UpstreamName, Endpoint>,
     pub(super) notices: &'a Notices,
     pub(super) settings: &'a PoolSettings,
+    /// Whether a keeper decides how many requests an upstream gets, so that the limits of this
+    /// daemon do not.
+    pub(super) has_keeper: bool,
 }
 
 impl Chooser<'_> {
@@ -92,10 +95,7 @@
             Standing::Paused { until } => return Choice::Blocked { until: Some(until) },
             Standing::Left => return Choice::Wait(Refusal::NoOwner),
         }
-        if self
-            .endpoint(upstream)
-            .is_none_or(|endpoint| endpoint.has_room(self.now))
-        {
+        if self.has_room(upstream) {
             Choice::Upstream(Arc::clone(upstream))
         } else {
             Choice::Wait(Refusal::Busy)
@@ -122,10 +122,7 @@
         } else {
             &candidates.open
         };
-        let available = suitable.iter().filter(|found| {
-            self.endpoint(found)
-                .is_none_or(|endpoint| endpoint.has_room(self.now))
-        });
+        let available = suitable.iter().filter(|found| self.has_room(found));
         let cheapest =
             available.min_by(|a, b| self.cost(request, a).total_cmp(&self.cost(request, b)));
         match cheapest {
@@ -138,6 +135,44 @@
         }
     }
 
+    /// Returns whether a request may be sent to an upstream that a keeper has chosen.
+    pub(super) fn allows(
+        &self,
+        request: &Request,
+        service: &ServiceName,
+        upstream: &Arc<DiscoveredUpstream>,
+    ) -> bool {
+        let policy = self.cluster.table.service(service);
+        match request
+            .key
+            .filter(|_| policy.is_some_and(|policy| policy.is_keyed))
+        {
+            Some(key) => matches!(
+                self.owner(service, key),
+                Choice::Upstream(owner) if owner.entry.name == upstream.entry.name
+            ),
+            None => {
+                upstream.entry.is_ready()
+                    && self.has_room(upstream)
+                    && matches!(
+                        self.notices.standing(self.now, upstream),
+                        Standing::Open | Standing::Leaving
+                    )
+            }
+        }
+    }
+
+    /// Returns whether an upstream can take another request as far as this daemon knows.
+    fn has_room(&self, upstream: &DiscoveredUpstream) -> bool {
+        self.endpoint(upstream).is_none_or(|endpoint| {
+            if self.has_keeper {
+                !endpoint.is_backing_off(self.now)
+            } else {
+                endpoint.has_room(self.now)
+            }
+        })
+    }
+
     /// Returns the state of an upstream, unless it belongs to an earlier incarnation.
     fn endpoint(&self, upstream: &DiscoveredUpstream) -> Option<&Endpoint> {
         let endpoint = self.endpoints.get(&upstream.entry.name)?;
--- a/crates/balsam-decide/tests/moved_keys.rs
+++ b/crates/balsam-decide/tests/moved_keys.rs
@@ -174,6 +174,7 @@
         ranges: new_map(),
         moved: new_map(),
         daemons: 1,
+        keepers: std::sync::Arc::default(),
     };
     cluster_state.ranges.insert(service(), Arc::clone(&ranges));
     let mut pool = Pool::new(PoolSettings {
@@ -186,6 +187,8 @@
         },
         drain_ms: 2_000,
         seed: 0,
+        room_daemons_per_slot: 0,
+        first_permit_id: 0,
     });
     pool.handle(TimeMs(0), PoolInput::Cluster(cluster_state.clone()));
     let request = Request {
@@ -193,6 +196,8 @@
         route,
         service: None,
         key: Some(ShardKey(moving.range.first)),
+        received_at: TimeMs(0),
+        caller_deadline: TimeMs(1_000),
         give_up_at: TimeMs(1_000),
         avoid: Vec::new(),
         is_repeat: false,
--- a/crates/balsam-decide/tests/pool_sim/mod.rs
+++ b/crates/balsam-decide/tests/pool_sim/mod.rs
@@ -4,8 +4,8 @@
 use balsam_decide::budget::BudgetTerms;
 use balsam_decide::directory::{DiscoveredUpstream, Upstreams};
 use balsam_decide::pool::{
-    ClusterState, Pool, PoolInput, PoolOutput, PoolSettings, Refusal, Request, RequestId,
-    UpstreamNotice, Verdict,
+    ClusterState, EndReport, Pool, PoolInput, PoolOutput, PoolSettings, Refusal, Request,
+    RequestId, UpstreamNotice, Verdict,
 };
 use balsam_decide::routing::RouteTable;
 use balsam_types::{
@@ -93,6 +93,7 @@
             ranges: new_map(),
             moved: new_map(),
             daemons,
+            keepers: std::sync::Arc::default(),
         };
         let pool = Pool::new(PoolSettings {
             zone: ZoneName::new("z").expect("a valid name"),
@@ -104,6 +105,8 @@
             },
             drain_ms: DRAIN_MS,
             seed,
+            room_daemons_per_slot: 0,
+            first_permit_id: 0,
         });
         let mut sim = Self {
             pool,
@@ -165,6 +168,8 @@
             route: Arc::clone(&self.route),
             service: None,
             key: Some(ShardKey(7)),
+            received_at: TimeMs(0),
+            caller_deadline: self.now.after(4_000),
             give_up_at: self.now.after(4_000),
             avoid: Vec::new(),
             is_repeat: false,
@@ -191,6 +196,8 @@
             route: Arc::clone(&self.route),
             verdict,
             took_ms: 5,
+            permit: None,
+            report: EndReport::default(),
         };
         self.pool.handle(self.now, done)
     }
@@ -215,7 +222,7 @@
                 retry_after_ms: *retry_after_ms,
             },
         )),
-        PoolOutput::Withdraw { .. } => None,
+        PoolOutput::Withdraw { .. } | PoolOutput::Room { .. } => None,
     });
     decisions.collect()
 }
--- a/crates/balsam-decide/tests/surplus_connections.rs
+++ b/crates/balsam-decide/tests/surplus_connections.rs
@@ -6,7 +6,7 @@
 use balsam_decide::budget::BudgetTerms;
 use balsam_decide::directory::Upstreams;
 use balsam_decide::pool::{
-    ClusterState, Pool, PoolInput, PoolOutput, PoolSettings, Request, RequestId, Verdict,
+    ClusterState, EndReport, Pool, PoolInput, PoolOutput, PoolSettings, Request, RequestId, Verdict,
 };
 use balsam_decide::routing::RouteTable;
 use balsam_types::{
@@ -55,6 +55,8 @@
         },
         drain_ms: 2_000,
         seed: 0,
+        room_daemons_per_slot: 0,
+        first_permit_id: 0,
     });
     pool.handle(
         TimeMs(0),
@@ -64,6 +66,7 @@
             ranges: new_map(),
             moved: new_map(),
             daemons: 1,
+            keepers: std::sync::Arc::default(),
         }),
     );
     (pool, route)
@@ -76,6 +79,8 @@
         route: Arc::clone(route),
         service: None,
         key: None,
+        received_at: TimeMs(0),
+        caller_deadline: now.after(1_000),
         give_up_at: now.after(1_000),
         avoid: Vec::new(),
         is_repeat: false,
@@ -96,6 +101,8 @@
         route: Arc::clone(route),
         verdict,
         took_ms: 5,
+        permit: None,
+        report: EndReport::default(),
     };
     pool.handle(now.after(5), done);
     *resets_connections
--- a/crates/balsam-decide/tests/upstream_notices.rs
+++ b/crates/balsam-decide/tests/upstream_notices.rs
@@ -4,7 +4,9 @@
 mod keyed;
 mod pool_sim;
 
-use balsam_decide::pool::{PoolInput, PoolOutput, Refusal, RequestId, UpstreamNotice, Verdict};
+use balsam_decide::pool::{
+    EndReport, PoolInput, PoolOutput, Refusal, RequestId, UpstreamNotice, Verdict,
+};
 use balsam_types::{TimeMs, UpstreamState};
 use keyed::upstream;
 use pool_sim::{DRAIN_MS, Decision, LEAVING, Sim, decisions, life, pause, sent};
@@ -218,6 +220,8 @@
                     route: Arc::clone(&sim.route),
                     verdict: Verdict::Served,
                     took_ms: TOOK_MS,
+                    permit: None,
+                    report: EndReport::default(),
                 };
                 sent.extend(decisions(&sim.pool.handle(now, done)));
             }
--- a/crates/balsam-edge/src/assembly.rs
+++ b/crates/balsam-edge/src/assembly.rs
@@ -11,6 +11,7 @@
 use crate::request::{
     FreshnessGate, HeaderNames, NoticeReader, Phase, Recorder, RequestContext, run_listener,
 };
+use crate::room::{KeeperTask, room_ports};
 use crate::settings::{Listen, Settings};
 use crate::store::StoreRequest;
 use crate::view::{SyncStatus, View};
@@ -32,6 +33,9 @@
 /// Capacity of the channels to the control task and to the pool task.
 const CHANNEL_CAPACITY: usize = 256;
 
+/// Capacity of the channel to the task of the peer socket.
+const PEER_CHANNEL_CAPACITY: usize = 1_024;
+
 /// Upper limit on concurrent connections of callers. Each takes a file descriptor, as does each
 /// connection to an upstream.
 const CONNECTIONS_MAX: usize = 3_000;
@@ -178,6 +182,9 @@
         let (sync_status_tx, sync_status) = watch::channel(SyncStatus::unknown(now()));
         let (serves_until_tx, serves_until) = watch::channel(TimeMs(0));
         let (phase, phases) = watch::channel(Phase::Running);
+        let (peers, peer_outputs) = mpsc::channel(PEER_CHANNEL_CAPACITY);
+        let address = peer_socket.address();
+        let room = room_ports(address, peers.clone(), metrics.clone());
         let control_thread = ControlPath {
             socket: peer_socket,
             connect: adapter.connect,
@@ -187,6 +194,11 @@
             sync_status: sync_status_tx,
             serves_until: serves_until_tx,
             metrics: metrics.clone(),
+            peers,
+            outputs: peer_outputs,
+            room: room.channels,
+            keeper: KeeperTask::new(address, room.link.clone(), metrics.clone()),
+            keeper_messages: room.keeper,
         }
         .start(settings);
         let pool = PoolSettings {
@@ -194,12 +206,15 @@
             budget: settings.bounds.budget(),
             drain_ms: settings.bounds.drain_ms(),
             seed: KeyHash::of(settings.daemon.as_str()).0,
+            room_daemons_per_slot: settings.room_daemons_per_slot,
+            first_permit_id: u64::from(rand::random::<u32>()) << u32::BITS,
         };
         actix_rt::spawn(PoolTask::run(
             pool,
             pool_rx,
             views.clone(),
             control.clone(),
+            (room.link, room.pool),
             metrics.clone(),
         ));
         let pool = PoolClient::new(pool_tx);
--- a/crates/balsam-edge/src/control/events.rs
+++ b/crates/balsam-edge/src/control/events.rs
@@ -70,6 +70,12 @@
     SuspectCleared { fingerprint: String, crashes: usize },
     /// This daemon tries to become the leader.
     TakeLead { expected: u64 },
+    /// A list of the daemons that keep the room of upstreams was adopted.
+    Keepers {
+        lead: u64,
+        number: u64,
+        keepers: usize,
+    },
     /// This daemon has become the leader or has ceased to be it.
     Leading { leading: bool },
     /// A commit of assignments was started.
--- a/crates/balsam-edge/src/control/mod.rs
+++ b/crates/balsam-edge/src/control/mod.rs
@@ -5,6 +5,7 @@
 mod events;
 mod follow;
 mod freshness;
+mod keepers;
 mod message;
 mod moved;
 mod path;
--- a/crates/balsam-edge/src/control/path.rs
+++ b/crates/balsam-edge/src/control/path.rs
@@ -5,7 +5,8 @@
 use crate::PlatformChannels;
 use crate::clock::now;
 use crate::metrics::EdgeMetrics;
-use crate::peer::{PeerSocket, PeerTask};
+use crate::peer::{PeerOutput, PeerSocket, PeerTask};
+use crate::room::{KeeperTask, RoomChannels, RoomDelivery};
 use crate::settings::Settings;
 use crate::view::{SyncStatus, View};
 use actix_rt::Arbiter;
@@ -16,9 +17,6 @@
 use std::sync::Arc;
 use tokio::sync::{mpsc, watch};
 
-/// Capacity of the channel to the task of the peer socket.
-const CHANNEL_CAPACITY: usize = 1_024;
-
 /// Extra delay of an election attempt on a machine of the least capacity, compared with one that
 /// can carry the leader's duties in full, in milliseconds. Together with the rest of a takeover it
 /// must fit into the duration of a grant.
@@ -59,6 +57,14 @@
     pub(crate) sync_status: watch::Sender<SyncStatus>,
     pub(crate) serves_until: watch::Sender<TimeMs>,
     pub(crate) metrics: EdgeMetrics,
+    /// Sends messages to the task of the peer socket, which receives them from `outputs`.
+    pub(crate) peers: mpsc::Sender<PeerOutput>,
+    pub(crate) outputs: mpsc::Receiver<PeerOutput>,
+    /// Delivers messages about the room of upstreams.
+    pub(crate) room: RoomChannels,
+    pub(crate) keeper: KeeperTask,
+    /// Messages for the keeper.
+    pub(crate) keeper_messages: mpsc::Receiver<RoomDelivery>,
 }
 
 impl ControlPath {
@@ -94,25 +100,31 @@
         let snapshot_bytes_per_s = (link_bytes_per_s * SNAPSHOT_LINK_PERCENT / 100.0) as u64;
         let row_assignments_max = (settings.row_max_bytes / ROW_BYTES_PER_ASSIGNMENT).max(1);
         let credential = settings.peer_credential.clone();
+        let zone = settings.zone.clone();
+        let keeper_weight = settings.machine.keeper_weight();
         let thread = Arbiter::new();
         thread.spawn_fn(move || {
             let PlatformChannels { store, orders } = (self.connect)();
-            let (peers, outputs) = mpsc::channel(CHANNEL_CAPACITY);
             let metrics = self.metrics.clone();
-            match PeerTask::new(self.socket, &credential, self.control.clone(), metrics) {
-                Ok(peer) => drop(actix_rt::spawn(peer.run(outputs))),
+            let control = self.control.clone();
+            match PeerTask::new(self.socket, &credential, control, self.room, metrics) {
+                Ok(peer) => drop(actix_rt::spawn(peer.run(self.outputs))),
                 Err(error) => error!("peer messages disabled: {error}"),
             }
+            let views = self.views.subscribe();
+            actix_rt::spawn(self.keeper.run(self.keeper_messages, views));
             let channels = ControlChannels {
                 store,
                 orders,
                 control: self.control,
-                peers,
+                peers: self.peers,
                 views: self.views,
                 sync_status: self.sync_status,
                 serves_until: self.serves_until,
                 metrics: self.metrics,
                 row_assignments_max,
+                zone,
+                keeper_weight,
             };
             let task = ControlTask::new(
                 this_daemon,
--- a/crates/balsam-edge/src/control/peers.rs
+++ b/crates/balsam-edge/src/control/peers.rs
@@ -74,6 +74,7 @@
                 vec![leader.address],
                 PeerMessage::Hello(self.follower_status()),
             );
+            self.send(vec![leader.address], self.capacity());
             if self.feed.take_clock_request(now) {
                 let request = PeerMessage::AskClock { asked_at: now };
                 self.send(vec![leader.address], request);
@@ -194,7 +195,14 @@
                 }
             }
             // The task of the socket has passed it on and delivers the message in it.
-            PeerMessage::Relay { .. } => {}
+            // It also delivers messages about the room of upstreams to the keeper and to the pool.
+            PeerMessage::Relay { .. } | PeerMessage::Room(_) => {}
+            PeerMessage::Capacity {
+                zone,
+                weight,
+                is_leaving,
+            } => self.handle_capacity(from, zone, weight, is_leaving),
+            PeerMessage::Keepers(list) => self.adopt_keepers(list),
         }
     }
 
--- a/crates/balsam-edge/src/control/task.rs
+++ b/crates/balsam-edge/src/control/task.rs
@@ -19,8 +19,10 @@
     Assigner, AssignerInput, AssignerOutput, DaemonIdentity, GrantTiming, OrderId,
 };
 use balsam_decide::peers::PeerRegistry;
+use balsam_decide::room::KeeperElection;
 use balsam_types::{
-    FencingToken, Incarnation, Map, RoutingConfig, ServiceName, ServiceRanges, TimeMs, new_map,
+    FencingToken, Incarnation, Map, RoutingConfig, ServiceName, ServiceRanges, TimeMs, ZoneName,
+    new_map,
 };
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -80,6 +82,10 @@
     pub(super) is_leaving: bool,
     /// Number of daemons in the deployment, or 0 while it is not known.
     pub(super) daemons: u32,
+    pub(super) keeper_election: KeeperElection,
+    pub(super) zone: ZoneName,
+    /// Strength of this daemon as a keeper of the room of upstreams.
+    pub(super) keeper_weight: u16,
 }
 
 /// Channels and handles that the control task uses.
@@ -96,6 +102,10 @@
     pub(crate) metrics: EdgeMetrics,
     /// Number of assignments that fit into one row of the store.
     pub(crate) row_assignments_max: usize,
+    /// Availability zone of this daemon.
+    pub(crate) zone: ZoneName,
+    /// Strength of this daemon as a keeper of the room of upstreams.
+    pub(crate) keeper_weight: u16,
 }
 
 /// When a daemon makes its first calls to the store, and when it tries to become leader.
@@ -157,6 +167,9 @@
             stepped_down: None,
             is_leaving: false,
             daemons: 0,
+            keeper_election: KeeperElection::new(),
+            zone: channels.zone,
+            keeper_weight: channels.keeper_weight,
         }
     }
 }
@@ -270,6 +283,7 @@
         }
         self.log_upstream_notices(RowSource::Clock);
         self.send_due_heartbeats(now);
+        self.publish_keepers(now);
         self.request_missing_snapshots(now);
         self.watch(None, TrackerInput::Tick);
         self.decide(AssignerInput::Tick);
--- a/crates/balsam-edge/src/lib.rs
+++ b/crates/balsam-edge/src/lib.rs
@@ -19,6 +19,7 @@
 mod peer;
 mod pool;
 mod probe;
+mod room;
 mod view;
 
 pub use assembly::{Adapter, Addresses, Edge, PlatformChannels, StartError};
--- a/crates/balsam-edge/src/metrics/instruments.rs
+++ b/crates/balsam-edge/src/metrics/instruments.rs
@@ -1,5 +1,6 @@
 //! Counters and histograms of the request path, and gauges of the routing state.
 
+use balsam_decide::room::KeeperCounts;
 use balsam_types::ServiceName;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Gauge, Histogram, Meter};
@@ -36,6 +37,9 @@
     suspects: Gauge<u64>,
     announced: Gauge<u64>,
     notices_ignored: Counter<u64>,
+    permits_awaited: Gauge<u64>,
+    keeper_decisions: Counter<u64>,
+    keeper_holds: Gauge<u64>,
 }
 
 impl EdgeMetrics {
@@ -117,6 +121,22 @@
                 .u64_counter("balsam.edge.notices.ignored")
                 .with_description("Malformed announcements of upstreams, by field")
                 .build(),
+            permits_awaited: meter
+                .u64_gauge("balsam.edge.permits.awaited")
+                .with_description("Requests of this daemon that wait for a permit of a keeper")
+                .build(),
+            keeper_decisions: meter
+                .u64_counter("balsam.edge.keeper.decisions")
+                .with_description(
+                    "Permits that this daemon's keeper has granted, queued, refused or seen expire",
+                )
+                .build(),
+            keeper_holds: meter
+                .u64_gauge("balsam.edge.keeper.holds")
+                .with_description(
+                    "Permits, waiting requests and groups of upstreams at this daemon's keeper",
+                )
+                .build(),
         }));
         // Counters that operators watch for any increase start at 0.
         for direction in ["in", "out"] {
@@ -253,4 +273,32 @@
     pub(crate) fn leader(&self, is_leader: bool) {
         self.0.is_leader.record(u64::from(is_leader), &[]);
     }
+
+    /// Sets the number of requests that wait for a permit.
+    pub(crate) fn permits_awaited(&self, awaited: usize) {
+        self.0.permits_awaited.record(awaited as u64, &[]);
+    }
+
+    /// Sets the gauges of the keeper, and counts its decisions since the counts `before`.
+    pub(crate) fn keeper(&self, before: &KeeperCounts, counts: &KeeperCounts) {
+        let decisions = [
+            ("granted", counts.granted - before.granted),
+            ("queued", counts.queued - before.queued),
+            ("refused", counts.refused - before.refused),
+            ("expired", counts.expired - before.expired),
+        ];
+        for (decision, count) in decisions {
+            let label = KeyValue::new("decision", decision);
+            self.0.keeper_decisions.add(count, &[label]);
+        }
+        let holds = [
+            ("permits", counts.permits),
+            ("waiting", counts.waiting),
+            ("groups", counts.groups),
+        ];
+        for (kind, count) in holds {
+            let label = KeyValue::new("kind", kind);
+            self.0.keeper_holds.record(count as u64, &[label]);
+        }
+    }
 }
--- a/crates/balsam-edge/src/peer/message.rs
+++ b/crates/balsam-edge/src/peer/message.rs
@@ -3,8 +3,10 @@
 use balsam_decide::crashes::TrackerMessage;
 use balsam_decide::feed::{FeedReading, FeedState, FeedTable, StoreTimeMs};
 use balsam_decide::keys::{DaemonIdentity, LoadReport};
+use balsam_decide::room::{KeeperList, RoomMessage};
 use balsam_types::{
     FencingToken, Incarnation, ServiceName, ServiceRanges, TimeMs, UpstreamName, UpstreamRow,
+    ZoneName,
 };
 use bincode::config::{Configuration, Fixint, Limit, LittleEndian, standard};
 use bincode::error::{DecodeError, EncodeError};
@@ -179,6 +181,17 @@
         asked_at: TimeMs,
         store_now: StoreTimeMs,
     },
+    /// A message between a daemon and a keeper of the room of upstreams.
+    Room(RoomMessage),
+    /// The sender can keep the room of upstreams.
+    Capacity {
+        zone: ZoneName,
+        /// Strength relative to other daemons, from 1 to 100.
+        weight: u16,
+        is_leaving: bool,
+    },
+    /// The sender, which is the leader, has chosen the keepers of the room of upstreams.
+    Keepers(KeeperList),
 }
 
 /// A message and its destinations.
--- a/crates/balsam-edge/src/peer/task.rs
+++ b/crates/balsam-edge/src/peer/task.rs
@@ -5,6 +5,7 @@
 use crate::clock::now;
 use crate::control::ControlInput;
 use crate::metrics::EdgeMetrics;
+use crate::room::RoomChannels;
 use balsam_decide::peers::{SuspensionGuard, relay_groups};
 use balsam_types::KeyHash;
 use log::{debug, warn};
@@ -23,6 +24,7 @@
     credential: u64,
     suspension_guard: SuspensionGuard,
     control: mpsc::Sender<ControlInput>,
+    room: RoomChannels,
     metrics: EdgeMetrics,
 }
 
@@ -55,6 +57,7 @@
         bound: PeerSocket,
         credential: &str,
         control: mpsc::Sender<ControlInput>,
+        room: RoomChannels,
         metrics: EdgeMetrics,
     ) -> io::Result<Self> {
         Ok(Self {
@@ -63,6 +66,7 @@
             suspension_guard: SuspensionGuard::new(now()),
             credential: KeyHash::of(credential).0,
             control,
+            room,
             metrics,
         })
     }
@@ -147,6 +151,12 @@
             }
             message => (from, message),
         };
+        if let PeerMessage::Room(message) = message {
+            if !self.room.deliver(from, message) {
+                self.metrics.peer_message_dropped("room");
+            }
+            return;
+        }
         let input = ControlInput::Peer { from, message };
         // If the control task is busy, the message is dropped: messages between daemons are
         // repeated.
--- a/crates/balsam-edge/src/pool/lease.rs
+++ b/crates/balsam-edge/src/pool/lease.rs
@@ -4,8 +4,9 @@
 use super::withdrawals::{LeaseNumber, Withdrawals};
 use crate::http::Connection;
 use balsam_decide::directory::DiscoveredUpstream;
-use balsam_decide::pool::{UpstreamNotice, Verdict};
+use balsam_decide::pool::{EndReport, Permit, UpstreamNotice, Verdict};
 use balsam_types::{Route, ServiceName};
+use std::cell::Cell;
 use std::sync::Arc;
 use tokio::sync::{mpsc, watch};
 
@@ -22,6 +23,9 @@
     pub(crate) resets_connections: bool,
     route: Arc<Route>,
     number: LeaseNumber,
+    /// The permit of a keeper, which ends with the lease.
+    permit: Option<Permit>,
+    report: Cell<EndReport>,
     withdrawals: watch::Receiver<Arc<Withdrawals>>,
     // Each lease sends at most two messages, so the number of leases bounds this channel.
     reports: Option<mpsc::UnboundedSender<LeaseReport>>,
@@ -30,7 +34,7 @@
 impl Lease {
     /// Creates a lease that reports to `reports`. It may be withdrawn by a withdrawal that is newer
     /// than its number.
-    pub(super) const fn new(
+    pub(super) fn new(
         service: ServiceName,
         upstream: Arc<DiscoveredUpstream>,
         route: Arc<Route>,
@@ -45,6 +49,8 @@
             resets_connections: false,
             route,
             number,
+            permit: None,
+            report: Cell::new(EndReport::default()),
             withdrawals,
             reports: Some(reports),
         }
@@ -56,6 +62,12 @@
         self
     }
 
+    /// Sets the permit under which the request is sent.
+    pub(super) const fn with_permit(mut self, permit: Option<Permit>) -> Self {
+        self.permit = permit;
+        self
+    }
+
     /// Sets whether the upstream has reset connections a short time ago.
     pub(super) const fn with_resets_connections(mut self, resets_connections: bool) -> Self {
         self.resets_connections = resets_connections;
@@ -81,6 +93,11 @@
         }
     }
 
+    /// Sets what the upstream has told, which is passed on with the end of the lease.
+    pub(crate) fn set_report(&self, report: EndReport) {
+        self.report.set(report);
+    }
+
     /// Ends the lease. A connection that may be reused goes back to the pool.
     pub(crate) fn end(mut self, verdict: Verdict, took_ms: u64, connection: Option<Connection>) {
         self.report_end(verdict, took_ms, connection);
@@ -97,6 +114,8 @@
                 verdict,
                 took_ms,
                 connection,
+                permit: self.permit,
+                report: self.report.get(),
             })));
         }
     }
--- a/crates/balsam-edge/src/pool/message.rs
+++ b/crates/balsam-edge/src/pool/message.rs
@@ -4,7 +4,7 @@
 use crate::http::Connection;
 use balsam_decide::budget::BudgetTerms;
 use balsam_decide::directory::DiscoveredUpstream;
-use balsam_decide::pool::{Refusal, UpstreamNotice, Verdict};
+use balsam_decide::pool::{EndReport, Permit, Refusal, UpstreamNotice, Verdict};
 use balsam_types::{Route, ServiceName, ShardKey, TimeMs, UpstreamName};
 use std::sync::Arc;
 use tokio::sync::{mpsc, oneshot};
@@ -23,6 +23,10 @@
     pub(crate) route: Arc<Route>,
     pub(crate) service: Option<ServiceName>,
     pub(crate) key: Option<ShardKey>,
+    /// When the daemon received the request.
+    pub(crate) received_at: TimeMs,
+    /// Deadline of the caller.
+    pub(crate) caller_deadline: TimeMs,
     /// Deadline of the request.
     pub(crate) give_up_at: TimeMs,
     /// Upstreams to which earlier attempts were sent.
@@ -63,6 +67,8 @@
     pub(crate) verdict: Verdict,
     pub(crate) took_ms: u64,
     pub(crate) connection: Option<Connection>,
+    pub(crate) permit: Option<Permit>,
+    pub(crate) report: EndReport,
 }
 
 /// A handle of the pool's task; cheap to clone.
--- a/crates/balsam-edge/src/pool/task.rs
+++ b/crates/balsam-edge/src/pool/task.rs
@@ -7,6 +7,7 @@
 use crate::clock::now;
 use crate::control::ControlInput;
 use crate::metrics::EdgeMetrics;
+use crate::room::{RoomDelivery, RoomLink};
 use crate::view::View;
 use balsam_decide::keys::LoadReport;
 use balsam_decide::pool::{Pool, PoolInput, PoolOutput, PoolSettings, Request, RequestId, Verdict};
@@ -51,6 +52,7 @@
     withdrawals: watch::Sender<Arc<Withdrawals>>,
     lease_reports: mpsc::UnboundedSender<LeaseReport>,
     control: mpsc::Sender<ControlInput>,
+    room: RoomLink,
     metrics: EdgeMetrics,
 }
 
@@ -61,6 +63,7 @@
         mut messages: mpsc::Receiver<PoolMessage>,
         mut views: watch::Receiver<Arc<View>>,
         control: mpsc::Sender<ControlInput>,
+        (room, mut answers): (RoomLink, mpsc::Receiver<RoomDelivery>),
         metrics: EdgeMetrics,
     ) {
         let (lease_reports, mut received) = mpsc::unbounded_channel();
@@ -74,6 +77,7 @@
             withdrawals: watch::Sender::new(Arc::new(Withdrawals::new())),
             lease_reports,
             control,
+            room,
             metrics,
         };
         let mut reports = interval(REPORT_INTERVAL);
@@ -98,6 +102,8 @@
                         task.handle(PoolInput::Notice { upstream, notice }),
                     LeaseReport::Ended(end) => task.end(end),
                 },
+                Some(RoomDelivery { from, message }) = answers.recv() =>
+                    task.handle(PoolInput::Room { from, message }),
                 changed = views.changed() => match changed {
                     Ok(()) => {
                         let cluster_state = views.borrow_and_update().cluster_state();
@@ -129,6 +135,8 @@
             route: request.route,
             service: request.service,
             key: request.key,
+            received_at: request.received_at,
+            caller_deadline: request.caller_deadline,
             give_up_at: request.give_up_at,
             avoid: request.avoid,
             is_repeat: request.is_repeat,
@@ -160,6 +168,8 @@
             verdict,
             took_ms,
             connection,
+            permit,
+            report,
         } = end;
         if let Some(connection) = connection {
             self.idle
@@ -173,6 +183,8 @@
             route,
             verdict,
             took_ms,
+            permit,
+            report,
         });
     }
 
@@ -184,6 +196,7 @@
                     service,
                     upstream,
                     resets_connections,
+                    permit,
                 } => {
                     let Some((reply, route)) = self.replies.remove(&id) else {
                         continue;
@@ -196,6 +209,7 @@
                     let number = self.last_number;
                     let lease = Lease::new(service, upstream, route, number, withdrawals, reports)
                         .with_idle(idle)
+                        .with_permit(permit)
                         .with_resets_connections(resets_connections);
                     // If the request is gone, the lease is dropped here, which ends it.
                     drop(reply.send(Ok(lease)));
@@ -212,6 +226,7 @@
                         pause_ms: notice.pause_ms,
                     });
                 }
+                PoolOutput::Room { keeper, message } => self.room.send(keeper, message),
                 PoolOutput::Refuse {
                     id,
                     refusal,
@@ -235,6 +250,7 @@
         }
         let (leaving, paused) = self.pool.announced(now());
         self.metrics.announced(leaving, paused);
+        self.metrics.permits_awaited(self.pool.awaited_permits());
         for (service, report) in self.reports.drain() {
             // If the control task is busy, the report is dropped: the next one follows soon.
             drop(
--- a/crates/balsam-edge/src/request/forward.rs
+++ b/crates/balsam-edge/src/request/forward.rs
@@ -7,7 +7,7 @@
 use crate::clock::{instant_at, now};
 use crate::http::{Connection, ExchangeError, Sent};
 use crate::pool::Lease;
-use balsam_decide::pool::Verdict;
+use balsam_decide::pool::{EndReport, Verdict};
 use balsam_http1::{BodyDecoder, Fields, Framing, ParsedResponseHead, encode_request};
 use balsam_types::{TimeMs, UpstreamState};
 use bytes::{Bytes, BytesMut};
@@ -414,6 +414,10 @@
             .recorder
             .notice_ignored(&lease.upstream.entry.name, field);
     }
+    lease.set_report(EndReport {
+        pause_ms: read.notice.pause_ms,
+        load: read.load,
+    });
     lease.report_notice(read.notice);
 }
 
--- a/crates/balsam-edge/src/request/names.rs
+++ b/crates/balsam-edge/src/request/names.rs
@@ -1,6 +1,7 @@
 //! Names of header fields, which the platform defines, and the reader of what upstreams announce.
 
 use balsam_decide::pool::UpstreamNotice;
+use balsam_decide::room::UpstreamLoad;
 use balsam_http1::Fields;
 
 /// Reads what an upstream announces about itself from the status and the fields of a response.
@@ -11,6 +12,8 @@
 pub struct ReadNotice {
     /// The announcement.
     pub notice: UpstreamNotice,
+    /// The load that the upstream tells.
+    pub load: Option<UpstreamLoad>,
     /// The first field that is malformed and was ignored.
     pub ignored: Option<&'static str>,
 }
--- a/crates/balsam-edge/src/request/serve.rs
+++ b/crates/balsam-edge/src/request/serve.rs
@@ -169,6 +169,8 @@
             route: Arc::clone(&self.routed.route),
             service: self.record.service().cloned(),
             key: self.routed.key,
+            received_at: self.routed.request.received_at,
+            caller_deadline: self.routed.caller_deadline,
             give_up_at: self.routed.deadline,
             avoid: self.avoid.clone(),
             is_repeat: self.attempt_tracker.is_repeat(),
--- a/crates/balsam-edge/src/settings/file.rs
+++ b/crates/balsam-edge/src/settings/file.rs
@@ -34,6 +34,10 @@
     pub row_max_bytes: usize,
     /// Limits of the deployment.
     pub bounds: Bounds,
+    /// Number of daemons for each slot of an upstream from which on the room of upstreams is kept
+    /// for all daemons together. With 0 each daemon always goes by its own limits.
+    #[serde(default = "default_room_daemons_per_slot")]
+    pub room_daemons_per_slot: u32,
     /// Whether all daemons of the deployment start for the first time, so that none has any state.
     #[serde(default)]
     pub first_start: bool,
@@ -96,6 +100,12 @@
     2.0
 }
 
+/// With 8 daemons for each slot, a daemon that counts one request in flight as its own room adds up
+/// with the others to eight times the slots, which is more than the queue of an upstream takes.
+const fn default_room_daemons_per_slot() -> u32 {
+    8
+}
+
 const fn default_level() -> LevelFilter {
     LevelFilter::Info
 }
@@ -132,6 +142,10 @@
             ),
             ("store", self.store != next.store),
             ("row_max_bytes", self.row_max_bytes != next.row_max_bytes),
+            (
+                "room_daemons_per_slot",
+                self.room_daemons_per_slot != next.room_daemons_per_slot,
+            ),
             (
                 "bounds.hold_max_s",
                 self.bounds.hold_max_ms() != next.bounds.hold_max_ms(),
@@ -183,6 +197,9 @@
 /// requests.
 const LEADER_MBPS: f64 = 100.0;
 
+/// Bandwidth in megabits per second that can carry the messages of a keeper in addition to requests.
+const KEEPER_MBPS: f64 = 10.0;
+
 impl Machine {
     fn validate(&self) -> Result<(), SettingsError> {
         let fields = [
@@ -208,6 +225,13 @@
         let cores = self.cpu_share * self.cpu_speed / LEADER_CORES;
         cores.min(self.link_mbps / LEADER_MBPS).clamp(0.0, 1.0)
     }
+
+    /// Returns the strength of the machine as a keeper of the room of upstreams, from 1 to 100.
+    pub fn keeper_weight(&self) -> u16 {
+        let cores = self.cpu_share * self.cpu_speed / LEADER_CORES;
+        let strength = cores.min(self.link_mbps / KEEPER_MBPS).clamp(0.01, 1.0);
+        (strength * 100.0).round() as u16
+    }
 }
 
 impl Bounds {
--- a/crates/balsam-edge/src/view.rs
+++ b/crates/balsam-edge/src/view.rs
@@ -3,6 +3,7 @@
 use balsam_decide::crashes::SuspectList;
 use balsam_decide::directory::Upstreams;
 use balsam_decide::pool::ClusterState;
+use balsam_decide::room::KeeperList;
 use balsam_decide::routing::RouteTable;
 use balsam_types::{
     DaemonName, FencingToken, Map, ServiceName, ServiceRanges, Set, TimeMs, new_map,
@@ -29,6 +30,8 @@
     pub has_upstreams: bool,
     /// Requests that are suspected of crashing upstreams.
     pub suspects: Arc<SuspectList>,
+    /// The daemons that keep the room of upstreams.
+    pub keepers: Arc<KeeperList>,
 }
 
 /// The known leader, and the age of this daemon's copy of the store's tables.
@@ -69,6 +72,7 @@
             daemons: 1,
             has_upstreams: false,
             suspects: Arc::new(SuspectList::default()),
+            keepers: Arc::default(),
         }
     }
 }
@@ -87,6 +91,7 @@
             ranges: self.ranges.clone(),
             moved: self.moved.clone(),
             daemons: self.daemons,
+            keepers: Arc::clone(&self.keepers),
         })
     }
 }
--- a/crates/balsam-edge/tests/support/mod.rs
+++ b/crates/balsam-edge/tests/support/mod.rs
@@ -46,6 +46,7 @@
             is_leaving: fields.get("Test-Leaving").is_some(),
             pause_ms: pause_ms.and_then(Result::ok).filter(|_| status == 503),
         },
+        load: None,
         ignored: fields.get("Test-Malformed").map(|_| "Test-Malformed"),
     }
 }
@@ -84,6 +85,7 @@
             drain_s: 1.0,
             propagation_s: 2.0,
         },
+        room_daemons_per_slot: 8,
         first_start: false,
         log_level: log::LevelFilter::Off,
     }
