Refuse queued requests early once they can only be late

Callers are told to return later the more requests are refused. The mean latency of a route no longer starts with its first answer alone.

--- a/crates/balsam-decide/src/pool/ask.rs
+++ b/crates/balsam-decide/src/pool/ask.rs
@@ -3,6 +3,7 @@
 use super::machine::Pool;
 use super::permits::{AskTarget, AskTerms, Asking, KeeperMessage, Permit};
 use super::pick::Choice;
+use super::route_latency::RouteLatency;
 use super::{PoolOutput, Refusal, Request, Verdict};
 use crate::directory::DiscoveredUpstream;
 use crate::pace::PaceOutcome;
@@ -101,7 +102,7 @@
         let usual_ms = self.route_latencies_ms.get(&route.name);
         AskTerms {
             objective_at: request.received_at.after(objective_ms),
-            usual_ms: usual_ms.copied().unwrap_or_default() as u32,
+            usual_ms: usual_ms.map_or(0.0, RouteLatency::mean_ms) as u32,
         }
     }
 
@@ -266,7 +267,7 @@
         report: EndReport,
     ) -> PoolOutput {
         let usual_ms = self.route_latencies_ms.get(&route.name);
-        let usual_ms = usual_ms.copied().unwrap_or_default() as u32;
+        let usual_ms = usual_ms.map_or(0.0, RouteLatency::mean_ms) as u32;
         let returned = PermitReturn {
             id: permit.id,
             outcome: pace_outcome(verdict, took_ms, usual_ms),
--- a/crates/balsam-decide/src/pool/machine.rs
+++ b/crates/balsam-decide/src/pool/machine.rs
@@ -6,6 +6,7 @@
 use super::permits::{Permit, Permits};
 use super::pick::{Choice, Chooser};
 use super::queue::{Queue, QueuedRequest};
+use super::route_latency::RouteLatency;
 use super::{
     ClusterState, PoolInput, PoolOutput, PoolSettings, Refusal, Request, UpstreamNotice, Verdict,
 };
@@ -39,9 +40,6 @@
 /// Maximum of the time within which all daemons resume, in milliseconds.
 const RESUME_SPREAD_MAX_MS: u64 = 1_000;
 
-/// Weight of the newest response in the mean latency of a route.
-const ROUTE_EWMA_WEIGHT: f64 = 0.05;
-
 /// Number of routes whose mean latency is kept. With more, which removed routes may cause, all are
 /// dropped.
 const ROUTES_MAX: usize = 4_096;
@@ -59,7 +57,7 @@
     queues: Map<ServiceName, Queue>,
     splits: TrafficSplits,
     budget: Budget,
-    pub(super) route_latencies_ms: Map<RouteName, f64>,
+    pub(super) route_latencies_ms: Map<RouteName, RouteLatency>,
     pub(super) patience: CallerPatience,
     pub(super) permits: Permits,
 }
@@ -315,7 +313,7 @@
         }
         let upstreams = cluster.upstreams.of(service);
         let route_latency_ms = self.route_latencies_ms.get(&request.route.name);
-        let route_latency_ms = route_latency_ms.copied().unwrap_or_default();
+        let route_latency_ms = route_latency_ms.map_or(0.0, RouteLatency::mean_ms);
         let rounds = (at_least_as_urgent.count() as f64 + 1.0) / upstreams.len().max(1) as f64;
         rounds * route_latency_ms > wait_ms as f64
     }
@@ -360,19 +358,12 @@
         verdict: Verdict,
         took_ms: u64,
     ) {
-        let route_latency_ms = self
-            .route_latencies_ms
-            .entry(route.name.clone())
-            .or_default();
+        let latency = self.route_latencies_ms.entry(route.name.clone());
+        let latency = latency.or_default();
         if matches!(verdict, Verdict::Served) {
-            let took = took_ms as f64;
-            *route_latency_ms = if *route_latency_ms == 0.0 {
-                took
-            } else {
-                route_latency_ms.mul_add(1.0 - ROUTE_EWMA_WEIGHT, took * ROUTE_EWMA_WEIGHT)
-            };
+            latency.record(took_ms);
         }
-        let route_latency_ms = *route_latency_ms;
+        let route_latency_ms = latency.mean_ms();
         if let Some(endpoint) = self.endpoints.get_mut(&upstream.entry.name)
             && endpoint.born() == upstream.entry.born
         {
--- a/crates/balsam-decide/src/room/group.rs
+++ b/crates/balsam-decide/src/room/group.rs
@@ -11,9 +11,12 @@
 /// Weight of the newest request in the mean response time of a group.
 const EWMA_WEIGHT: f64 = 0.05;
 
-/// How long requests that can only be late may go without a grant before further ones are refused,
-/// in milliseconds. Until then the overload may be a short burst.
-const LATE_STALL_MS: u64 = 500;
+/// Weight of the newest request in the share of requests that are refused.
+const REFUSED_WEIGHT: f64 = 0.05;
+
+/// Part of the caller's time after which it should return at the latest, in percent. Callers do not
+/// wait longer than a third of their time before they return.
+const RETRY_LATEST_PERCENT: u64 = 30;
 
 /// Minimum of the time after which a refused caller should return, in milliseconds.
 const RETRY_AFTER_MIN_MS: u64 = 100;
@@ -44,18 +47,18 @@
     queue: Queue,
     /// Mean usual response time of the requests that were granted, in milliseconds.
     mean_ms: f64,
-    /// When a request that can only be late was last granted, or none was waiting.
-    late_served_at: TimeMs,
+    /// Moving average of the share of requests that are refused.
+    refused_share: f64,
 }
 
 impl Group {
     /// Creates a group without upstreams.
-    pub(super) fn new(now: TimeMs) -> Self {
+    pub(super) fn new() -> Self {
         Self {
             targets: new_map(),
             queue: Queue::default(),
             mean_ms: 0.0,
-            late_served_at: now,
+            refused_share: 0.0,
         }
     }
 
@@ -119,9 +122,18 @@
         self.queue.drain()
     }
 
-    /// Removes the waiting requests that have too little time left.
-    pub(super) fn expire(&mut self, now: TimeMs) -> Vec<Waiting> {
-        self.queue.expire(now)
+    /// Removes the waiting requests whose time is over, each with the time after which its caller
+    /// should return, in milliseconds.
+    pub(super) fn expire(&mut self, now: TimeMs) -> Vec<(Waiting, u32)> {
+        let expired = self.queue.expire(now);
+        for _ in &expired {
+            self.record_decision(true);
+        }
+        let with_retry = expired.into_iter().map(|waiting| {
+            let retry_after_ms = self.retry_after_ms(now, &waiting, 0);
+            (waiting, retry_after_ms)
+        });
+        with_retry.collect()
     }
 
     /// Returns whether no request waits.
@@ -147,14 +159,10 @@
     pub(super) fn serve(&mut self, now: TimeMs) -> Vec<Grant> {
         let mut grants = Vec::new();
         if self.queue.is_empty() {
-            self.late_served_at = now;
             return grants;
         }
-        let mut has_late = false;
         for waiting in self.queue.in_order(now) {
-            let is_late = waiting.place(now).is_late();
             let Some(name) = self.choose(now, &waiting) else {
-                has_late |= is_late;
                 continue;
             };
             let Some(target) = self.targets.get_mut(&name) else {
@@ -163,9 +171,7 @@
             target.record_sent(now);
             let upstream = Arc::clone(target.upstream());
             self.queue.remove(&waiting.key);
-            if is_late {
-                self.late_served_at = now;
-            }
+            self.record_decision(false);
             if waiting.usual_ms > 0 {
                 let usual_ms = f64::from(waiting.usual_ms);
                 self.mean_ms = if self.mean_ms > 0.0 {
@@ -176,9 +182,6 @@
             }
             grants.push(Grant { waiting, upstream });
         }
-        if !has_late {
-            self.late_served_at = now;
-        }
         grants
     }
 
@@ -213,14 +216,13 @@
         };
         let wait_ms = self.expected_wait_ms(now, &waiting);
         let left_ms = waiting.expires_at().since(now);
-        let is_stalled =
-            waiting.place(now).is_late() && now.since(self.late_served_at) >= LATE_STALL_MS;
-        if wait_ms <= left_ms && left_ms > 0 && !is_stalled {
+        if wait_ms <= left_ms && left_ms > 0 {
+            self.record_decision(false);
             return Admission::Waits(wait_ms.min(u64::from(u32::MAX)) as u32);
         }
         self.queue.remove(key);
-        let excess_ms = wait_ms.saturating_sub(left_ms);
-        let retry_after_ms = spread(excess_ms.max(RETRY_AFTER_MIN_MS), key);
+        self.record_decision(true);
+        let retry_after_ms = self.retry_after_ms(now, &waiting, wait_ms);
         let is_paused = self
             .earliest_at(now, &waiting)
             .is_some_and(|at| at.since(now) > left_ms);
@@ -232,6 +234,22 @@
         Admission::Refused(refusal, retry_after_ms)
     }
 
+    fn record_decision(&mut self, is_refused: bool) {
+        let refused = if is_refused { 1.0 } else { 0.0 };
+        self.refused_share += (refused - self.refused_share) * REFUSED_WEIGHT;
+    }
+
+    /// Returns when a refused caller should come back, in milliseconds: when the work ahead has
+    /// fallen enough, and later the more callers are refused, because those who come back into the
+    /// same overload are refused again.
+    pub(super) fn retry_after_ms(&self, now: TimeMs, waiting: &Waiting, wait_ms: u64) -> u32 {
+        let excess_ms = wait_ms.saturating_sub(waiting.expires_at().since(now));
+        let latest_ms = waiting.deadline.since(now) * RETRY_LATEST_PERCENT / 100;
+        let overload_ms = latest_ms as f64 * self.refused_share;
+        let delay_ms = excess_ms.saturating_add(overload_ms as u64);
+        spread(delay_ms.max(RETRY_AFTER_MIN_MS), &waiting.key)
+    }
+
     /// Returns the time until an upstream that waits for a moment may be used, if none is usable
     /// before.
     fn earliest_at(&self, now: TimeMs, waiting: &Waiting) -> Option<TimeMs> {
--- a/crates/balsam-decide/src/room/keeper.rs
+++ b/crates/balsam-decide/src/room/keeper.rs
@@ -224,7 +224,7 @@
         let cold_from = self.list_since.after(COLD_HOLD_MS);
         let members = self.members.get(id).map_or(&[][..], Vec::as_slice);
         let group = self.groups.entry(id.clone());
-        let group = group.or_insert_with(|| Group::new(now));
+        let group = group.or_insert_with(Group::new);
         let orphaned = group.set_upstreams(now, members, warmup, cold_from);
         for waiting in orphaned {
             self.refuse(&waiting, PermitRefusal::NotKept, NOT_KEPT_RETRY_MS, outputs);
@@ -266,7 +266,9 @@
             key,
             scope: request.scope,
             rank: request.rank,
+            queued_at: now,
             objective_at: now.after(u64::from(request.objective_left_ms)),
+            late_wait_ms: request.late_wait_ms,
             deadline: now.after(u64::from(request.deadline_left_ms)),
             usual_ms: request.usual_ms,
         };
@@ -350,8 +352,7 @@
         for id in busy {
             self.serve(now, &id, outputs);
             let group = self.groups.get_mut(&id);
-            for waiting in group.map(|group| group.expire(now)).unwrap_or_default() {
-                let retry_after_ms = self.load(now, &id).wait_ms.max(NOT_KEPT_RETRY_MS);
+            for (waiting, retry_after_ms) in group.map(|g| g.expire(now)).unwrap_or_default() {
                 self.refuse(&waiting, PermitRefusal::Busy, retry_after_ms, outputs);
             }
         }
--- a/crates/balsam-decide/src/room/queue.rs
+++ b/crates/balsam-decide/src/room/queue.rs
@@ -21,8 +21,11 @@
     pub(super) key: AskKey,
     pub(super) scope: PermitScope,
     pub(super) rank: u32,
+    pub(super) queued_at: TimeMs,
     pub(super) objective_at: TimeMs,
     pub(super) deadline: TimeMs,
+    /// How long the request waits on once its objective can no longer be met, in milliseconds.
+    pub(super) late_wait_ms: u32,
     pub(super) usual_ms: u32,
 }
 
@@ -35,13 +38,6 @@
     deadline: TimeMs,
 }
 
-impl Place {
-    /// Returns whether the objective of the request can no longer be met.
-    pub(super) const fn is_late(self) -> bool {
-        self.is_late
-    }
-}
-
 impl Waiting {
     /// Returns the place of the request at a time.
     ///
@@ -64,10 +60,13 @@
         }
     }
 
-    /// Returns when too little time is left to run the request.
+    /// Returns until when the request waits: until too little time is left to run it, or it has
+    /// waited for long in vain although it can only be late.
     pub(super) fn expires_at(&self) -> TimeMs {
-        let needed_ms = u64::from(self.usual_ms) * WORTH_SENDING_PERCENT / 100;
-        self.deadline.before(needed_ms)
+        let usual_ms = u64::from(self.usual_ms);
+        let useful_until = self.deadline.before(usual_ms * WORTH_SENDING_PERCENT / 100);
+        let late_from = self.objective_at.before(usual_ms).max(self.queued_at);
+        useful_until.min(late_from.after(u64::from(self.late_wait_ms)))
     }
 }
 
