--- a/crates/balsam-decide/src/pool/permits.rs
+++ b/crates/balsam-decide/src/pool/permits.rs
@@ -46,7 +46,7 @@
 /// How long a request waits for a permit once its objective can no longer be met, in percent of the
 /// objective. A caller that is refused early can still come back; one that waits to its deadline in
 /// vain has lost its time.
-const LATE_WAIT_PERCENT: u64 = 25;
+const LATE_WAIT_PERCENT: u64 = 100;
 
 /// Interval of the checks while permits are awaited or returns are unacknowledged, in milliseconds.
 const CHECK_MS: u64 = 20;
