--- a/crates/balsam-decide/src/pool/permits.rs
+++ b/crates/balsam-decide/src/pool/permits.rs
@@ -43,11 +43,6 @@
 /// Number of groups that a request without a key asks, one after the other.
 const GROUPS_ASKED_MAX: usize = 2;
 
-/// How long a request waits for a permit once its objective can no longer be met, in percent of the
-/// objective. A caller that is refused early can still come back; one that waits to its deadline in
-/// vain has lost its time.
-const LATE_WAIT_PERCENT: u64 = 100;
-
 /// Interval of the checks while permits are awaited or returns are unacknowledged, in milliseconds.
 const CHECK_MS: u64 = 20;
 
@@ -367,7 +362,6 @@
             rank: self.request.route.rank,
             objective_left_ms: left_ms(self.objective_at),
             deadline_left_ms: left_ms(self.request.give_up_at),
-            late_wait_ms: (self.request.route.objective_ms * LATE_WAIT_PERCENT / 100) as u32,
             usual_ms: self.usual_ms,
         }
     }
--- a/crates/balsam-decide/src/room/group.rs
+++ b/crates/balsam-decide/src/room/group.rs
@@ -5,7 +5,7 @@
 use super::{PermitRefusal, PermitReturn, PermitScope, RoomLoad};
 use crate::directory::DiscoveredUpstream;
 use crate::pace::PaceVerdict;
-use balsam_types::{Map, TimeMs, UpstreamName, WarmupTerms, new_map};
+use balsam_types::{Map, Set, TimeMs, UpstreamName, WarmupTerms, new_map, new_set};
 use std::sync::Arc;
 
 /// Weight of the newest request in the mean response time of a group.
@@ -125,7 +125,9 @@
     /// Removes the waiting requests whose time is over, each with the time after which its caller
     /// should return, in milliseconds.
     pub(super) fn expire(&mut self, now: TimeMs) -> Vec<(Waiting, u32)> {
-        let expired = self.queue.expire(now);
+        let mut queue = std::mem::take(&mut self.queue);
+        let expired = queue.expire(now, |waiting| self.is_hopeless(now, waiting));
+        self.queue = queue;
         for _ in &expired {
             self.record_decision(true);
         }
@@ -158,11 +160,12 @@
     /// Grants waiting requests, most urgent first, as far as there is room.
     pub(super) fn serve(&mut self, now: TimeMs) -> Vec<Grant> {
         let mut grants = Vec::new();
-        if self.queue.is_empty() {
-            return grants;
-        }
+        let mut late: Vec<Waiting> = Vec::new();
+        let mut late_sent: Set<UpstreamName> = new_set();
         for waiting in self.queue.in_order(now) {
+            let is_late = waiting.is_late(now);
             let Some(name) = self.choose(now, &waiting) else {
+                late.extend(is_late.then_some(waiting));
                 continue;
             };
             let Some(target) = self.targets.get_mut(&name) else {
@@ -172,19 +175,37 @@
             let upstream = Arc::clone(target.upstream());
             self.queue.remove(&waiting.key);
             self.record_decision(false);
-            if waiting.usual_ms > 0 {
-                let usual_ms = f64::from(waiting.usual_ms);
-                self.mean_ms = if self.mean_ms > 0.0 {
-                    self.mean_ms + (usual_ms - self.mean_ms) * EWMA_WEIGHT
-                } else {
-                    usual_ms
-                };
+            if is_late {
+                late_sent.insert(name);
             }
+            self.record_usual(waiting.usual_ms);
             grants.push(Grant { waiting, upstream });
         }
+        for (name, target) in &mut self.targets {
+            let has_late = late.iter().any(|waiting| waiting.accepts(name));
+            target.record_late(now, has_late, late_sent.contains(name));
+        }
         grants
     }
 
+    fn record_usual(&mut self, usual_ms: u32) {
+        let usual_ms = f64::from(usual_ms);
+        if usual_ms > 0.0 && self.mean_ms > 0.0 {
+            self.mean_ms += (usual_ms - self.mean_ms) * EWMA_WEIGHT;
+        } else if usual_ms > 0.0 {
+            self.mean_ms = usual_ms;
+        }
+    }
+
+    /// Returns whether a request can only be late, and all its upstreams get requests in time only.
+    fn is_hopeless(&self, now: TimeMs, waiting: &Waiting) -> bool {
+        let mut usable = self
+            .targets
+            .iter()
+            .filter(|(name, _)| waiting.accepts(name));
+        waiting.is_late(now) && usable.all(|(_, target)| target.starves_late(now))
+    }
+
     /// Returns the upstream with room on which a request is expected to end first.
     fn choose(&self, now: TimeMs, waiting: &Waiting) -> Option<UpstreamName> {
         let free = |(_, target): &(&UpstreamName, &Target)| target.verdict(now) == PaceVerdict::Now;
@@ -216,7 +237,7 @@
         };
         let wait_ms = self.expected_wait_ms(now, &waiting);
         let left_ms = waiting.expires_at().since(now);
-        if wait_ms <= left_ms && left_ms > 0 {
+        if wait_ms <= left_ms && left_ms > 0 && !self.is_hopeless(now, &waiting) {
             self.record_decision(false);
             return Admission::Waits(wait_ms.min(u64::from(u32::MAX)) as u32);
         }
--- a/crates/balsam-decide/src/room/keeper.rs
+++ b/crates/balsam-decide/src/room/keeper.rs
@@ -266,9 +266,7 @@
             key,
             scope: request.scope,
             rank: request.rank,
-            queued_at: now,
             objective_at: now.after(u64::from(request.objective_left_ms)),
-            late_wait_ms: request.late_wait_ms,
             deadline: now.after(u64::from(request.deadline_left_ms)),
             usual_ms: request.usual_ms,
         };
--- a/crates/balsam-decide/src/room/message.rs
+++ b/crates/balsam-decide/src/room/message.rs
@@ -49,8 +49,6 @@
     pub objective_left_ms: u32,
     /// The time until the request is given up, in milliseconds.
     pub deadline_left_ms: u32,
-    /// How long the request waits on once its objective can no longer be met, in milliseconds.
-    pub late_wait_ms: u32,
     /// The usual response time of such requests, in milliseconds, or 0 if it is not known.
     pub usual_ms: u32,
 }
--- a/crates/balsam-decide/src/room/queue.rs
+++ b/crates/balsam-decide/src/room/queue.rs
@@ -21,11 +21,8 @@
     pub(super) key: AskKey,
     pub(super) scope: PermitScope,
     pub(super) rank: u32,
-    pub(super) queued_at: TimeMs,
     pub(super) objective_at: TimeMs,
     pub(super) deadline: TimeMs,
-    /// How long the request waits on once its objective can no longer be met, in milliseconds.
-    pub(super) late_wait_ms: u32,
     pub(super) usual_ms: u32,
 }
 
@@ -44,7 +41,7 @@
     /// An answer after the objective is worth little to the caller. A request that can only be late
     /// gives way to those in time, so that an overload does not make all of them late.
     pub(super) fn place(&self, now: TimeMs) -> Place {
-        let is_late = now.after(u64::from(self.usual_ms)) > self.objective_at;
+        let is_late = self.is_late(now);
         Place {
             rank: self.rank.saturating_add(u32::from(is_late)),
             is_late,
@@ -60,13 +57,15 @@
         }
     }
 
-    /// Returns until when the request waits: until too little time is left to run it, or it has
-    /// waited for long in vain although it can only be late.
+    /// Returns when too little time is left to run the request.
     pub(super) fn expires_at(&self) -> TimeMs {
-        let usual_ms = u64::from(self.usual_ms);
-        let useful_until = self.deadline.before(usual_ms * WORTH_SENDING_PERCENT / 100);
-        let late_from = self.objective_at.before(usual_ms).max(self.queued_at);
-        useful_until.min(late_from.after(u64::from(self.late_wait_ms)))
+        let needed_ms = u64::from(self.usual_ms) * WORTH_SENDING_PERCENT / 100;
+        self.deadline.before(needed_ms)
+    }
+
+    /// Returns whether the objective of the request can no longer be met.
+    pub(super) fn is_late(&self, now: TimeMs) -> bool {
+        now.after(u64::from(self.usual_ms)) > self.objective_at
     }
 }
 
@@ -104,11 +103,15 @@
         ordered
     }
 
-    /// Removes the requests that have too little time left and returns them.
-    pub(super) fn expire(&mut self, now: TimeMs) -> Vec<Waiting> {
+    /// Removes the requests that have too little time left, or that are `hopeless`, and returns them.
+    pub(super) fn expire(
+        &mut self,
+        now: TimeMs,
+        is_hopeless: impl Fn(&Waiting) -> bool,
+    ) -> Vec<Waiting> {
         let (expired, kept) = std::mem::take(&mut self.waiting)
             .into_iter()
-            .partition(|waiting| waiting.expires_at() <= now);
+            .partition(|waiting| waiting.expires_at() <= now || is_hopeless(waiting));
         self.waiting = kept;
         expired
     }
--- a/crates/balsam-decide/src/room/target.rs
+++ b/crates/balsam-decide/src/room/target.rs
@@ -13,6 +13,10 @@
 const SLOWNESS_MIN: f64 = 0.2;
 const SLOWNESS_MAX: f64 = 8.0;
 
+/// How long requests that can only be late may wait without one of them being sent before they are
+/// refused, in milliseconds. A shorter overload is a burst, after which there is room for them.
+const LATE_STALL_MS: u64 = 500;
+
 /// How long the load that an upstream tells is believed, in milliseconds. Load on shared machines
 /// changes several times a second.
 const LOAD_KEPT_MS: u64 = 400;
@@ -27,6 +31,8 @@
     slowness: f64,
     /// The slowness of its machine as it has told, and when.
     told: Option<(TimeMs, f64)>,
+    /// Since when requests that can only be late wait for it and none of them was sent.
+    late_since: Option<TimeMs>,
 }
 
 impl Target {
@@ -39,6 +45,7 @@
             paused_until: TimeMs(0),
             slowness: 1.0,
             told: None,
+            late_since: None,
         }
     }
 
@@ -86,6 +93,23 @@
         told.map_or(self.slowness, |(_, told)| self.slowness.max(told))
     }
 
+    /// Records whether requests that can only be late wait for the upstream, after requests have been
+    /// sent to it. `was_late_sent` states that one of them was among these.
+    pub(super) fn record_late(&mut self, now: TimeMs, has_late: bool, was_late_sent: bool) {
+        if !has_late {
+            self.late_since = None;
+        } else if was_late_sent || self.late_since.is_none() {
+            self.late_since = Some(now);
+        }
+    }
+
+    /// Returns whether the upstream is so overloaded that it gets requests in time only, so that
+    /// requests that can only be late wait in vain.
+    pub(super) fn starves_late(&self, now: TimeMs) -> bool {
+        let stalled = |since: TimeMs| now.since(since) >= LATE_STALL_MS;
+        self.late_since.is_some_and(stalled)
+    }
+
     /// Returns the number of requests that may be in flight at present.
     pub(super) fn concurrency(&self) -> f64 {
         self.pace.concurrency().max(0.25)
