Handle ticks of the pool and of the keeper also under steady messages

Cause: the next tick was due a fixed time after the last input, of whatever kind. With a message every 5 ms the keeper never let a permit expire, never refused a request that waited in vain, and remembered all returned permits; the pool never noticed that a keeper was silent.

--- a/crates/balsam-decide/src/pool/machine.rs
+++ b/crates/balsam-decide/src/pool/machine.rs
@@ -62,6 +62,9 @@
     pub(super) route_latencies_ms: Map<RouteName, f64>,
     pub(super) patience: CallerPatience,
     pub(super) permits: Permits,
+    /// When the last tick was handled. The next one is due a fixed time after it, also while other
+    /// inputs arrive more often.
+    ticked_at: TimeMs,
 }
 
 impl Pool {
@@ -78,6 +81,7 @@
             queues: new_map(),
             splits: TrafficSplits::new(),
             route_latencies_ms: new_map(),
+            ticked_at: TimeMs(0),
         }
     }
 
@@ -131,6 +135,7 @@
                 self.handle_keeper(now, from, message, &mut outputs);
             }
             PoolInput::Tick => {
+                self.ticked_at = now;
                 self.check_permits(now, &mut outputs);
                 self.check_queues(now, &mut outputs);
             }
@@ -139,10 +144,12 @@
     }
 
     /// Returns when the pool needs a [`PoolInput::Tick`], or `None` if nothing is awaited.
-    pub fn next_wakeup(&self, now: TimeMs) -> Option<TimeMs> {
+    pub fn next_wakeup(&self) -> Option<TimeMs> {
         let next = self.queues.values().filter_map(Queue::next_expiry).min();
-        let next = next.map(|next| next.min(now.after(QUEUE_CHECK_MS)));
-        let next = next.into_iter().chain(self.permits.next_check(now));
+        let next = next.map(|next| next.min(self.ticked_at.after(QUEUE_CHECK_MS)));
+        let next = next
+            .into_iter()
+            .chain(self.permits.next_check(self.ticked_at));
         next.min()
     }
 
--- a/crates/balsam-decide/src/pool/permits.rs
+++ b/crates/balsam-decide/src/pool/permits.rs
@@ -284,9 +284,9 @@
     }
 
     /// Returns when the state must be checked, or `None` if nothing is awaited.
-    pub(super) fn next_check(&self, now: TimeMs) -> Option<TimeMs> {
+    pub(super) fn next_check(&self, checked_at: TimeMs) -> Option<TimeMs> {
         let is_idle = self.asking.is_empty() && self.returns.is_empty();
-        (!is_idle).then(|| now.after(CHECK_MS))
+        (!is_idle).then(|| checked_at.after(CHECK_MS))
     }
 
     /// Repeats what was not answered. Returns the messages, and the requests whose keeper does not
--- a/crates/balsam-decide/src/room/keeper.rs
+++ b/crates/balsam-decide/src/room/keeper.rs
@@ -108,6 +108,9 @@
     /// Permits that were returned, oldest first.
     returned: VecDeque<(TimeMs, AskKey)>,
     acknowledgements: Map<SocketAddr, (TimeMs, Vec<PermitId>)>,
+    /// When the last tick was handled. The next one is due a fixed time after it, also while
+    /// messages arrive more often.
+    ticked_at: TimeMs,
     counts: KeeperCounts,
 }
 
@@ -125,6 +128,7 @@
             asks: new_map(),
             returned: VecDeque::new(),
             acknowledgements: new_map(),
+            ticked_at: now,
             counts: KeeperCounts::default(),
         }
     }
@@ -150,12 +154,12 @@
     }
 
     /// Returns when the keeper needs a [`KeeperInput::Tick`], or `None` if it holds nothing.
-    pub fn next_wakeup(&self, now: TimeMs) -> Option<TimeMs> {
+    pub fn next_wakeup(&self) -> Option<TimeMs> {
         if self.groups.values().any(|group| !group.is_idle()) {
-            return Some(now.after(CHECK_INTERVAL_MS));
+            return Some(self.ticked_at.after(CHECK_INTERVAL_MS));
         }
         let is_idle = self.asks.is_empty() && self.acknowledgements.is_empty();
-        (!is_idle).then(|| now.after(ACKNOWLEDGE_MS / 2))
+        (!is_idle).then(|| self.ticked_at.after(ACKNOWLEDGE_MS / 2))
     }
 
     /// Returns what the keeper has decided and holds.
@@ -343,6 +347,7 @@
     }
 
     fn tick(&mut self, now: TimeMs, outputs: &mut Vec<KeeperOutput>) {
+        self.ticked_at = now;
         self.forget_returned(now);
         self.expire_permits(now);
         let busy = self.groups.iter().filter(|(_, group)| !group.is_idle());
--- a/crates/balsam-edge/src/pool/task.rs
+++ b/crates/balsam-edge/src/pool/task.rs
@@ -83,7 +83,7 @@
         let mut reports = interval(REPORT_INTERVAL);
         reports.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
-            let wake_at = task.pool.next_wakeup(now());
+            let wake_at = task.pool.next_wakeup();
             let wake_up = async {
                 match wake_at {
                     Some(at) => sleep_until(crate::clock::instant_at(at)).await,
--- a/crates/balsam-edge/src/room/task.rs
+++ b/crates/balsam-edge/src/room/task.rs
@@ -44,7 +44,7 @@
         let mut gauges = interval(METRICS_INTERVAL);
         gauges.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
-            let wake_at = self.keeper.next_wakeup(now());
+            let wake_at = self.keeper.next_wakeup();
             let wake_up = async {
                 match wake_at {
                     Some(at) => sleep_until(instant_at(at)).await,
