Count the permits of upstreams that come back to a keeper

Cause: the requests in flight at an upstream were forgotten when it left the group for a moment: not ready, not listed, in the other part after a division of the group, or kept by another daemon. When it came back it got its slots again while the former permits were in use, and their returns freed slots of the new ones.

Permits belong to a run of an upstream, not to a group, and take its slots wherever it is. upstream_back, group_back and divided_groups fail without the change and pass now.

--- a/crates/balsam-decide/src/room/group.rs
+++ b/crates/balsam-decide/src/room/group.rs
@@ -1,5 +1,6 @@
 //! One group of upstreams at its keeper: who may send now, who waits, and who is refused.
 
+use super::keeper::PermitsOut;
 use super::queue::{AskKey, Queue, Waiting};
 use super::target::Target;
 use super::{PermitRefusal, PermitReturn, PermitScope, RoomLoad};
@@ -62,6 +63,9 @@
     /// Adopts the upstreams of the group. Returns the waiting requests whose owner is not among them
     /// any more.
     ///
+    /// Permits that are out for an upstream that is new to the group take its slots: it may have been
+    /// in another group, not ready, or at another keeper in the meantime.
+    ///
     /// Cold upstreams that are new to the group get nothing before `cold_from`, because another
     /// keeper may just have sent them requests.
     pub(super) fn set_upstreams(
@@ -70,6 +74,7 @@
         upstreams: &[Arc<DiscoveredUpstream>],
         warmup: Option<WarmupTerms>,
         cold_from: TimeMs,
+        permits: &PermitsOut,
     ) -> Vec<Waiting> {
         let mut former = std::mem::take(&mut self.targets);
         for upstream in upstreams {
@@ -82,6 +87,10 @@
                     if warmup.is_some() && upstream.warmup_ends_at > now {
                         target.pause(cold_from);
                     }
+                    let run = (name.clone(), upstream.entry.born);
+                    for _ in 0..permits.get(&run).copied().unwrap_or_default() {
+                        target.record_sent(now);
+                    }
                     target
                 });
             target.update(now, Arc::clone(upstream), warmup);
--- a/crates/balsam-decide/src/room/keeper.rs
+++ b/crates/balsam-decide/src/room/keeper.rs
@@ -9,7 +9,7 @@
 use crate::directory::{DiscoveredUpstream, Upstreams};
 use crate::pace::PaceOutcome;
 use crate::pool::ClusterState;
-use balsam_types::{Map, TimeMs, WarmupTerms, new_map};
+use balsam_types::{Map, StartTime, TimeMs, UpstreamName, WarmupTerms, new_map};
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -83,13 +83,15 @@
 enum AskState {
     Waiting(GroupId),
     Granted {
-        group: GroupId,
         upstream: Arc<DiscoveredUpstream>,
         expires_at: TimeMs,
     },
     Returned,
 }
 
+/// The number of permits out for each run of an upstream.
+pub(super) type PermitsOut = Map<(UpstreamName, StartTime), u32>;
+
 /// Keeps the room of groups of upstreams for all daemons.
 ///
 /// It answers the load of many daemons that each send few requests to each of many upstreams: the
@@ -222,14 +224,26 @@
         }
     }
 
+    fn permits_out(&self) -> PermitsOut {
+        let mut permits = new_map();
+        for state in self.asks.values() {
+            if let AskState::Granted { upstream, .. } = state {
+                let run = (upstream.entry.name.clone(), upstream.entry.born);
+                *permits.entry(run).or_default() += 1;
+            }
+        }
+        permits
+    }
+
     /// Adopts the present upstreams of a group, and refuses requests for those that are gone.
     fn refresh_group(&mut self, now: TimeMs, id: &GroupId, outputs: &mut Vec<KeeperOutput>) {
         let warmup = self.warmup(id);
         let cold_from = self.list_since.after(COLD_HOLD_MS);
+        let permits = self.permits_out();
         let members = self.members.get(id).map_or(&[][..], Vec::as_slice);
         let group = self.groups.entry(id.clone());
         let group = group.or_insert_with(|| Group::new(now));
-        let orphaned = group.set_upstreams(now, members, warmup, cold_from);
+        let orphaned = group.set_upstreams(now, members, warmup, cold_from, &permits);
         for waiting in orphaned {
             self.refuse(&waiting, PermitRefusal::NotKept, NOT_KEPT_RETRY_MS, outputs);
         }
@@ -250,11 +264,9 @@
     ) {
         let key = (from, request.id);
         match self.asks.get(&key) {
-            Some(AskState::Granted {
-                group, upstream, ..
-            }) => {
+            Some(AskState::Granted { upstream, .. }) => {
                 let answer = granted(upstream);
-                let load = self.load(now, group);
+                let load = self.load(now, &self.layout.group_of(&upstream.entry));
                 return self.answer(key, answer, load, outputs);
             }
             Some(AskState::Waiting(group)) => {
@@ -325,10 +337,9 @@
             .or_insert_with(|| (now, Vec::new()));
         ids.push(returned.id);
         match self.asks.insert(key, AskState::Returned) {
-            Some(AskState::Granted {
-                group, upstream, ..
-            }) => {
+            Some(AskState::Granted { upstream, .. }) => {
                 self.returned.push_back((now, key));
+                let group = self.layout.group_of(&upstream.entry);
                 if let Some(kept) = self.groups.get_mut(&group) {
                     kept.record_return(now, &upstream, returned);
                 }
@@ -381,10 +392,7 @@
         });
         let expired: Vec<AskKey> = expired.collect();
         for key in expired {
-            let Some(AskState::Granted {
-                group, upstream, ..
-            }) = self.asks.remove(&key)
-            else {
+            let Some(AskState::Granted { upstream, .. }) = self.asks.remove(&key) else {
                 continue;
             };
             self.counts.expired += 1;
@@ -394,6 +402,7 @@
                 pause_ms: None,
                 load: None,
             };
+            let group = self.layout.group_of(&upstream.entry);
             if let Some(kept) = self.groups.get_mut(&group) {
                 kept.record_return(now, &upstream, &returned);
             }
@@ -420,7 +429,6 @@
             self.counts.granted += 1;
             let answer = granted(&upstream);
             let state = AskState::Granted {
-                group: id.clone(),
                 upstream,
                 expires_at: waiting.deadline,
             };
--- a/crates/balsam-decide/tests/permit_limits.rs
+++ b/crates/balsam-decide/tests/permit_limits.rs
@@ -2,7 +2,76 @@
 
 mod room_sim;
 
-use room_sim::{Bench, DEADLINE_MS, SLOTS, ask};
+use balsam_decide::directory::DiscoveredUpstream;
+use balsam_decide::room::{GroupId, PermitAnswer};
+use balsam_types::UpstreamState;
+use room_sim::{
+    Bench, DEADLINE_MS, SLOTS, answer, ask, granted, keeper_list, service, upstream, upstream_run,
+    zone,
+};
+use std::sync::Arc;
+
+/// Guards against upstreams whose permits are forgotten while they are not listed or not ready: they
+/// would get their slots twice when they are back.
+#[test]
+fn upstream_back() {
+    let mut bench = Bench::new(2);
+    bench.fill(1, 2);
+    let mut draining = DiscoveredUpstream::clone(&upstream(0, 0));
+    draining.entry.state = UpstreamState::Draining;
+    bench.list(vec![upstream(1, 0), Arc::new(draining)]);
+    bench.list(vec![upstream(0, 0), upstream(1, 0)]);
+    assert!(granted_asks(&mut bench, 10, 4).is_empty());
+    // Each return frees one slot.
+    assert_eq!(bench.finish(1).len(), 1);
+}
+
+/// Guards against a keeper that forgets the permits of a group which it has handed over and gets
+/// back.
+#[test]
+fn group_back() {
+    let mut bench = Bench::new(1);
+    bench.fill(1, 1);
+    bench.keepers(&keeper_list(2, &[(9, 0)]));
+    bench.keepers(&keeper_list(3, &[(0, 0)]));
+    assert!(granted_asks(&mut bench, 10, 4).is_empty());
+}
+
+/// Guards against permits that are counted in the wrong group after a service has grown and its
+/// groups were divided.
+#[test]
+fn divided_groups() {
+    let mut bench = Bench::new(32);
+    bench.fill(1, 32);
+    bench.list((0..33).map(|number| upstream(number, 0)).collect());
+    let group = |part| GroupId {
+        service: service(),
+        zone: zone(0),
+        part,
+    };
+    let mut count = 0;
+    for id in 200..210 {
+        for part in 0..2 {
+            let answers = bench.ask_in(group(part), ask(id * 2 + u64::from(part), 0));
+            count += answers
+                .iter()
+                .filter(|(_, answer)| matches!(answer, PermitAnswer::Granted { .. }))
+                .count();
+        }
+    }
+    assert_eq!(count, SLOTS as usize, "only the new upstream is free");
+}
+
+/// Guards against slots that the permits of an upstream's former run take from its new one, or free
+/// there.
+#[test]
+fn upstream_restarted() {
+    let mut bench = Bench::new(1);
+    bench.fill(1, 1);
+    bench.list(vec![upstream_run(0, 0, 2)]);
+    assert_eq!(granted_asks(&mut bench, 10, 4).len(), SLOTS as usize);
+    assert!(bench.finish(1).is_empty());
+}
 
 /// Guards against permits that never expire because messages arrive more often than the keeper's
 /// ticks are due, each of which put the tick off.
@@ -22,3 +91,14 @@
     }
     assert!(bench.keeper.counts().expired >= u64::from(SLOTS));
 }
+
+/// Asks for some permits, and returns those that are granted.
+fn granted_asks(bench: &mut Bench, first: u64, count: u64) -> Vec<u64> {
+    let mut granted = Vec::new();
+    for id in first..first + count {
+        let answers = bench.ask(ask(id, 0)).into_iter();
+        let grants = answers.filter(|(_, answer)| matches!(answer, PermitAnswer::Granted { .. }));
+        granted.extend(grants.map(|(id, _)| id));
+    }
+    granted
+}
