Keep no groups without upstreams

Cause: a keeper created a group for each name in a request, and kept groups whose upstreams had ended. Its memory grew with the names that it heard, and requests that waited for any upstream of such a group waited until their time was over.

Requests about a group without upstreams are refused as not kept, and the group is dropped. unknown_groups fails without the change and passes now.

--- a/crates/balsam-decide/src/room/group.rs
+++ b/crates/balsam-decide/src/room/group.rs
@@ -60,8 +60,7 @@
         }
     }
 
-    /// Adopts the upstreams of the group. Returns the waiting requests whose owner is not among them
-    /// any more.
+    /// Adopts the upstreams of the group. Returns the waiting requests that none of them may run.
     ///
     /// Permits that are out for an upstream that is new to the group take its slots: it may have been
     /// in another group, not ready, or at another keeper in the meantime.
@@ -96,10 +95,7 @@
             target.update(now, Arc::clone(upstream), warmup);
             self.targets.insert(name, target);
         }
-        let orphaned = self.queue.iter().filter(|waiting| match &waiting.scope {
-            PermitScope::Owner(owner) => !self.targets.contains_key(owner),
-            PermitScope::Any { .. } => false,
-        });
+        let orphaned = self.queue.iter().filter(|waiting| !self.accepts(waiting));
         let orphaned: Vec<AskKey> = orphaned.map(|waiting| waiting.key).collect();
         let queue = &mut self.queue;
         orphaned
--- a/crates/balsam-decide/src/room/keeper.rs
+++ b/crates/balsam-decide/src/room/keeper.rs
@@ -190,11 +190,7 @@
             .cloned()
             .collect();
         for id in moved {
-            if let Some(mut group) = self.groups.remove(&id) {
-                for waiting in group.drain() {
-                    self.refuse(&waiting, PermitRefusal::NotKept, NOT_KEPT_RETRY_MS, outputs);
-                }
-            }
+            self.drop_group(&id, outputs);
         }
     }
 
@@ -219,8 +215,21 @@
         }
         let groups: Vec<GroupId> = self.groups.keys().cloned().collect();
         for id in groups {
-            self.refresh_group(now, &id, outputs);
-            self.serve(now, &id, outputs);
+            if self.members.contains_key(&id) {
+                self.refresh_group(now, &id, outputs);
+                self.serve(now, &id, outputs);
+            } else {
+                self.drop_group(&id, outputs);
+            }
+        }
+    }
+
+    /// Drops a group that this daemon does not keep or that has no upstreams. Its permits are still
+    /// counted if it comes back.
+    fn drop_group(&mut self, id: &GroupId, outputs: &mut Vec<KeeperOutput>) {
+        let group = self.groups.remove(id);
+        for waiting in group.map(|mut group| group.drain()).unwrap_or_default() {
+            self.refuse(&waiting, PermitRefusal::NotKept, NOT_KEPT_RETRY_MS, outputs);
         }
     }
 
@@ -286,7 +295,7 @@
             deadline: now.after(u64::from(request.deadline_left_ms)),
             usual_ms: request.usual_ms,
         };
-        if !self.is_keeper_of(&id) {
+        if !self.is_keeper_of(&id) || !self.members.contains_key(&id) {
             return self.refuse(&waiting, PermitRefusal::NotKept, NOT_KEPT_RETRY_MS, outputs);
         }
         if !self.groups.contains_key(&id) {
--- a/crates/balsam-decide/tests/permit_limits.rs
+++ b/crates/balsam-decide/tests/permit_limits.rs
@@ -3,7 +3,7 @@
 mod room_sim;
 
 use balsam_decide::directory::DiscoveredUpstream;
-use balsam_decide::room::{GroupId, PermitAnswer};
+use balsam_decide::room::{GroupId, PermitAnswer, PermitRefusal};
 use balsam_types::UpstreamState;
 use room_sim::{
     Bench, DEADLINE_MS, SLOTS, answer, ask, granted, keeper_list, service, upstream, upstream_run,
@@ -73,6 +73,29 @@
     assert!(bench.finish(1).is_empty());
 }
 
+/// Guards against groups that a keeper creates for requests about upstreams that do not exist, or
+/// keeps after they have ended: its memory would grow with the names that it hears.
+#[test]
+fn unknown_groups() {
+    let mut bench = Bench::new(1);
+    bench.fill(1, 1);
+    bench.ask(ask(10, 0));
+    let unknown = GroupId {
+        part: 7,
+        ..bench.group()
+    };
+    let answers = bench.ask_in(unknown, ask(11, 0));
+    let refused = PermitAnswer::Refused {
+        refusal: PermitRefusal::NotKept,
+        retry_after_ms: 100,
+    };
+    assert_eq!(answers, [(11, refused.clone())]);
+    assert_eq!(bench.keeper.counts().groups, 1);
+    let ended = bench.list(vec![upstream(5, 3)]);
+    assert_eq!(room_sim::answers(&ended), [(10, refused)]);
+    assert_eq!(bench.keeper.counts().groups, 0);
+}
+
 /// Guards against permits that never expire because messages arrive more often than the keeper's
 /// ticks are due, each of which put the tick off.
 #[test]
