Refuse requests that are out of time before slots are given

Cause: a keeper looked for free slots first and for requests out of time after it. A request that arrived with too little time got a slot, and a keeper that woke after it was frozen gave its slots to requests which had ended.

Both are refused first. woken_keeper fails without the change and passes now.

--- a/crates/balsam-decide/src/room/keeper.rs
+++ b/crates/balsam-decide/src/room/keeper.rs
@@ -374,11 +374,6 @@
         let busy: Vec<GroupId> = busy.map(|(id, _)| id.clone()).collect();
         for id in busy {
             self.serve(now, &id, outputs);
-            let group = self.groups.get_mut(&id);
-            for waiting in group.map(|group| group.expire(now)).unwrap_or_default() {
-                let retry_after_ms = self.load(now, &id).wait_ms.max(NOT_KEPT_RETRY_MS);
-                self.refuse(&waiting, PermitRefusal::Busy, retry_after_ms, outputs);
-            }
         }
         self.acknowledge(now, outputs);
     }
@@ -431,10 +426,19 @@
         });
     }
 
-    /// Grants waiting requests of a group, as far as there is room.
+    /// Refuses waiting requests of a group whose time is over, and grants others as far as there is
+    /// room.
     fn serve(&mut self, now: TimeMs, id: &GroupId, outputs: &mut Vec<KeeperOutput>) {
-        let grants = self.groups.get_mut(id).map(|group| group.serve(now));
-        for Grant { waiting, upstream } in grants.unwrap_or_default() {
+        let Some(group) = self.groups.get_mut(id) else {
+            return;
+        };
+        let expired = group.expire(now);
+        let grants = group.serve(now);
+        for waiting in expired {
+            let retry_after_ms = self.load(now, id).wait_ms.max(NOT_KEPT_RETRY_MS);
+            self.refuse(&waiting, PermitRefusal::Busy, retry_after_ms, outputs);
+        }
+        for Grant { waiting, upstream } in grants {
             self.counts.granted += 1;
             let answer = granted(&upstream);
             let state = AskState::Granted {
--- a/crates/balsam-decide/tests/permit_limits.rs
+++ b/crates/balsam-decide/tests/permit_limits.rs
@@ -115,6 +115,20 @@
     assert!(bench.keeper.counts().expired >= u64::from(SLOTS));
 }
 
+/// Guards against slots that a keeper gives to requests which ended while it was frozen.
+#[test]
+fn woken_keeper() {
+    let mut bench = Bench::new(1);
+    bench.fill(1, 1);
+    for id in 10..14 {
+        bench.ask(ask(id, 0));
+    }
+    bench.now = bench.now.after(u64::from(DEADLINE_MS));
+    assert!(bench.finish(1).is_empty());
+    assert!(granted(&bench.wait(0)).is_empty());
+    assert_eq!(bench.keeper.counts().waiting, 0);
+}
+
 /// Asks for some permits, and returns those that are granted.
 fn granted_asks(bench: &mut Bench, first: u64, count: u64) -> Vec<u64> {
     let mut granted = Vec::new();
