--- a/crates/balsam-decide/src/room/group.rs
+++ b/crates/balsam-decide/src/room/group.rs
@@ -282,6 +282,12 @@
         (work_ms as u64).max(pause_ms)
     }
 
+    /// Returns when a caller should return whose request found no room in time, in milliseconds.
+    pub(super) fn retry_after_ms(&self, now: TimeMs, key: &AskKey) -> u32 {
+        let wait_ms = u64::from(self.load(now).wait_ms);
+        spread(wait_ms.max(RETRY_AFTER_MIN_MS), key)
+    }
+
     /// Returns the load of the group, as a new request of an ordinary rank finds it.
     pub(super) fn load(&self, now: TimeMs) -> RoomLoad {
         let free = self.targets.values().map(|target| {
--- a/crates/balsam-decide/src/room/keeper.rs
+++ b/crates/balsam-decide/src/room/keeper.rs
@@ -308,9 +308,8 @@
             return self.refuse(&waiting, PermitRefusal::NotKept, NOT_KEPT_RETRY_MS, outputs);
         }
         if !group.push(waiting.clone()) {
-            let refusal = PermitRefusal::QueueFull;
-            let retry_after_ms = self.load(now, &id).wait_ms.max(NOT_KEPT_RETRY_MS);
-            return self.refuse(&waiting, refusal, retry_after_ms, outputs);
+            let retry_after_ms = group.retry_after_ms(now, &key);
+            return self.refuse(&waiting, PermitRefusal::QueueFull, retry_after_ms, outputs);
         }
         self.asks.insert(key, AskState::Waiting(id.clone()));
         self.serve(now, &id, outputs);
@@ -434,8 +433,14 @@
         };
         let expired = group.expire(now);
         let grants = group.serve(now);
-        for waiting in expired {
-            let retry_after_ms = self.load(now, id).wait_ms.max(NOT_KEPT_RETRY_MS);
+        let refusals: Vec<(Waiting, u32)> = expired
+            .into_iter()
+            .map(|waiting| {
+                let retry_after_ms = group.retry_after_ms(now, &waiting.key);
+                (waiting, retry_after_ms)
+            })
+            .collect();
+        for (waiting, retry_after_ms) in refusals {
             self.refuse(&waiting, PermitRefusal::Busy, retry_after_ms, outputs);
         }
         for Grant { waiting, upstream } in grants {
