Refuse repeats for lack of room where all upstreams had the request

Cause: a keeper answered a repeat that had been sent to all upstreams of the group that it does not keep the group. The daemon then sent the repeat without a permit instead of asking another group.

The answer is that there is no room. tried_everywhere fails without the change and passes now.

--- a/crates/balsam-decide/src/room/keeper.rs
+++ b/crates/balsam-decide/src/room/keeper.rs
@@ -4,7 +4,7 @@
 use super::queue::{AskKey, Waiting};
 use super::{
     GroupId, GroupLayout, KeeperList, PermitAnswer, PermitId, PermitRefusal, PermitRequest,
-    PermitReturn, RoomLoad, RoomMessage,
+    PermitReturn, PermitScope, RoomLoad, RoomMessage,
 };
 use crate::directory::{DiscoveredUpstream, Upstreams};
 use crate::pace::PaceOutcome;
@@ -305,7 +305,12 @@
             return;
         };
         if !group.accepts(&waiting) {
-            return self.refuse(&waiting, PermitRefusal::NotKept, NOT_KEPT_RETRY_MS, outputs);
+            let (refusal, retry_after_ms) = match waiting.scope {
+                PermitScope::Owner(_) => (PermitRefusal::NotKept, NOT_KEPT_RETRY_MS),
+                // The request was sent to all upstreams of the group before.
+                PermitScope::Any { .. } => (PermitRefusal::Busy, group.retry_after_ms(now, &key)),
+            };
+            return self.refuse(&waiting, refusal, retry_after_ms, outputs);
         }
         if !group.push(waiting.clone()) {
             let retry_after_ms = group.retry_after_ms(now, &key);
--- a/crates/balsam-decide/tests/permit_order.rs
+++ b/crates/balsam-decide/tests/permit_order.rs
@@ -3,7 +3,7 @@
 mod room_sim;
 
 use balsam_decide::room::{PermitAnswer, PermitRefusal};
-use room_sim::{Ask, Bench, DEADLINE_MS, ask};
+use room_sim::{Ask, Bench, DEADLINE_MS, ask, upstream};
 use rstest::rstest;
 use std::collections::BTreeSet;
 
@@ -82,6 +82,28 @@
     assert_spread(&times);
 }
 
+/// Guards against a repeat that its daemon sends without a permit because all upstreams of the group
+/// have had the request: the group has no room for it, but it is kept.
+#[test]
+fn tried_everywhere() {
+    let mut bench = Bench::new(1);
+    let tried = vec![upstream(0, 0).entry.name.clone()];
+    let answers = bench.ask_except(bench.group(), ask(1, 0), tried);
+    assert!(
+        matches!(
+            answers[..],
+            [(
+                1,
+                PermitAnswer::Refused {
+                    refusal: PermitRefusal::Busy,
+                    ..
+                }
+            )]
+        ),
+        "{answers:?}"
+    );
+}
+
 /// Guards against callers that come back together because the queue was full, or because their
 /// requests waited in vain.
 #[test]
