Hold cold upstreams back after groups were divided

Cause: after the number of parts of a service had changed, the new keeper of a cold upstream granted at once, while the former one may have done so in the same second. Together they exceed R1, as after a change of the list, for which a hold of one second exists.

--- a/crates/balsam-decide/src/room/keeper.rs
+++ b/crates/balsam-decide/src/room/keeper.rs
@@ -25,8 +25,8 @@
 /// it that arrives late is not granted.
 const RETURNED_KEPT_MS: u64 = 2_000;
 
-/// How long cold upstreams get nothing after their keeper has changed, in milliseconds. Their limit
-/// is counted over a second.
+/// How long cold upstreams get nothing after their keeper may have changed, in milliseconds. Their
+/// limit is counted over a second.
 const COLD_HOLD_MS: u64 = 1_000;
 
 /// Time after which a daemon should retry elsewhere if this daemon is not the keeper, in
@@ -104,6 +104,8 @@
     list_since: TimeMs,
     cluster: Option<ClusterState>,
     layout: GroupLayout,
+    /// When the division into groups was last changed, which gives groups other keepers as a list does.
+    layout_since: TimeMs,
     members: Map<GroupId, Vec<Arc<DiscoveredUpstream>>>,
     groups: Map<GroupId, Group>,
     asks: Map<AskKey, AskState>,
@@ -125,6 +127,7 @@
             list_since: now,
             cluster: None,
             layout: GroupLayout::default(),
+            layout_since: now,
             members: new_map(),
             groups: new_map(),
             asks: new_map(),
@@ -206,7 +209,11 @@
                 || !Arc::ptr_eq(&known.table, &cluster.table)
         });
         if has_changed {
-            self.layout = GroupLayout::new(&cluster.upstreams);
+            let layout = GroupLayout::new(&cluster.upstreams);
+            if layout != self.layout {
+                self.layout = layout;
+                self.layout_since = now;
+            }
             self.members = members(&self.layout, &cluster.upstreams);
         }
         self.cluster = Some(cluster);
@@ -247,7 +254,7 @@
     /// Adopts the present upstreams of a group, and refuses requests for those that are gone.
     fn refresh_group(&mut self, now: TimeMs, id: &GroupId, outputs: &mut Vec<KeeperOutput>) {
         let warmup = self.warmup(id);
-        let cold_from = self.list_since.after(COLD_HOLD_MS);
+        let cold_from = self.list_since.max(self.layout_since).after(COLD_HOLD_MS);
         let permits = self.permits_out();
         let members = self.members.get(id).map_or(&[][..], Vec::as_slice);
         let group = self.groups.entry(id.clone());
--- a/crates/balsam-decide/src/room/layout.rs
+++ b/crates/balsam-decide/src/room/layout.rs
@@ -12,7 +12,7 @@
 const PARTS_MAX: usize = 1 << 10;
 
 /// The division of all upstreams into groups.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct GroupLayout {
     parts: Map<ServiceName, Map<ZoneName, u16>>,
 }
--- a/crates/balsam-decide/tests/permit_limits.rs
+++ b/crates/balsam-decide/tests/permit_limits.rs
@@ -2,13 +2,14 @@
 
 mod room_sim;
 
-use balsam_decide::directory::DiscoveredUpstream;
-use balsam_decide::room::{GroupId, PermitAnswer, PermitRefusal};
+use balsam_decide::directory::{DiscoveredUpstream, Upstreams};
+use balsam_decide::room::{GroupId, GroupLayout, PermitAnswer, PermitRefusal};
 use balsam_types::UpstreamState;
 use room_sim::{
     Bench, DEADLINE_MS, SLOTS, answer, ask, granted, keeper_list, service, upstream, upstream_run,
     zone,
 };
+use rstest::rstest;
 use std::sync::Arc;
 
 /// Guards against upstreams whose permits are forgotten while they are not listed or not ready: they
@@ -62,6 +63,32 @@
     assert_eq!(count, SLOTS as usize, "only the new upstream is free");
 }
 
+/// Guards against a cold upstream that gets its requests of one second twice (R1): from its former
+/// keeper, and from this one after the groups were divided. Without a new division there is no other
+/// keeper, and it is not left idle.
+#[rstest]
+#[case::same_groups(31, SLOTS as usize)]
+#[case::divided_groups(32, 0)]
+fn cold_upstream(#[case] before: u16, #[case] granted: usize) {
+    let mut bench = Bench::new(before);
+    bench.fill(1, u64::from(before));
+    // No tick has passed, so that the others are still full.
+    bench.now = bench.now.after(5_000);
+    let mut cold = DiscoveredUpstream::clone(&upstream(before, 0));
+    cold.warmup_ends_at = bench.now.after(3_000);
+    let cold = Arc::new(cold);
+    let known = (0..before).map(|number| upstream(number, 0));
+    bench.list(known.chain([Arc::clone(&cold)]).collect());
+    let layout = GroupLayout::new(&Upstreams::new(bench.upstreams.clone()));
+    let group = layout.group_of(&cold.entry);
+    let mut count = 0;
+    for id in 200..200 + u64::from(SLOTS) {
+        let answers = bench.ask_in(group.clone(), ask(id, 0));
+        count += usize::from(matches!(answers[..], [(_, PermitAnswer::Granted { .. })]));
+    }
+    assert_eq!(count, granted);
+}
+
 /// Guards against slots that the permits of an upstream's former run take from its new one, or free
 /// there.
 #[test]
