Keep the keepers when the leader changes

Cause: a new leader knew the keepers only as candidates last heard of when their list was published. More than 2.5 s after that it dropped all of them and published itself; sooner, it published the strongest quarter of the keepers instead of all. Each time most groups changed their keeper, and again when the daemons had greeted it.

A new leader keeps the list that it knows, without keepers that leave, until the daemons have had time to greet it. new_leader and leaving_keeper fail without the change and pass now.

--- a/crates/balsam-decide/src/room/election.rs
+++ b/crates/balsam-decide/src/room/election.rs
@@ -37,6 +37,16 @@
     candidates: Map<SocketAddr, (TimeMs, KeeperCandidate)>,
     list: KeeperList,
     published_at: TimeMs,
+    /// The lead under which this daemon has published, since when, and the keepers that it has taken
+    /// over from the leader before.
+    term: Option<Term>,
+}
+
+#[derive(Debug)]
+struct Term {
+    lead: u64,
+    since: TimeMs,
+    inherited: Vec<KeeperDaemon>,
 }
 
 impl KeeperElection {
@@ -57,19 +67,9 @@
     }
 
     /// Adopts a list of the leader. Returns whether it is new.
-    ///
-    /// Its keepers count as heard of, so that this daemon does not drop them if it becomes the
-    /// leader before they have greeted it.
-    pub fn adopt(&mut self, now: TimeMs, list: KeeperList) -> bool {
+    pub fn adopt(&mut self, list: KeeperList) -> bool {
         let is_new = list.is_newer_than(&self.list);
         if is_new {
-            for keeper in &list.keepers {
-                let candidate = KeeperCandidate {
-                    daemon: keeper.clone(),
-                    is_leaving: false,
-                };
-                self.heard(now, candidate);
-            }
             self.list = list;
         }
         is_new
@@ -77,14 +77,24 @@
 
     /// Returns the list to publish as the leader under the version `lead` of the leader row, if it
     /// is due.
+    ///
+    /// A new leader keeps the keepers of the list that it knows until the other daemons have had time
+    /// to greet it.
     pub fn publish(&mut self, now: TimeMs, lead: u64) -> Option<KeeperList> {
+        if self.term.as_ref().is_none_or(|term| term.lead != lead) {
+            self.term = Some(Term {
+                lead,
+                since: now,
+                inherited: self.list.keepers.clone(),
+            });
+        }
         let since_ms = now.since(self.published_at);
         if since_ms < CHANGE_INTERVAL_MS {
             return None;
         }
         self.candidates
             .retain(|_, (heard_at, _)| now.since(*heard_at) <= CANDIDATE_TIMEOUT_MS);
-        let keepers = self.choose();
+        let keepers = self.inherited(now).unwrap_or_else(|| self.choose());
         let has_changed = keepers != self.list.keepers || lead != self.list.lead;
         if !has_changed && since_ms < PUBLISH_INTERVAL_MS {
             return None;
@@ -105,6 +115,21 @@
         Some(self.list.clone())
     }
 
+    /// Returns the keepers that were taken over from the leader before, without those that leave,
+    /// while the daemons have not had time to greet this one.
+    fn inherited(&self, now: TimeMs) -> Option<Vec<KeeperDaemon>> {
+        let term = self.term.as_ref()?;
+        let is_new = now.since(term.since) < CANDIDATE_TIMEOUT_MS;
+        if !is_new || term.inherited.is_empty() {
+            return None;
+        }
+        let stays = |keeper: &&KeeperDaemon| {
+            let candidate = self.candidates.get(&keeper.address);
+            candidate.is_none_or(|(_, candidate)| !candidate.is_leaving)
+        };
+        Some(term.inherited.iter().filter(stays).cloned().collect())
+    }
+
     /// Returns the strongest daemons of each zone, sorted by address.
     fn choose(&self) -> Vec<KeeperDaemon> {
         let mut zones: Map<&ZoneName, Vec<&KeeperDaemon>> = new_map();
--- a/crates/balsam-edge/src/control/keepers.rs
+++ b/crates/balsam-edge/src/control/keepers.rs
@@ -63,7 +63,7 @@
 
     /// Adopts the list of the leader.
     pub(super) fn adopt_keepers(&mut self, list: KeeperList) {
-        if self.keeper_election.adopt(now(), list) {
+        if self.keeper_election.adopt(list) {
             self.publish_keeper_list();
         }
     }
