Publish no keepers after another leader has

Cause: a leader that had adopted the list of its successor, but had not learnt yet that it was replaced, went back to its own list and published it. The others ignored it, but its own pool asked the former keepers.

It publishes nothing under a lower version of the leader row. former_leader fails without the change and passes now.

--- a/crates/balsam-decide/src/room/election.rs
+++ b/crates/balsam-decide/src/room/election.rs
@@ -79,8 +79,11 @@
     /// is due.
     ///
     /// A new leader keeps the keepers of the list that it knows until the other daemons have had time
-    /// to greet it.
+    /// to greet it. A leader that was replaced publishes nothing.
     pub fn publish(&mut self, now: TimeMs, lead: u64) -> Option<KeeperList> {
+        if lead < self.list.lead {
+            return None;
+        }
         if self.term.as_ref().is_none_or(|term| term.lead != lead) {
             self.term = Some(Term {
                 lead,
--- a/crates/balsam-decide/tests/keeper_election.rs
+++ b/crates/balsam-decide/tests/keeper_election.rs
@@ -115,6 +115,23 @@
     assert_eq!(numbers(&published), [1, 2, 3, 4, 5]);
 }
 
+/// Guards against a former leader that has not learnt of its end and goes back from the list of its
+/// successor to its own.
+#[test]
+fn former_leader() {
+    let mut election = KeeperElection::new();
+    greet(&mut election, START, 0..20);
+    election.publish(START, 7);
+    let successor = KeeperList {
+        lead: 8,
+        number: 0,
+        keepers: vec![candidate(9, 1, 50).daemon],
+    };
+    assert!(election.adopt(successor.clone()));
+    assert_eq!(election.publish(START.after(1_000), 7), None);
+    assert_eq!(election.list(), &successor);
+}
+
 /// Guards against daemons that have missed a list and never get it, and against lists that change too
 /// often while many daemons start.
 #[test]
