Limit the wait of callers to the timeout of the route

Cause: the age of returning callers is taken from the longest wait of their route. One caller that stated a deadline of a minute made all others look as if they had waited for most of a minute, so that their requests were served as late ones for up to 10 s.

Waits count up to the timeout of the route. far_deadline fails without the change and passes now.

--- a/crates/balsam-decide/src/pool/ask.rs
+++ b/crates/balsam-decide/src/pool/ask.rs
@@ -96,7 +96,7 @@
     fn ask_terms(&mut self, now: TimeMs, request: &Request) -> AskTerms {
         let route = &request.route;
         let wait_ms = request.caller_deadline.since(request.received_at);
-        let waited_ms = self.patience.record(now, &route.name, wait_ms);
+        let waited_ms = self.patience.record(now, route, wait_ms);
         let objective_ms = route.objective_ms.saturating_sub(waited_ms);
         let usual_ms = self.route_latencies_ms.get(&route.name);
         AskTerms {
--- a/crates/balsam-decide/src/pool/patience.rs
+++ b/crates/balsam-decide/src/pool/patience.rs
@@ -1,6 +1,6 @@
 //! How long callers of a route usually wait, from which the age of a returning caller follows.
 
-use balsam_types::{Map, RouteName, TimeMs, new_map};
+use balsam_types::{Map, Route, RouteName, TimeMs, new_map};
 
 /// Time over which the longest wait of a route is remembered, in milliseconds.
 const WINDOW_MS: u64 = 5_000;
@@ -31,11 +31,15 @@
     }
 
     /// Records how long a caller waits, and returns how long it has probably waited before.
-    pub(super) fn record(&mut self, now: TimeMs, route: &RouteName, wait_ms: u64) -> u64 {
+    ///
+    /// Waits count up to the timeout of the route, so that one caller with a far deadline does not
+    /// make all others look as if they had returned.
+    pub(super) fn record(&mut self, now: TimeMs, route: &Route, wait_ms: u64) -> u64 {
+        let wait_ms = wait_ms.min(route.timeout_ms);
         if self.waits.len() > ROUTES_MAX {
             self.waits.clear();
         }
-        let waits = self.waits.entry(route.clone()).or_insert(Waits {
+        let waits = self.waits.entry(route.name.clone()).or_insert(Waits {
             since: now,
             longest_ms: wait_ms,
             longest_before_ms: wait_ms,
--- a/crates/balsam-decide/tests/permit_order.rs
+++ b/crates/balsam-decide/tests/permit_order.rs
@@ -2,8 +2,13 @@
 
 mod room_sim;
 
+use balsam_decide::pool::PoolInput;
 use balsam_decide::room::{PermitAnswer, PermitRefusal};
-use room_sim::{Ask, Bench, DEADLINE_MS, ask, upstream};
+use balsam_types::TimeMs;
+use room_sim::{
+    Ask, Bench, DEADLINE_MS, OBJECTIVE_MS, ask, asked, cluster, keeper_list, pool, request,
+    upstream,
+};
 use rstest::rstest;
 use std::collections::BTreeSet;
 
@@ -134,3 +139,30 @@
     assert!(*last <= first + first / 4, "{times:?}");
     assert!(*last >= first + first / 8, "{times:?}");
 }
+
+/// Guards against one caller with a far deadline that makes all others of its route look as if they
+/// had returned after a refusal, so that they are served as late ones.
+#[test]
+fn far_deadline() {
+    let now = TimeMs(100_000);
+    let keepers = keeper_list(1, &[(5, 0)]);
+    let mut pool = pool(now, cluster(&[upstream(1, 0)], false, 59, &keepers));
+    pool.handle(now, PoolInput::Request(request(now, 1, 60_000)));
+    let usual = request(now, 2, u64::from(DEADLINE_MS));
+    let asked = asked(&pool.handle(now, PoolInput::Request(usual)));
+    assert_eq!(asked[0].objective_left_ms, OBJECTIVE_MS);
+}
+
+/// Guards against returning callers that count as new ones: their objective began with their first
+/// attempt.
+#[test]
+fn returned_callers() {
+    let now = TimeMs(100_000);
+    let keepers = keeper_list(1, &[(5, 0)]);
+    let mut pool = pool(now, cluster(&[upstream(1, 0)], false, 59, &keepers));
+    let wait_ms = u64::from(DEADLINE_MS);
+    pool.handle(now, PoolInput::Request(request(now, 1, wait_ms)));
+    let returning = request(now, 2, wait_ms - 300);
+    let asked = asked(&pool.handle(now, PoolInput::Request(returning)));
+    assert_eq!(asked[0].objective_left_ms, OBJECTIVE_MS - 300);
+}
