Withdraw the requests for permits of cancelled requests

Cause: a cancelled request was removed from the pool's own queues only. If it waited for a permit it was sent later all the same.

Its request for a permit is withdrawn. cancelled_request fails without the change and passes now.

--- a/crates/balsam-decide/src/pool/ask.rs
+++ b/crates/balsam-decide/src/pool/ask.rs
@@ -3,7 +3,7 @@
 use super::machine::Pool;
 use super::permits::{AskTarget, AskTerms, Asking, KeeperMessage, Permit};
 use super::pick::Choice;
-use super::{PoolOutput, Refusal, Request, Verdict};
+use super::{PoolOutput, Refusal, Request, RequestId, Verdict};
 use crate::directory::DiscoveredUpstream;
 use crate::pace::PaceOutcome;
 use crate::room::{
@@ -47,6 +47,18 @@
         }
     }
 
+    /// Withdraws the request for a permit of a request that is no longer wanted.
+    pub(super) fn cancel_permit(
+        &mut self,
+        now: TimeMs,
+        request: RequestId,
+        outputs: &mut Vec<PoolOutput>,
+    ) {
+        if let Some((id, keeper)) = self.permits.cancel(request) {
+            outputs.push(self.give_back_unused(now, keeper, id));
+        }
+    }
+
     /// Asks for a permit for a request that could be sent to `upstream`, or sends it by the limits of
     /// this daemon if no keeper can be asked.
     pub(super) fn ask_or_send(
@@ -285,7 +297,7 @@
     PoolOutput::Room { keeper, message }
 }
 
-fn refuse_busy(id: super::RequestId, retry_after_ms: u32) -> PoolOutput {
+fn refuse_busy(id: RequestId, retry_after_ms: u32) -> PoolOutput {
     PoolOutput::Refuse {
         id,
         refusal: Refusal::Busy,
--- a/crates/balsam-decide/src/pool/machine.rs
+++ b/crates/balsam-decide/src/pool/machine.rs
@@ -109,6 +109,7 @@
                 for queue in self.queues.values_mut() {
                     queue.remove(id);
                 }
+                self.cancel_permit(now, id, &mut outputs);
             }
             PoolInput::Notice { upstream, notice } => {
                 self.record_notice(now, upstream, notice, &mut outputs);
--- a/crates/balsam-decide/src/pool/permits.rs
+++ b/crates/balsam-decide/src/pool/permits.rs
@@ -1,6 +1,6 @@
 //! Permits that this daemon has asked for or holds, and the keepers that it asks.
 
-use super::Request;
+use super::{Request, RequestId};
 use crate::room::{
     GroupId, GroupLayout, KeeperList, PermitId, PermitRequest, PermitReturn, PermitScope, RoomLoad,
     RoomMessage,
@@ -140,6 +140,16 @@
         self.loads.clear();
     }
 
+    /// Removes the request for a permit of a request that is no longer wanted. Returns the permit and
+    /// its keeper.
+    pub(super) fn cancel(&mut self, request: RequestId) -> Option<(PermitId, SocketAddr)> {
+        let found = self.asking.iter();
+        let mut found = found.filter(|(_, asking)| asking.request.id == request);
+        let (id, keeper) = found.next().map(|(id, asking)| (*id, asking.keeper))?;
+        self.asking.remove(&id);
+        Some((id, keeper))
+    }
+
     /// Records that a request is sent under a permit.
     pub(super) fn record_used(&mut self, id: PermitId) {
         self.in_use.insert(id);
