Go by own limits for upstreams whose keeper is silent

Cause: a daemon whose keeper did not answer chose an upstream as if a keeper limited its requests, and sent all of them at once: neither permits nor its own limits held.

Each upstream is under the limits of the daemon while its keeper is silent. own_limits fails without the change (ten requests in flight instead of one) and passes now.

--- a/crates/balsam-decide/src/pool/ask.rs
+++ b/crates/balsam-decide/src/pool/ask.rs
@@ -1,7 +1,7 @@
 //! How the pool asks keepers for permits, and what it does with their answers.
 
 use super::machine::Pool;
-use super::permits::{AskTarget, AskTerms, Asking, KeeperMessage, Permit};
+use super::permits::{AskTarget, AskTerms, Asking, KeeperMessage, Permit, Permits};
 use super::pick::Choice;
 use super::{PoolOutput, Refusal, Request, RequestId, Verdict};
 use crate::directory::DiscoveredUpstream;
@@ -38,6 +38,11 @@
         slots.is_some_and(|slots| cluster.daemons >= slots.saturating_mul(daemons_per_slot))
     }
 
+    /// Returns the keepers that are asked about requests for a service.
+    pub(super) fn keepers(&self, service: &ServiceName) -> Option<&Permits> {
+        self.needs_permits(service).then_some(&self.permits)
+    }
+
     /// Adopts the keepers of the present state of the deployment.
     pub(super) fn adopt_keepers(&mut self) {
         if let Some(cluster) = &self.cluster {
@@ -59,8 +64,8 @@
         }
     }
 
-    /// Asks for a permit for a request that could be sent to `upstream`, or sends it by the limits of
-    /// this daemon if no keeper can be asked.
+    /// Asks for a permit for a request that could be sent to `upstream`, or sends it if the limits of
+    /// this daemon hold there.
     pub(super) fn ask_or_send(
         &mut self,
         now: TimeMs,
@@ -69,7 +74,7 @@
         upstream: Arc<DiscoveredUpstream>,
         outputs: &mut Vec<PoolOutput>,
     ) {
-        if !self.needs_permits(&service) {
+        if !self.needs_permits(&service) || !self.permits.is_kept(now, &upstream.entry) {
             return outputs.push(self.send(now, &request, service, upstream, None));
         }
         let target = if self.is_keyed(&request, &service) {
@@ -78,33 +83,22 @@
         } else {
             AskTarget::Any(Vec::new())
         };
-        self.ask(now, request, service, target, outputs);
-    }
-
-    fn is_keyed(&self, request: &Request, service: &ServiceName) -> bool {
-        let table = self.cluster.as_ref().map(|cluster| &cluster.table);
-        let policy = table.and_then(|table| table.service(service));
-        request.key.is_some() && policy.is_some_and(|policy| policy.is_keyed)
-    }
-
-    fn ask(
-        &mut self,
-        now: TimeMs,
-        request: Request,
-        service: ServiceName,
-        target: AskTarget,
-        outputs: &mut Vec<PoolOutput>,
-    ) {
         let terms = self.ask_terms(now, &request);
         match self.permits.ask(now, request, service, target, &terms) {
             Ok(message) => outputs.push(to_keeper(message)),
             Err(unasked) => {
                 let (request, service) = *unasked;
-                self.decide_alone(now, request, service, outputs);
+                outputs.push(self.send(now, &request, service, upstream, None));
             }
         }
     }
 
+    fn is_keyed(&self, request: &Request, service: &ServiceName) -> bool {
+        let table = self.cluster.as_ref().map(|cluster| &cluster.table);
+        let policy = table.and_then(|table| table.service(service));
+        request.key.is_some() && policy.is_some_and(|policy| policy.is_keyed)
+    }
+
     fn ask_terms(&mut self, now: TimeMs, request: &Request) -> AskTerms {
         let route = &request.route;
         let wait_ms = request.caller_deadline.since(request.received_at);
@@ -125,11 +119,15 @@
         service: ServiceName,
         outputs: &mut Vec<PoolOutput>,
     ) {
-        match self.choose(now, &request, &service) {
-            Choice::Upstream(upstream) => {
+        let choice = self
+            .chooser(now, None)
+            .map(|chooser| chooser.choose(&request, &service));
+        match choice {
+            Some(Choice::Upstream(upstream)) => {
                 outputs.push(self.send(now, &request, service, upstream, None));
             }
-            choice => self.wait_or_refuse(now, request, service, &choice, outputs),
+            Some(choice) => self.wait_or_refuse(now, request, service, &choice, outputs),
+            None => outputs.push(super::machine::refuse(&request, Refusal::NoUpstream)),
         }
     }
 
@@ -239,7 +237,7 @@
         born: StartTime,
     ) -> Option<Arc<DiscoveredUpstream>> {
         let upstream = self.cluster.as_ref()?.upstreams.get(name)?;
-        let chooser = self.chooser(now, service)?;
+        let chooser = self.chooser(now, self.keepers(service))?;
         let is_allowed = upstream.entry.born == born && chooser.allows(request, service, upstream);
         is_allowed.then(|| Arc::clone(upstream))
     }
@@ -257,7 +255,7 @@
             if now >= request.give_up_at {
                 outputs.push(super::machine::refuse(&request, Refusal::Busy));
             } else {
-                self.decide_alone(now, request, service, outputs);
+                self.assign(now, request, service, outputs);
             }
         }
     }
--- a/crates/balsam-decide/src/pool/machine.rs
+++ b/crates/balsam-decide/src/pool/machine.rs
@@ -220,21 +220,26 @@
     }
 
     pub(super) fn choose(&self, now: TimeMs, request: &Request, service: &ServiceName) -> Choice {
-        match self.chooser(now, service) {
+        let keepers = self.keepers(service);
+        match self.chooser(now, keepers) {
             Some(chooser) => chooser.choose(request, service),
             None => Choice::Wait(Refusal::NoUpstream),
         }
     }
 
-    /// Returns the choice of upstreams of a service, or `None` before the deployment is known.
-    pub(super) fn chooser(&self, now: TimeMs, service: &ServiceName) -> Option<Chooser<'_>> {
+    /// Returns the choice of upstreams, or `None` before the deployment is known.
+    pub(super) fn chooser<'a>(
+        &'a self,
+        now: TimeMs,
+        keepers: Option<&'a Permits>,
+    ) -> Option<Chooser<'a>> {
         Some(Chooser {
             now,
             cluster: self.cluster.as_ref()?,
             endpoints: &self.endpoints,
             notices: &self.notices,
             settings: &self.settings,
-            has_keeper: self.needs_permits(service),
+            keepers,
         })
     }
 
--- a/crates/balsam-decide/src/pool/permits.rs
+++ b/crates/balsam-decide/src/pool/permits.rs
@@ -5,7 +5,7 @@
     GroupId, GroupLayout, KeeperList, PermitId, PermitRequest, PermitReturn, PermitScope, RoomLoad,
     RoomMessage,
 };
-use balsam_types::{Map, ServiceName, Set, TimeMs, ZoneName, new_map, new_set};
+use balsam_types::{Map, ServiceName, Set, TimeMs, UpstreamEntry, ZoneName, new_map, new_set};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -140,6 +140,14 @@
         self.loads.clear();
     }
 
+    /// Returns whether a keeper that answers decides about the requests to an upstream.
+    pub(super) fn is_kept(&self, now: TimeMs, upstream: &UpstreamEntry) -> bool {
+        self.silent_until.is_empty()
+            || self
+                .responsive_keeper(now, &self.layout.group_of(upstream))
+                .is_some()
+    }
+
     /// Removes the request for a permit of a request that is no longer wanted. Returns the permit and
     /// its keeper.
     pub(super) fn cancel(&mut self, request: RequestId) -> Option<(PermitId, SocketAddr)> {
@@ -319,6 +327,7 @@
     /// Repeats what was not answered. Returns the messages, and the requests whose keeper does not
     /// answer or that nobody waits for any more.
     pub(super) fn check(&mut self, now: TimeMs) -> (Vec<KeeperMessage>, Vec<(PermitId, Asking)>) {
+        self.silent_until.retain(|_, until| now < *until);
         let mut messages = Vec::new();
         let mut ended = Vec::new();
         for (id, asking) in &mut self.asking {
--- a/crates/balsam-decide/src/pool/pick.rs
+++ b/crates/balsam-decide/src/pool/pick.rs
@@ -2,6 +2,7 @@
 
 use super::endpoint::Endpoint;
 use super::notices::{Notices, Standing};
+use super::permits::Permits;
 use super::{ClusterState, PoolSettings, Refusal, Request};
 use crate::directory::DiscoveredUpstream;
 use balsam_types::{Map, RouteKind, ServiceName, TimeMs, UpstreamName};
@@ -55,9 +56,9 @@
     pub(super) endpoints: &'a Map<UpstreamName, Endpoint>,
     pub(super) notices: &'a Notices,
     pub(super) settings: &'a PoolSettings,
-    /// Whether a keeper decides how many requests an upstream gets, so that the limits of this
-    /// daemon do not.
-    pub(super) has_keeper: bool,
+    /// The keepers that decide how many requests their upstreams get, so that the limits of this
+    /// daemon do not. `None` if its limits hold for all upstreams.
+    pub(super) keepers: Option<&'a Permits>,
 }
 
 impl Chooser<'_> {
@@ -165,7 +166,8 @@
     /// Returns whether an upstream can take another request as far as this daemon knows.
     fn has_room(&self, upstream: &DiscoveredUpstream) -> bool {
         self.endpoint(upstream).is_none_or(|endpoint| {
-            if self.has_keeper {
+            let is_kept = |permits: &&Permits| permits.is_kept(self.now, &upstream.entry);
+            if self.keepers.is_some_and(|permits| is_kept(&permits)) {
                 !endpoint.is_backing_off(self.now)
             } else {
                 endpoint.has_room(self.now)
--- a/crates/balsam-decide/tests/lost_keeper.rs
+++ b/crates/balsam-decide/tests/lost_keeper.rs
@@ -4,11 +4,114 @@
 
 use balsam_decide::pool::{PoolInput, PoolOutput, RequestId};
 use balsam_types::TimeMs;
+use room_sim::fleet::{Fleet, FleetTerms};
 use room_sim::{
-    answer, asked, cluster, decided, grant, keeper_list, pool, request, returned, upstream,
+    DEADLINE_MS, SLOTS, answer, asked, cluster, decided, grant, keeper_list, pool, request,
+    returned, upstream,
 };
+use rstest::rstest;
 use std::sync::Arc;
 
+const TERMS: FleetTerms = FleetTerms {
+    daemons: 59,
+    zones: 2,
+    upstreams: 20,
+    queue: 3,
+    lost_permille: 0,
+    daemons_per_slot: 8,
+    latency_ms: 1,
+};
+
+/// Two keepers in each zone.
+const KEEPERS: [(u16, u16); 4] = [(0, 0), (1, 1), (2, 0), (3, 1)];
+
+fn fleet(lost_permille: u64) -> Fleet {
+    let terms = FleetTerms {
+        lost_permille,
+        ..TERMS
+    };
+    Fleet::new(terms, &keeper_list(1, &KEEPERS))
+}
+
+/// Checks that each request was decided once and in time, and that no permits are left after the
+/// time of all requests is over.
+fn assert_settled(fleet: &mut Fleet) {
+    fleet.drain();
+    assert_eq!((fleet.unanswered(), fleet.counts.wrong), (0, 0));
+    let held = fleet.held();
+    assert_eq!((held.permits, held.waiting, fleet.awaited()), (0, 0, 0));
+    assert!(held.granted > 0, "the keepers must have been asked");
+}
+
+/// Guards against requests that wait for a frozen keeper until their time is over, and against
+/// permits that it gives to nobody after it has woken.
+#[test]
+fn frozen_keeper() {
+    let mut fleet = fleet(0);
+    fleet.run(3_000, 150);
+    let keeper = fleet.busiest_keeper();
+    fleet.freeze(keeper);
+    fleet.run(2_500, 150);
+    assert!(fleet.counts.alone > 0, "daemons must go on without it");
+    fleet.wake(keeper);
+    fleet.run(1_000, 150);
+    fleet.reset_maximum();
+    fleet.run(3_000, 150);
+    assert!(fleet.in_flight_max() <= SLOTS, "it is asked again");
+    assert_settled(&mut fleet);
+    let alone = fleet.counts.alone;
+    fleet.run(2_000, 150);
+    assert_eq!(fleet.counts.alone, alone, "its permits must be used again");
+}
+
+/// Guards against permits that are lost with the daemons that held them: they must expire. Old and
+/// new lives of the keepers together give each slot twice at most.
+#[test]
+fn restarted_daemons() {
+    let mut fleet = fleet(0);
+    fleet.run(2_000, 150);
+    fleet.restart_all();
+    fleet.run(3_000, 150);
+    assert!(
+        fleet.in_flight_max() <= 2 * SLOTS,
+        "{}",
+        fleet.in_flight_max()
+    );
+    assert_settled(&mut fleet);
+}
+
+/// Guards against requests and permits that are lost with messages, at the loss of a bad link and
+/// far beyond it.
+#[rstest]
+#[case::bad_link(25)]
+#[case::broken_link(300)]
+fn lost_messages(#[case] lost_permille: u64) {
+    let mut fleet = fleet(lost_permille);
+    fleet.run(8_000, 150);
+    assert!(fleet.permits_max() <= i64::from(SLOTS));
+    assert_settled(&mut fleet);
+}
+
+/// Guards against a daemon without any limit while its keeper is silent: its own limits hold, which
+/// start at one request in flight at each upstream.
+#[test]
+fn own_limits() {
+    let now = TimeMs(100_000);
+    let keepers = keeper_list(1, &[(5, 0)]);
+    let mut pool = pool(now, cluster(&[upstream(1, 0)], false, 59, &keepers));
+    let mut sent = 0;
+    for id in 1..=10 {
+        let wait_ms = u64::from(DEADLINE_MS);
+        let outputs = pool.handle(now, PoolInput::Request(request(now, id, wait_ms)));
+        assert_eq!(asked(&outputs).len(), 1);
+    }
+    // Two requests without an answer, 40 ms apart, and the intervals of the checks.
+    for ms in (20..=120).step_by(20) {
+        sent += decided(&pool.handle(now.after(ms), PoolInput::Tick)).0;
+    }
+    assert_eq!(sent, 1);
+}
+
 /// Guards against a slot that waits for a request whose caller has gone.
 #[test]
 fn cancelled_request() {
