Ask the new keeper when the list of keepers changes

Cause: when a list changed, the former keeper refused all requests that waited there, and their daemons sent them at once by their own limits: an overrun at every change. Requests that waited at a keeper which was gone noticed the change only after half a second.

A request whose group has another keeper asks it at once.

--- a/crates/balsam-decide/src/pool/ask.rs
+++ b/crates/balsam-decide/src/pool/ask.rs
@@ -1,7 +1,9 @@
 //! How the pool asks keepers for permits, and what it does with their answers.
 
 use super::machine::Pool;
-use super::permits::{AskTarget, AskTerms, Asking, KeeperMessage, Permit, Permits};
+use super::permits::{
+    AskAttempts, AskEnd, AskTarget, AskTerms, Asking, KeeperMessage, Permit, Permits,
+};
 use super::pick::Choice;
 use super::{PoolOutput, Refusal, Request, RequestId, Verdict};
 use crate::directory::DiscoveredUpstream;
@@ -43,12 +45,17 @@
         self.needs_permits(service).then_some(&self.permits)
     }
 
-    /// Adopts the keepers of the present state of the deployment.
-    pub(super) fn adopt_keepers(&mut self) {
-        if let Some(cluster) = &self.cluster {
-            let layout = GroupLayout::new(&cluster.upstreams);
-            self.permits
-                .set_keepers(Arc::clone(&cluster.keepers), layout);
+    /// Adopts the keepers of the present state of the deployment. Requests that wait at a daemon that
+    /// is not the keeper of their group any more ask the new one.
+    pub(super) fn adopt_keepers(&mut self, now: TimeMs, outputs: &mut Vec<PoolOutput>) {
+        let Some(cluster) = &self.cluster else {
+            return;
+        };
+        let layout = GroupLayout::new(&cluster.upstreams);
+        let keepers = Arc::clone(&cluster.keepers);
+        for (id, asking) in self.permits.set_keepers(keepers, layout) {
+            outputs.push(self.give_back_unused(now, asking.keeper, id));
+            self.assign(now, asking.request, asking.service, outputs);
         }
     }
 
@@ -72,6 +79,7 @@
         request: Request,
         service: ServiceName,
         upstream: Arc<DiscoveredUpstream>,
+        attempts: AskAttempts,
         outputs: &mut Vec<PoolOutput>,
     ) {
         if !self.needs_permits(&service) || !self.permits.is_kept(now, &upstream.entry) {
@@ -83,7 +91,7 @@
         } else {
             AskTarget::Any(Vec::new())
         };
-        let terms = self.ask_terms(now, &request);
+        let terms = self.ask_terms(now, &request, attempts);
         match self.permits.ask(now, request, service, target, &terms) {
             Ok(message) => outputs.push(to_keeper(message)),
             Err(unasked) => {
@@ -99,7 +107,7 @@
         request.key.is_some() && policy.is_some_and(|policy| policy.is_keyed)
     }
 
-    fn ask_terms(&mut self, now: TimeMs, request: &Request) -> AskTerms {
+    fn ask_terms(&mut self, now: TimeMs, request: &Request, attempts: AskAttempts) -> AskTerms {
         let route = &request.route;
         let wait_ms = request.caller_deadline.since(request.received_at);
         let waited_ms = self.patience.record(now, route, wait_ms);
@@ -108,24 +116,31 @@
         AskTerms {
             objective_at: request.received_at.after(objective_ms),
             usual_ms: usual_ms.copied().unwrap_or_default() as u32,
+            attempts,
         }
     }
 
-    /// Sends, queues or refuses a request by the limits of this daemon.
-    pub(super) fn decide_alone(
+    /// Asks for a permit again, or decides by the limits of this daemon if earlier attempts have
+    /// failed too often.
+    fn ask_again(
         &mut self,
         now: TimeMs,
         request: Request,
         service: ServiceName,
+        attempts: AskAttempts,
         outputs: &mut Vec<PoolOutput>,
     ) {
+        let keepers = self.keepers(&service).filter(|_| !attempts.are_over());
         let choice = self
-            .chooser(now, None)
+            .chooser(now, keepers)
             .map(|chooser| chooser.choose(&request, &service));
         match choice {
-            Some(Choice::Upstream(upstream)) => {
+            Some(Choice::Upstream(upstream)) if attempts.are_over() => {
                 outputs.push(self.send(now, &request, service, upstream, None));
             }
+            Some(Choice::Upstream(upstream)) => {
+                self.ask_or_send(now, request, service, upstream, attempts, outputs);
+            }
             Some(choice) => self.wait_or_refuse(now, request, service, &choice, outputs),
             None => outputs.push(super::machine::refuse(&request, Refusal::NoUpstream)),
         }
@@ -205,11 +220,14 @@
             } => {
                 let other_groups = asking.other_groups();
                 let Asking {
-                    request, service, ..
+                    request,
+                    service,
+                    attempts,
+                    ..
                 } = asking;
                 if let Some(tried) = other_groups {
                     let target = AskTarget::Any(tried);
-                    let terms = self.ask_terms(now, &request);
+                    let terms = self.ask_terms(now, &request, attempts);
                     let id = request.id;
                     match self.permits.ask(now, request, service, target, &terms) {
                         Ok(message) => outputs.push(to_keeper(message)),
@@ -222,7 +240,7 @@
             PermitAnswer::Refused {
                 refusal: PermitRefusal::NotKept,
                 ..
-            } => self.decide_alone(now, asking.request, asking.service, outputs),
+            } => self.permits.hold(now, id, asking),
             PermitAnswer::Queued { .. } => {}
         }
     }
@@ -247,15 +265,24 @@
     pub(super) fn check_permits(&mut self, now: TimeMs, outputs: &mut Vec<PoolOutput>) {
         let (messages, ended) = self.permits.check(now);
         outputs.extend(messages.into_iter().map(to_keeper));
-        for (id, asking) in ended {
-            outputs.push(self.give_back_unused(now, asking.keeper, id));
+        for (id, asking, end) in ended {
             let Asking {
-                request, service, ..
+                request,
+                service,
+                keeper,
+                attempts,
+                ..
             } = asking;
-            if now >= request.give_up_at {
-                outputs.push(super::machine::refuse(&request, Refusal::Busy));
-            } else {
-                self.assign(now, request, service, outputs);
+            match end {
+                AskEnd::GivenUp => {
+                    outputs.push(self.give_back_unused(now, keeper, id));
+                    outputs.push(super::machine::refuse(&request, Refusal::Busy));
+                }
+                AskEnd::Silent => {
+                    outputs.push(self.give_back_unused(now, keeper, id));
+                    self.assign(now, request, service, outputs);
+                }
+                AskEnd::Moved => self.ask_again(now, request, service, attempts, outputs),
             }
         }
     }
--- a/crates/balsam-decide/src/pool/machine.rs
+++ b/crates/balsam-decide/src/pool/machine.rs
@@ -3,7 +3,7 @@
 use super::endpoint::Endpoint;
 use super::notices::Notices;
 use super::patience::CallerPatience;
-use super::permits::{Permit, Permits};
+use super::permits::{AskAttempts, Permit, Permits};
 use super::pick::{Choice, Chooser};
 use super::queue::{Queue, QueuedRequest};
 use super::{
@@ -189,7 +189,8 @@
     ) {
         match self.choose(now, &request, &service) {
             Choice::Upstream(upstream) => {
-                self.ask_or_send(now, request, service, upstream, outputs);
+                let attempts = AskAttempts::default();
+                self.ask_or_send(now, request, service, upstream, attempts, outputs);
             }
             choice => self.wait_or_refuse(now, request, service, &choice, outputs),
         }
@@ -413,7 +414,7 @@
         });
         self.cluster = Some(cluster);
         if has_changed {
-            self.adopt_keepers();
+            self.adopt_keepers(now, outputs);
         }
         self.check_queues(now, outputs);
     }
@@ -446,7 +447,8 @@
                         let QueuedRequest {
                             request, service, ..
                         } = queued;
-                        self.ask_or_send(now, request, service, upstream, outputs);
+                        let attempts = AskAttempts::default();
+                        self.ask_or_send(now, request, service, upstream, attempts, outputs);
                     }
                 }
                 Some((Choice::Blocked { until }, expires_at))
--- a/crates/balsam-decide/src/pool/permits.rs
+++ b/crates/balsam-decide/src/pool/permits.rs
@@ -15,6 +15,11 @@
 /// Interval at which a waiting request asks again, in milliseconds, in case its permit was lost.
 const QUEUED_ASK_AGAIN_MS: u64 = 400;
 
+/// Number of refusals because the keeper does not know the group or the owner, after which a daemon
+/// decides about the request alone. They follow each other at the interval above: the list of keepers
+/// or of upstreams usually reaches both within it.
+const NOT_KEPT_MAX: u32 = 3;
+
 /// Number of unanswered requests after which a keeper counts as silent.
 const UNANSWERED_MAX: u32 = 2;
 
@@ -67,16 +72,54 @@
     usual_ms: u32,
     sent_at: TimeMs,
     unanswered: u32,
-    is_queued: bool,
+    stage: Stage,
+    pub(super) attempts: AskAttempts,
     /// The groups that were asked before, which had no room.
     tried: Vec<GroupId>,
 }
 
+/// How far a request for a permit has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Stage {
+    /// The keeper was asked.
+    Asked,
+    /// The request waits at the keeper.
+    Queued,
+    /// The keeper did not keep the group. Another one is asked after a moment.
+    Held,
+}
+
+/// What has come of earlier requests for a permit for the same request.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct AskAttempts {
+    /// Refusals because the keeper does not know the group or the owner.
+    not_kept: u32,
+}
+
+impl AskAttempts {
+    /// Returns whether no further permit should be asked for.
+    pub(super) const fn are_over(self) -> bool {
+        self.not_kept >= NOT_KEPT_MAX
+    }
+}
+
+/// Why a request does not wait for its permit any longer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum AskEnd {
+    /// Its time is over.
+    GivenUp,
+    /// Its keeper does not answer.
+    Silent,
+    /// Another keeper should be asked. The last one has nothing of the request.
+    Moved,
+}
+
 /// What a request for a permit says about the request.
 #[derive(Debug)]
 pub(super) struct AskTerms {
     pub(super) objective_at: TimeMs,
     pub(super) usual_ms: u32,
+    pub(super) attempts: AskAttempts,
 }
 
 /// Which upstreams may run a request, and the groups that were asked for it before.
@@ -98,6 +141,9 @@
 /// A message to a keeper.
 pub(super) type KeeperMessage = (SocketAddr, RoomMessage);
 
+/// A request that does not wait for its permit any longer.
+pub(super) type EndedAsk = (PermitId, Asking, AskEnd);
+
 /// The requests for permits of this daemon.
 #[derive(Debug)]
 pub(super) struct Permits {
@@ -130,14 +176,26 @@
         }
     }
 
-    /// Adopts the keepers and the division of the upstreams into groups.
-    pub(super) fn set_keepers(&mut self, keepers: Arc<KeeperList>, layout: GroupLayout) {
+    /// Adopts the keepers and the division of the upstreams into groups. Returns the requests whose
+    /// group has another keeper now.
+    pub(super) fn set_keepers(
+        &mut self,
+        keepers: Arc<KeeperList>,
+        layout: GroupLayout,
+    ) -> Vec<(PermitId, Asking)> {
         self.keepers = keepers;
         self.layout = layout;
         let listed =
             |address: &SocketAddr| self.keepers.keepers.iter().any(|k| k.address == *address);
         self.silent_until.retain(|address, _| listed(address));
         self.loads.clear();
+        let keepers = &self.keepers;
+        let has_moved = |asking: &Asking| {
+            let keeper = keepers.keeper_of(&asking.group);
+            keeper.is_none_or(|keeper| keeper.address != asking.keeper)
+        };
+        let moved = self.asking.extract_if(|_, asking| has_moved(asking));
+        moved.collect()
     }
 
     /// Returns whether a keeper that answers decides about the requests to an upstream.
@@ -171,6 +229,15 @@
             || returns.any(|pending| pending.returned.id == id)
     }
 
+    /// Keeps a request back whose keeper did not know its group or owner, until the tables of this
+    /// daemon or of the keeper are likely to have changed.
+    pub(super) fn hold(&mut self, now: TimeMs, id: PermitId, mut asking: Asking) {
+        asking.attempts.not_kept += 1;
+        asking.stage = Stage::Held;
+        asking.sent_at = now;
+        self.asking.insert(id, asking);
+    }
+
     /// Returns whether there are keepers to ask.
     pub(super) fn has_keepers(&self) -> bool {
         !self.keepers.keepers.is_empty()
@@ -221,7 +288,8 @@
             usual_ms: terms.usual_ms,
             sent_at: now,
             unanswered: 1,
-            is_queued: false,
+            stage: Stage::Asked,
+            attempts: terms.attempts,
             tried,
         };
         let message = (keeper, RoomMessage::Ask(asking.message(now, id)));
@@ -283,7 +351,7 @@
         let asking = self.asking.get_mut(&id)?;
         self.loads.insert(asking.group.clone(), (now, load));
         if is_queued {
-            asking.is_queued = true;
+            asking.stage = Stage::Queued;
             asking.unanswered = 0;
             asking.sent_at = now;
             return None;
@@ -326,23 +394,26 @@
 
     /// Repeats what was not answered. Returns the messages, and the requests whose keeper does not
     /// answer or that nobody waits for any more.
-    pub(super) fn check(&mut self, now: TimeMs) -> (Vec<KeeperMessage>, Vec<(PermitId, Asking)>) {
+    pub(super) fn check(&mut self, now: TimeMs) -> (Vec<KeeperMessage>, Vec<EndedAsk>) {
         self.silent_until.retain(|_, until| now < *until);
         let mut messages = Vec::new();
         let mut ended = Vec::new();
         for (id, asking) in &mut self.asking {
-            let interval_ms = if asking.is_queued && asking.unanswered == 0 {
-                QUEUED_ASK_AGAIN_MS
-            } else {
-                ASK_AGAIN_MS
+            let interval_ms = match asking.stage {
+                Stage::Queued if asking.unanswered == 0 => QUEUED_ASK_AGAIN_MS,
+                Stage::Asked | Stage::Queued | Stage::Held => ASK_AGAIN_MS,
             };
             if now >= asking.request.give_up_at {
-                ended.push(*id);
+                ended.push((*id, AskEnd::GivenUp));
             } else if now.since(asking.sent_at) >= interval_ms {
+                if asking.stage == Stage::Held {
+                    ended.push((*id, AskEnd::Moved));
+                    continue;
+                }
                 if asking.unanswered >= UNANSWERED_MAX {
                     self.silent_until
                         .insert(asking.keeper, now.after(SILENT_MS));
-                    ended.push(*id);
+                    ended.push((*id, AskEnd::Silent));
                     continue;
                 }
                 asking.unanswered += 1;
@@ -352,7 +423,7 @@
         }
         self.repeat_returns(now, &mut messages);
         let ended = ended.into_iter();
-        let ended = ended.filter_map(|id| Some((id, self.asking.remove(&id)?)));
+        let ended = ended.filter_map(|(id, end)| Some((id, self.asking.remove(&id)?, end)));
         (messages, ended.collect())
     }
 
--- a/crates/balsam-decide/tests/lost_keeper.rs
+++ b/crates/balsam-decide/tests/lost_keeper.rs
@@ -3,6 +3,7 @@
 mod room_sim;
 
 use balsam_decide::pool::{PoolInput, PoolOutput, RequestId};
+use balsam_decide::room::{PermitAnswer, PermitRefusal};
 use balsam_types::TimeMs;
 use room_sim::fleet::{Fleet, FleetTerms};
 use room_sim::{
@@ -25,6 +26,9 @@
 /// Two keepers in each zone.
 const KEEPERS: [(u16, u16); 4] = [(0, 0), (1, 1), (2, 0), (3, 1)];
 
+/// Other keepers than these.
+const OTHER_KEEPERS: [(u16, u16); 4] = [(10, 0), (11, 1), (12, 0), (13, 1)];
+
 fn fleet(lost_permille: u64) -> Fleet {
     let terms = FleetTerms {
         lost_permille,
@@ -64,6 +68,37 @@
     assert_eq!(fleet.counts.alone, alone, "its permits must be used again");
 }
 
+/// Guards against an overrun while a new list spreads in the middle of a burst. The page allows the
+/// slots of the old and of the new keeper, and each daemon finds the new one without its own limits.
+#[test]
+fn replaced_list() {
+    let mut fleet = fleet(0);
+    fleet.run(2_000, 200);
+    fleet.publish(&keeper_list(2, &OTHER_KEEPERS), 30);
+    fleet.run(3_000, 200);
+    assert!(
+        fleet.in_flight_max() <= 2 * SLOTS,
+        "{}",
+        fleet.in_flight_max()
+    );
+    assert_eq!(fleet.counts.alone, 0);
+    assert_settled(&mut fleet);
+}
+
+/// Guards against more than twice the slots while two lists are in use for long, because half of the
+/// daemons have missed the new one.
+#[test]
+fn two_keepers() {
+    let mut fleet = fleet(0);
+    fleet.run(2_000, 150);
+    fleet.publish(&keeper_list(2, &OTHER_KEEPERS), 5_000);
+    fleet.run(5_000, 150);
+    assert!(fleet.permits_max() <= 2 * i64::from(SLOTS));
+    fleet.reset_maximum();
+    fleet.run(3_000, 150);
+    assert_settled(&mut fleet);
+}
+
 /// Guards against permits that are lost with the daemons that held them: they must expire. Old and
 /// new lives of the keepers together give each slot twice at most.
 #[test]
@@ -112,6 +147,48 @@
     assert_eq!(sent, 1);
 }
 
+/// Guards against requests that a keeper which does not know their group sends back and forth: the
+/// daemon goes by its own limits within two intervals of requests and of checks.
+#[test]
+fn unkept_group() {
+    let now = TimeMs(100_000);
+    let keepers = keeper_list(1, &[(5, 0)]);
+    let mut pool = pool(now, cluster(&[upstream(1, 0)], false, 59, &keepers));
+    let refused = || PermitAnswer::Refused {
+        refusal: PermitRefusal::NotKept,
+        retry_after_ms: 100,
+    };
+    let mut outputs = pool.handle(now, PoolInput::Request(request(now, 1, 2_000)));
+    let mut asks = 0;
+    let mut sent = 0;
+    for ms in (0..=120).step_by(20) {
+        for ask in asked(&outputs) {
+            asks += 1;
+            let answered = pool.handle(now.after(ms), answer(5, ask.id, refused()));
+            sent += decided(&answered).0;
+        }
+        outputs = pool.handle(now.after(ms + 20), PoolInput::Tick);
+        sent += decided(&outputs).0;
+    }
+    assert_eq!(sent, 1);
+    assert!(asks <= 3, "{asks}");
+}
+
+/// Guards against requests that a new list leaves with a keeper that is gone: they ask the new one at
+/// once, and withdraw the old request.
+#[test]
+fn moved_asks() {
+    let now = TimeMs(100_000);
+    let known = [upstream(1, 0)];
+    let old = keeper_list(1, &[(5, 0)]);
+    let mut pool = pool(now, cluster(&known, false, 59, &old));
+    let first = asked(&pool.handle(now, PoolInput::Request(request(now, 1, 2_000))));
+    let new = cluster(&known, false, 59, &keeper_list(2, &[(6, 0)]));
+    let outputs = pool.handle(now, PoolInput::Cluster(new));
+    assert_eq!(returned(&outputs), [first[0].id]);
+    assert_eq!(asked(&outputs).len(), 1);
+}
+
 /// Guards against a slot that waits for a request whose caller has gone.
 #[test]
 fn cancelled_request() {
