End the exchange of permits that cannot be used

Cause: a keeper and a daemon may know different runs of the owner of a key for up to two seconds. The daemon returned each permit for the other run and asked for the next at once, without end, as fast as the messages travelled.

After two such permits the daemon decides alone. other_run fails without the change and passes now.

--- a/crates/balsam-decide/src/pool/ask.rs
+++ b/crates/balsam-decide/src/pool/ask.rs
@@ -194,6 +194,7 @@
                 let Asking {
                     mut request,
                     service,
+                    mut attempts,
                     ..
                 } = asking;
                 let usable = self.usable(now, &request, &service, &upstream, born);
@@ -208,10 +209,12 @@
                     outputs.push(sent);
                 } else {
                     outputs.push(self.give_back_unused(now, keeper, id));
-                    if !self.is_keyed(&request, &service) {
+                    if self.is_keyed(&request, &service) {
+                        attempts = attempts.with_unusable();
+                    } else {
                         request.avoid.push(upstream);
                     }
-                    self.assign(now, request, service, outputs);
+                    self.ask_again(now, request, service, attempts, outputs);
                 }
             }
             PermitAnswer::Refused {
--- a/crates/balsam-decide/src/pool/permits.rs
+++ b/crates/balsam-decide/src/pool/permits.rs
@@ -20,6 +20,10 @@
 /// or of upstreams usually reaches both within it.
 const NOT_KEPT_MAX: u32 = 3;
 
+/// Number of permits for one request that this daemon's own tables do not allow, after which it
+/// decides about the request alone. The keeper and this daemon then know different runs of the owner.
+const UNUSABLE_MAX: u32 = 2;
+
 /// Number of unanswered requests after which a keeper counts as silent.
 const UNANSWERED_MAX: u32 = 2;
 
@@ -94,12 +98,22 @@
 pub(super) struct AskAttempts {
     /// Refusals because the keeper does not know the group or the owner.
     not_kept: u32,
+    /// Permits that this daemon's own tables did not allow.
+    unusable: u32,
 }
 
 impl AskAttempts {
     /// Returns whether no further permit should be asked for.
     pub(super) const fn are_over(self) -> bool {
-        self.not_kept >= NOT_KEPT_MAX
+        self.not_kept >= NOT_KEPT_MAX || self.unusable >= UNUSABLE_MAX
+    }
+
+    /// Counts a permit that this daemon's own tables did not allow.
+    pub(super) const fn with_unusable(self) -> Self {
+        Self {
+            unusable: self.unusable + 1,
+            ..self
+        }
     }
 }
 
--- a/crates/balsam-decide/tests/lost_keeper.rs
+++ b/crates/balsam-decide/tests/lost_keeper.rs
@@ -2,13 +2,13 @@
 
 mod room_sim;
 
-use balsam_decide::pool::{PoolInput, PoolOutput, RequestId};
+use balsam_decide::pool::{ClusterState, PoolInput, PoolOutput, RequestId};
 use balsam_decide::room::{PermitAnswer, PermitRefusal};
-use balsam_types::TimeMs;
+use balsam_types::{Assignment, FencingToken, KeyRange, Owner, ServiceRanges, TimeMs};
 use room_sim::fleet::{Fleet, FleetTerms};
 use room_sim::{
     DEADLINE_MS, SLOTS, answer, asked, cluster, decided, grant, keeper_list, pool, request,
-    returned, upstream,
+    returned, service, upstream, upstream_run,
 };
 use rstest::rstest;
 use std::sync::Arc;
@@ -189,6 +189,49 @@
     assert_eq!(asked(&outputs).len(), 1);
 }
 
+/// Guards against a request that asks and returns without end: keeper and daemon know different runs
+/// of the owner of its key.
+#[test]
+fn other_run() {
+    let now = TimeMs(100_000);
+    let keepers = keeper_list(1, &[(5, 0)]);
+    let mut pool = pool(
+        now,
+        keyed_cluster(cluster(&[upstream(1, 0)], true, 59, &keepers)),
+    );
+    let mut outputs = pool.handle(now, PoolInput::Request(request(now, 1, 2_000)));
+    let mut asks = 0;
+    while let [ask] = &asked(&outputs)[..] {
+        asks += 1;
+        assert!(asks <= 3, "the request goes on asking");
+        let newer = grant(&upstream_run(1, 0, 2));
+        outputs = pool.handle(now, answer(5, ask.id, newer));
+        assert!(returned(&outputs).contains(&ask.id));
+    }
+    assert_eq!(decided(&outputs), (1, 0));
+}
+
+/// Makes upstream 1 the owner of all keys.
+fn keyed_cluster(mut cluster: ClusterState) -> ClusterState {
+    let entry = &upstream(1, 0).entry;
+    let mut ranges = ServiceRanges::new(service());
+    ranges.assignments.push(Assignment {
+        range: KeyRange {
+            first: 0,
+            last: u16::MAX,
+        },
+        fence: FencingToken(1),
+        owner: Owner {
+            upstream: entry.name.clone(),
+            born: entry.born,
+            address: entry.address,
+        },
+        former: Vec::new(),
+    });
+    cluster.ranges.insert(service(), Arc::new(ranges));
+    cluster
+}
+
 /// Guards against a slot that waits for a request whose caller has gone.
 #[test]
 fn cancelled_request() {
