--- a/crates/balsam-decide/src/pool/ask.rs
+++ b/crates/balsam-decide/src/pool/ask.rs
@@ -1,10 +1,12 @@
 //! How the pool asks keepers for permits, and what it does with their answers.
 
 use super::machine::Pool;
-use super::permits::{AskTarget, AskTerms, Asking, KeeperMessage, Permit};
+use super::permits::{
+    AskAttempts, AskEnd, AskTarget, AskTerms, Asking, KeeperMessage, Permit, Permits,
+};
 use super::pick::Choice;
 use super::route_latency::RouteLatency;
-use super::{PoolOutput, Refusal, Request, Verdict};
+use super::{PoolOutput, Refusal, Request, RequestId, Verdict};
 use crate::directory::DiscoveredUpstream;
 use crate::pace::PaceOutcome;
 use crate::room::{
@@ -39,26 +41,49 @@
         slots.is_some_and(|slots| cluster.daemons >= slots.saturating_mul(daemons_per_slot))
     }
 
-    /// Adopts the keepers of the present state of the deployment.
-    pub(super) fn adopt_keepers(&mut self) {
-        if let Some(cluster) = &self.cluster {
-            let layout = GroupLayout::new(&cluster.upstreams);
-            self.permits
-                .set_keepers(Arc::clone(&cluster.keepers), layout);
+    /// Returns the keepers that are asked about requests for a service.
+    pub(super) fn keepers(&self, service: &ServiceName) -> Option<&Permits> {
+        self.needs_permits(service).then_some(&self.permits)
+    }
+
+    /// Adopts the keepers of the present state of the deployment. Requests that wait at a daemon that
+    /// is not the keeper of their group any more ask the new one.
+    pub(super) fn adopt_keepers(&mut self, now: TimeMs, outputs: &mut Vec<PoolOutput>) {
+        let Some(cluster) = &self.cluster else {
+            return;
+        };
+        let layout = GroupLayout::new(&cluster.upstreams);
+        let keepers = Arc::clone(&cluster.keepers);
+        for (id, asking) in self.permits.set_keepers(keepers, layout) {
+            outputs.push(self.give_back_unused(now, asking.keeper, id));
+            self.assign(now, asking.request, asking.service, outputs);
         }
     }
 
-    /// Asks for a permit for a request that could be sent to `upstream`, or sends it by the limits of
-    /// this daemon if no keeper can be asked.
+    /// Withdraws the request for a permit of a request that is no longer wanted.
+    pub(super) fn cancel_permit(
+        &mut self,
+        now: TimeMs,
+        request: RequestId,
+        outputs: &mut Vec<PoolOutput>,
+    ) {
+        if let Some((id, keeper)) = self.permits.cancel(request) {
+            outputs.push(self.give_back_unused(now, keeper, id));
+        }
+    }
+
+    /// Asks for a permit for a request that could be sent to `upstream`, or sends it if the limits of
+    /// this daemon hold there.
     pub(super) fn ask_or_send(
         &mut self,
         now: TimeMs,
         request: Request,
         service: ServiceName,
         upstream: Arc<DiscoveredUpstream>,
+        attempts: AskAttempts,
         outputs: &mut Vec<PoolOutput>,
     ) {
-        if !self.needs_permits(&service) {
+        if !self.needs_permits(&service) || !self.permits.is_kept(now, &upstream.entry) {
             return outputs.push(self.send(now, &request, service, upstream, None));
         }
         let target = if self.is_keyed(&request, &service) {
@@ -67,58 +92,58 @@
         } else {
             AskTarget::Any(Vec::new())
         };
-        self.ask(now, request, service, target, outputs);
-    }
-
-    fn is_keyed(&self, request: &Request, service: &ServiceName) -> bool {
-        let table = self.cluster.as_ref().map(|cluster| &cluster.table);
-        let policy = table.and_then(|table| table.service(service));
-        request.key.is_some() && policy.is_some_and(|policy| policy.is_keyed)
-    }
-
-    fn ask(
-        &mut self,
-        now: TimeMs,
-        request: Request,
-        service: ServiceName,
-        target: AskTarget,
-        outputs: &mut Vec<PoolOutput>,
-    ) {
-        let terms = self.ask_terms(now, &request);
+        let terms = self.ask_terms(now, &request, attempts);
         match self.permits.ask(now, request, service, target, &terms) {
             Ok(message) => outputs.push(to_keeper(message)),
             Err(unasked) => {
                 let (request, service) = *unasked;
-                self.decide_alone(now, request, service, outputs);
+                outputs.push(self.send(now, &request, service, upstream, None));
             }
         }
     }
 
-    fn ask_terms(&mut self, now: TimeMs, request: &Request) -> AskTerms {
+    fn is_keyed(&self, request: &Request, service: &ServiceName) -> bool {
+        let table = self.cluster.as_ref().map(|cluster| &cluster.table);
+        let policy = table.and_then(|table| table.service(service));
+        request.key.is_some() && policy.is_some_and(|policy| policy.is_keyed)
+    }
+
+    fn ask_terms(&mut self, now: TimeMs, request: &Request, attempts: AskAttempts) -> AskTerms {
         let route = &request.route;
         let wait_ms = request.caller_deadline.since(request.received_at);
-        let waited_ms = self.patience.record(now, &route.name, wait_ms);
+        let waited_ms = self.patience.record(now, route, wait_ms);
         let objective_ms = route.objective_ms.saturating_sub(waited_ms);
         let usual_ms = self.route_latencies_ms.get(&route.name);
         AskTerms {
             objective_at: request.received_at.after(objective_ms),
             usual_ms: usual_ms.map_or(0.0, RouteLatency::mean_ms) as u32,
+            attempts,
         }
     }
 
-    /// Sends, queues or refuses a request by the limits of this daemon.
-    pub(super) fn decide_alone(
+    /// Asks for a permit again, or decides by the limits of this daemon if earlier attempts have
+    /// failed too often.
+    fn ask_again(
         &mut self,
         now: TimeMs,
         request: Request,
         service: ServiceName,
+        attempts: AskAttempts,
         outputs: &mut Vec<PoolOutput>,
     ) {
-        match self.choose(now, &request, &service) {
-            Choice::Upstream(upstream) => {
+        let keepers = self.keepers(&service).filter(|_| !attempts.are_over());
+        let choice = self
+            .chooser(now, keepers)
+            .map(|chooser| chooser.choose(&request, &service));
+        match choice {
+            Some(Choice::Upstream(upstream)) if attempts.are_over() => {
                 outputs.push(self.send(now, &request, service, upstream, None));
             }
-            choice => self.wait_or_refuse(now, request, service, &choice, outputs),
+            Some(Choice::Upstream(upstream)) => {
+                self.ask_or_send(now, request, service, upstream, attempts, outputs);
+            }
+            Some(choice) => self.wait_or_refuse(now, request, service, &choice, outputs),
+            None => outputs.push(super::machine::refuse(&request, Refusal::NoUpstream)),
         }
     }
 
@@ -142,11 +167,13 @@
                 let asking = self.permits.answered(now, from, id, is_queued, load);
                 match (asking, answer) {
                     (Some(asking), answer) => self.answered(now, id, asking, answer, outputs),
-                    (None, PermitAnswer::Granted { .. }) => {
+                    // The request goes on waiting, or the answer is a repeated one.
+                    (None, _) if self.permits.is_known(from, id) => {}
+                    (None, PermitAnswer::Granted { .. } | PermitAnswer::Queued { .. }) => {
                         // The daemon has given up waiting for this permit.
                         outputs.push(self.give_back_unused(now, from, id));
                     }
-                    (None, _) => {}
+                    (None, PermitAnswer::Refused { .. }) => {}
                 }
             }
             RoomMessage::Acknowledge(ids) => self.permits.acknowledged(from, &ids),
@@ -168,6 +195,7 @@
                 let Asking {
                     mut request,
                     service,
+                    mut attempts,
                     ..
                 } = asking;
                 let usable = self.usable(now, &request, &service, &upstream, born);
@@ -176,14 +204,18 @@
                     let sent = self.send(now, &request, service, upstream, permit);
                     if matches!(sent, PoolOutput::Refuse { .. }) {
                         outputs.push(self.give_back_unused(now, keeper, id));
+                    } else {
+                        self.permits.record_used(id);
                     }
                     outputs.push(sent);
                 } else {
                     outputs.push(self.give_back_unused(now, keeper, id));
-                    if !self.is_keyed(&request, &service) {
+                    if self.is_keyed(&request, &service) {
+                        attempts = attempts.with_unusable();
+                    } else {
                         request.avoid.push(upstream);
                     }
-                    self.assign(now, request, service, outputs);
+                    self.ask_again(now, request, service, attempts, outputs);
                 }
             }
             PermitAnswer::Refused {
@@ -192,11 +224,14 @@
             } => {
                 let other_groups = asking.other_groups();
                 let Asking {
-                    request, service, ..
+                    request,
+                    service,
+                    attempts,
+                    ..
                 } = asking;
                 if let Some(tried) = other_groups {
                     let target = AskTarget::Any(tried);
-                    let terms = self.ask_terms(now, &request);
+                    let terms = self.ask_terms(now, &request, attempts);
                     let id = request.id;
                     match self.permits.ask(now, request, service, target, &terms) {
                         Ok(message) => outputs.push(to_keeper(message)),
@@ -209,7 +244,7 @@
             PermitAnswer::Refused {
                 refusal: PermitRefusal::NotKept,
                 ..
-            } => self.decide_alone(now, asking.request, asking.service, outputs),
+            } => self.permits.hold(now, id, asking),
             PermitAnswer::Queued { .. } => {}
         }
     }
@@ -224,7 +259,7 @@
         born: StartTime,
     ) -> Option<Arc<DiscoveredUpstream>> {
         let upstream = self.cluster.as_ref()?.upstreams.get(name)?;
-        let chooser = self.chooser(now, service)?;
+        let chooser = self.chooser(now, self.keepers(service))?;
         let is_allowed = upstream.entry.born == born && chooser.allows(request, service, upstream);
         is_allowed.then(|| Arc::clone(upstream))
     }
@@ -234,15 +269,24 @@
     pub(super) fn check_permits(&mut self, now: TimeMs, outputs: &mut Vec<PoolOutput>) {
         let (messages, ended) = self.permits.check(now);
         outputs.extend(messages.into_iter().map(to_keeper));
-        for (id, asking) in ended {
-            outputs.push(self.give_back_unused(now, asking.keeper, id));
+        for (id, asking, end) in ended {
             let Asking {
-                request, service, ..
+                request,
+                service,
+                keeper,
+                attempts,
+                ..
             } = asking;
-            if now >= request.give_up_at {
-                outputs.push(super::machine::refuse(&request, Refusal::Busy));
-            } else {
-                self.decide_alone(now, request, service, outputs);
+            match end {
+                AskEnd::GivenUp => {
+                    outputs.push(self.give_back_unused(now, keeper, id));
+                    outputs.push(super::machine::refuse(&request, Refusal::Busy));
+                }
+                AskEnd::Silent => {
+                    outputs.push(self.give_back_unused(now, keeper, id));
+                    self.assign(now, request, service, outputs);
+                }
+                AskEnd::Moved => self.ask_again(now, request, service, attempts, outputs),
             }
         }
     }
@@ -282,7 +326,7 @@
     PoolOutput::Room { keeper, message }
 }
 
-fn refuse_busy(id: super::RequestId, retry_after_ms: u32) -> PoolOutput {
+fn refuse_busy(id: RequestId, retry_after_ms: u32) -> PoolOutput {
     PoolOutput::Refuse {
         id,
         refusal: Refusal::Busy,
--- a/crates/balsam-decide/src/pool/machine.rs
+++ b/crates/balsam-decide/src/pool/machine.rs
@@ -3,7 +3,7 @@
 use super::endpoint::Endpoint;
 use super::notices::Notices;
 use super::patience::CallerPatience;
-use super::permits::{Permit, Permits};
+use super::permits::{AskAttempts, Permit, Permits};
 use super::pick::{Choice, Chooser};
 use super::queue::{Queue, QueuedRequest};
 use super::route_latency::RouteLatency;
@@ -60,6 +60,9 @@
     pub(super) route_latencies_ms: Map<RouteName, RouteLatency>,
     pub(super) patience: CallerPatience,
     pub(super) permits: Permits,
+    /// When the last tick was handled. The next one is due a fixed time after it, also while other
+    /// inputs arrive more often.
+    ticked_at: TimeMs,
 }
 
 impl Pool {
@@ -76,6 +79,7 @@
             queues: new_map(),
             splits: TrafficSplits::new(),
             route_latencies_ms: new_map(),
+            ticked_at: TimeMs(0),
         }
     }
 
@@ -103,6 +107,7 @@
                 for queue in self.queues.values_mut() {
                     queue.remove(id);
                 }
+                self.cancel_permit(now, id, &mut outputs);
             }
             PoolInput::Notice { upstream, notice } => {
                 self.record_notice(now, upstream, notice, &mut outputs);
@@ -129,6 +134,7 @@
                 self.handle_keeper(now, from, message, &mut outputs);
             }
             PoolInput::Tick => {
+                self.ticked_at = now;
                 self.check_permits(now, &mut outputs);
                 self.check_queues(now, &mut outputs);
             }
@@ -137,10 +143,12 @@
     }
 
     /// Returns when the pool needs a [`PoolInput::Tick`], or `None` if nothing is awaited.
-    pub fn next_wakeup(&self, now: TimeMs) -> Option<TimeMs> {
+    pub fn next_wakeup(&self) -> Option<TimeMs> {
         let next = self.queues.values().filter_map(Queue::next_expiry).min();
-        let next = next.map(|next| next.min(now.after(QUEUE_CHECK_MS)));
-        let next = next.into_iter().chain(self.permits.next_check(now));
+        let next = next.map(|next| next.min(self.ticked_at.after(QUEUE_CHECK_MS)));
+        let next = next
+            .into_iter()
+            .chain(self.permits.next_check(self.ticked_at));
         next.min()
     }
 
@@ -179,7 +187,8 @@
     ) {
         match self.choose(now, &request, &service) {
             Choice::Upstream(upstream) => {
-                self.ask_or_send(now, request, service, upstream, outputs);
+                let attempts = AskAttempts::default();
+                self.ask_or_send(now, request, service, upstream, attempts, outputs);
             }
             choice => self.wait_or_refuse(now, request, service, &choice, outputs),
         }
@@ -210,21 +219,26 @@
     }
 
     pub(super) fn choose(&self, now: TimeMs, request: &Request, service: &ServiceName) -> Choice {
-        match self.chooser(now, service) {
+        let keepers = self.keepers(service);
+        match self.chooser(now, keepers) {
             Some(chooser) => chooser.choose(request, service),
             None => Choice::Wait(Refusal::NoUpstream),
         }
     }
 
-    /// Returns the choice of upstreams of a service, or `None` before the deployment is known.
-    pub(super) fn chooser(&self, now: TimeMs, service: &ServiceName) -> Option<Chooser<'_>> {
+    /// Returns the choice of upstreams, or `None` before the deployment is known.
+    pub(super) fn chooser<'a>(
+        &'a self,
+        now: TimeMs,
+        keepers: Option<&'a Permits>,
+    ) -> Option<Chooser<'a>> {
         Some(Chooser {
             now,
             cluster: self.cluster.as_ref()?,
             endpoints: &self.endpoints,
             notices: &self.notices,
             settings: &self.settings,
-            has_keeper: self.needs_permits(service),
+            keepers,
         })
     }
 
@@ -391,7 +405,7 @@
         });
         self.cluster = Some(cluster);
         if has_changed {
-            self.adopt_keepers();
+            self.adopt_keepers(now, outputs);
         }
         self.check_queues(now, outputs);
     }
@@ -424,7 +438,8 @@
                         let QueuedRequest {
                             request, service, ..
                         } = queued;
-                        self.ask_or_send(now, request, service, upstream, outputs);
+                        let attempts = AskAttempts::default();
+                        self.ask_or_send(now, request, service, upstream, attempts, outputs);
                     }
                 }
                 Some((Choice::Blocked { until }, expires_at))
--- a/crates/balsam-decide/src/pool/permits.rs
+++ b/crates/balsam-decide/src/pool/permits.rs
@@ -1,11 +1,11 @@
 //! Permits that this daemon has asked for or holds, and the keepers that it asks.
 
-use super::Request;
+use super::{Request, RequestId};
 use crate::room::{
     GroupId, GroupLayout, KeeperList, PermitId, PermitRequest, PermitReturn, PermitScope, RoomLoad,
     RoomMessage,
 };
-use balsam_types::{Map, ServiceName, TimeMs, ZoneName, new_map};
+use balsam_types::{Map, ServiceName, Set, TimeMs, UpstreamEntry, ZoneName, new_map, new_set};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -15,6 +15,15 @@
 /// Interval at which a waiting request asks again, in milliseconds, in case its permit was lost.
 const QUEUED_ASK_AGAIN_MS: u64 = 400;
 
+/// Number of refusals because the keeper does not know the group or the owner, after which a daemon
+/// decides about the request alone. They follow each other at the interval above: the list of keepers
+/// or of upstreams usually reaches both within it.
+const NOT_KEPT_MAX: u32 = 3;
+
+/// Number of permits for one request that this daemon's own tables do not allow, after which it
+/// decides about the request alone. The keeper and this daemon then know different runs of the owner.
+const UNUSABLE_MAX: u32 = 2;
+
 /// Number of unanswered requests after which a keeper counts as silent.
 const UNANSWERED_MAX: u32 = 2;
 
@@ -67,16 +76,64 @@
     usual_ms: u32,
     sent_at: TimeMs,
     unanswered: u32,
-    is_queued: bool,
+    stage: Stage,
+    pub(super) attempts: AskAttempts,
     /// The groups that were asked before, which had no room.
     tried: Vec<GroupId>,
 }
 
+/// How far a request for a permit has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Stage {
+    /// The keeper was asked.
+    Asked,
+    /// The request waits at the keeper.
+    Queued,
+    /// The keeper did not keep the group. Another one is asked after a moment.
+    Held,
+}
+
+/// What has come of earlier requests for a permit for the same request.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct AskAttempts {
+    /// Refusals because the keeper does not know the group or the owner.
+    not_kept: u32,
+    /// Permits that this daemon's own tables did not allow.
+    unusable: u32,
+}
+
+impl AskAttempts {
+    /// Returns whether no further permit should be asked for.
+    pub(super) const fn are_over(self) -> bool {
+        self.not_kept >= NOT_KEPT_MAX || self.unusable >= UNUSABLE_MAX
+    }
+
+    /// Counts a permit that this daemon's own tables did not allow.
+    pub(super) const fn with_unusable(self) -> Self {
+        Self {
+            unusable: self.unusable + 1,
+            ..self
+        }
+    }
+}
+
+/// Why a request does not wait for its permit any longer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum AskEnd {
+    /// Its time is over.
+    GivenUp,
+    /// Its keeper does not answer.
+    Silent,
+    /// Another keeper should be asked. The last one has nothing of the request.
+    Moved,
+}
+
 /// What a request for a permit says about the request.
 #[derive(Debug)]
 pub(super) struct AskTerms {
     pub(super) objective_at: TimeMs,
     pub(super) usual_ms: u32,
+    pub(super) attempts: AskAttempts,
 }
 
 /// Which upstreams may run a request, and the groups that were asked for it before.
@@ -98,6 +155,9 @@
 /// A message to a keeper.
 pub(super) type KeeperMessage = (SocketAddr, RoomMessage);
 
+/// A request that does not wait for its permit any longer.
+pub(super) type EndedAsk = (PermitId, Asking, AskEnd);
+
 /// The requests for permits of this daemon.
 #[derive(Debug)]
 pub(super) struct Permits {
@@ -106,6 +166,8 @@
     keepers: Arc<KeeperList>,
     layout: GroupLayout,
     asking: Map<PermitId, Asking>,
+    /// Permits under which requests are in flight.
+    in_use: Set<PermitId>,
     silent_until: Map<SocketAddr, TimeMs>,
     loads: Map<GroupId, (TimeMs, RoomLoad)>,
     returns: Map<SocketAddr, Vec<PendingReturn>>,
@@ -121,20 +183,73 @@
             keepers: Arc::default(),
             layout: GroupLayout::default(),
             asking: new_map(),
+            in_use: new_set(),
             silent_until: new_map(),
             loads: new_map(),
             returns: new_map(),
         }
     }
 
-    /// Adopts the keepers and the division of the upstreams into groups.
-    pub(super) fn set_keepers(&mut self, keepers: Arc<KeeperList>, layout: GroupLayout) {
+    /// Adopts the keepers and the division of the upstreams into groups. Returns the requests whose
+    /// group has another keeper now.
+    pub(super) fn set_keepers(
+        &mut self,
+        keepers: Arc<KeeperList>,
+        layout: GroupLayout,
+    ) -> Vec<(PermitId, Asking)> {
         self.keepers = keepers;
         self.layout = layout;
         let listed =
             |address: &SocketAddr| self.keepers.keepers.iter().any(|k| k.address == *address);
         self.silent_until.retain(|address, _| listed(address));
         self.loads.clear();
+        let keepers = &self.keepers;
+        let has_moved = |asking: &Asking| {
+            let keeper = keepers.keeper_of(&asking.group);
+            keeper.is_none_or(|keeper| keeper.address != asking.keeper)
+        };
+        let moved = self.asking.extract_if(|_, asking| has_moved(asking));
+        moved.collect()
+    }
+
+    /// Returns whether a keeper that answers decides about the requests to an upstream.
+    pub(super) fn is_kept(&self, now: TimeMs, upstream: &UpstreamEntry) -> bool {
+        self.silent_until.is_empty()
+            || self
+                .responsive_keeper(now, &self.layout.group_of(upstream))
+                .is_some()
+    }
+
+    /// Removes the request for a permit of a request that is no longer wanted. Returns the permit and
+    /// its keeper.
+    pub(super) fn cancel(&mut self, request: RequestId) -> Option<(PermitId, SocketAddr)> {
+        let found = self.asking.iter();
+        let mut found = found.filter(|(_, asking)| asking.request.id == request);
+        let (id, keeper) = found.next().map(|(id, asking)| (*id, asking.keeper))?;
+        self.asking.remove(&id);
+        Some((id, keeper))
+    }
+
+    /// Records that a request is sent under a permit.
+    pub(super) fn record_used(&mut self, id: PermitId) {
+        self.in_use.insert(id);
+    }
+
+    /// Returns whether a permit is awaited, used, or being returned.
+    pub(super) fn is_known(&self, keeper: SocketAddr, id: PermitId) -> bool {
+        let mut returns = self.returns.get(&keeper).into_iter().flatten();
+        self.asking.contains_key(&id)
+            || self.in_use.contains(&id)
+            || returns.any(|pending| pending.returned.id == id)
+    }
+
+    /// Keeps a request back whose keeper did not know its group or owner, until the tables of this
+    /// daemon or of the keeper are likely to have changed.
+    pub(super) fn hold(&mut self, now: TimeMs, id: PermitId, mut asking: Asking) {
+        asking.attempts.not_kept += 1;
+        asking.stage = Stage::Held;
+        asking.sent_at = now;
+        self.asking.insert(id, asking);
     }
 
     /// Returns whether there are keepers to ask.
@@ -187,7 +302,8 @@
             usual_ms: terms.usual_ms,
             sent_at: now,
             unanswered: 1,
-            is_queued: false,
+            stage: Stage::Asked,
+            attempts: terms.attempts,
             tried,
         };
         let message = (keeper, RoomMessage::Ask(asking.message(now, id)));
@@ -249,7 +365,7 @@
         let asking = self.asking.get_mut(&id)?;
         self.loads.insert(asking.group.clone(), (now, load));
         if is_queued {
-            asking.is_queued = true;
+            asking.stage = Stage::Queued;
             asking.unanswered = 0;
             asking.sent_at = now;
             return None;
@@ -264,6 +380,7 @@
         keeper: SocketAddr,
         returned: PermitReturn,
     ) -> KeeperMessage {
+        self.in_use.remove(&returned.id);
         let message = RoomMessage::Return(vec![returned.clone()]);
         self.returns.entry(keeper).or_default().push(PendingReturn {
             returned,
@@ -284,29 +401,33 @@
     }
 
     /// Returns when the state must be checked, or `None` if nothing is awaited.
-    pub(super) fn next_check(&self, now: TimeMs) -> Option<TimeMs> {
+    pub(super) fn next_check(&self, checked_at: TimeMs) -> Option<TimeMs> {
         let is_idle = self.asking.is_empty() && self.returns.is_empty();
-        (!is_idle).then(|| now.after(CHECK_MS))
+        (!is_idle).then(|| checked_at.after(CHECK_MS))
     }
 
     /// Repeats what was not answered. Returns the messages, and the requests whose keeper does not
     /// answer or that nobody waits for any more.
-    pub(super) fn check(&mut self, now: TimeMs) -> (Vec<KeeperMessage>, Vec<(PermitId, Asking)>) {
+    pub(super) fn check(&mut self, now: TimeMs) -> (Vec<KeeperMessage>, Vec<EndedAsk>) {
+        self.silent_until.retain(|_, until| now < *until);
         let mut messages = Vec::new();
         let mut ended = Vec::new();
         for (id, asking) in &mut self.asking {
-            let interval_ms = if asking.is_queued && asking.unanswered == 0 {
-                QUEUED_ASK_AGAIN_MS
-            } else {
-                ASK_AGAIN_MS
+            let interval_ms = match asking.stage {
+                Stage::Queued if asking.unanswered == 0 => QUEUED_ASK_AGAIN_MS,
+                Stage::Asked | Stage::Queued | Stage::Held => ASK_AGAIN_MS,
             };
             if now >= asking.request.give_up_at {
-                ended.push(*id);
+                ended.push((*id, AskEnd::GivenUp));
             } else if now.since(asking.sent_at) >= interval_ms {
+                if asking.stage == Stage::Held {
+                    ended.push((*id, AskEnd::Moved));
+                    continue;
+                }
                 if asking.unanswered >= UNANSWERED_MAX {
                     self.silent_until
                         .insert(asking.keeper, now.after(SILENT_MS));
-                    ended.push(*id);
+                    ended.push((*id, AskEnd::Silent));
                     continue;
                 }
                 asking.unanswered += 1;
@@ -316,7 +437,7 @@
         }
         self.repeat_returns(now, &mut messages);
         let ended = ended.into_iter();
-        let ended = ended.filter_map(|id| Some((id, self.asking.remove(&id)?)));
+        let ended = ended.filter_map(|(id, end)| Some((id, self.asking.remove(&id)?, end)));
         (messages, ended.collect())
     }
 
--- a/crates/balsam-decide/src/room/group.rs
+++ b/crates/balsam-decide/src/room/group.rs
@@ -1,5 +1,6 @@
 //! One group of upstreams at its keeper: who may send now, who waits, and who is refused.
 
+use super::keeper::PermitsOut;
 use super::queue::{AskKey, Queue, Waiting};
 use super::target::Target;
 use super::{PermitRefusal, PermitReturn, PermitScope, RoomLoad};
@@ -62,8 +63,10 @@
         }
     }
 
-    /// Adopts the upstreams of the group. Returns the waiting requests whose owner is not among them
-    /// any more.
+    /// Adopts the upstreams of the group. Returns the waiting requests that none of them may run.
+    ///
+    /// Permits that are out for an upstream that is new to the group take its slots: it may have been
+    /// in another group, not ready, or at another keeper in the meantime.
     ///
     /// Cold upstreams that are new to the group get nothing before `cold_from`, because another
     /// keeper may just have sent them requests.
@@ -73,6 +76,7 @@
         upstreams: &[Arc<DiscoveredUpstream>],
         warmup: Option<WarmupTerms>,
         cold_from: TimeMs,
+        permits: &PermitsOut,
     ) -> Vec<Waiting> {
         let mut former = std::mem::take(&mut self.targets);
         for upstream in upstreams {
@@ -85,15 +89,16 @@
                     if warmup.is_some() && upstream.warmup_ends_at > now {
                         target.pause(cold_from);
                     }
+                    let run = (name.clone(), upstream.entry.born);
+                    for _ in 0..permits.get(&run).copied().unwrap_or_default() {
+                        target.record_sent(now);
+                    }
                     target
                 });
             target.update(now, Arc::clone(upstream), warmup);
             self.targets.insert(name, target);
         }
-        let orphaned = self.queue.iter().filter(|waiting| match &waiting.scope {
-            PermitScope::Owner(owner) => !self.targets.contains_key(owner),
-            PermitScope::Any { .. } => false,
-        });
+        let orphaned = self.queue.iter().filter(|waiting| !self.accepts(waiting));
         let orphaned: Vec<AskKey> = orphaned.map(|waiting| waiting.key).collect();
         let queue = &mut self.queue;
         orphaned
@@ -131,8 +136,9 @@
         for _ in &expired {
             self.record_decision(true);
         }
+        let backlog_ms = u64::from(self.load(now).wait_ms);
         let with_retry = expired.into_iter().map(|waiting| {
-            let retry_after_ms = self.retry_after_ms(now, &waiting, 0);
+            let retry_after_ms = self.retry_after_ms(now, &waiting, backlog_ms);
             (waiting, retry_after_ms)
         });
         with_retry.collect()
--- a/crates/balsam-decide/src/room/keeper.rs
+++ b/crates/balsam-decide/src/room/keeper.rs
@@ -4,12 +4,12 @@
 use super::queue::{AskKey, Waiting};
 use super::{
     GroupId, GroupLayout, KeeperList, PermitAnswer, PermitId, PermitRefusal, PermitRequest,
-    PermitReturn, RoomLoad, RoomMessage,
+    PermitReturn, PermitScope, RoomLoad, RoomMessage,
 };
 use crate::directory::{DiscoveredUpstream, Upstreams};
 use crate::pace::PaceOutcome;
 use crate::pool::ClusterState;
-use balsam_types::{Map, TimeMs, WarmupTerms, new_map};
+use balsam_types::{Map, StartTime, TimeMs, UpstreamName, WarmupTerms, new_map};
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -25,8 +25,8 @@
 /// it that arrives late is not granted.
 const RETURNED_KEPT_MS: u64 = 2_000;
 
-/// How long cold upstreams get nothing after their keeper has changed, in milliseconds. Their limit
-/// is counted over a second.
+/// How long cold upstreams get nothing after their keeper may have changed, in milliseconds. Their
+/// limit is counted over a second.
 const COLD_HOLD_MS: u64 = 1_000;
 
 /// Time after which a daemon should retry elsewhere if this daemon is not the keeper, in
@@ -83,13 +83,15 @@
 enum AskState {
     Waiting(GroupId),
     Granted {
-        group: GroupId,
         upstream: Arc<DiscoveredUpstream>,
         expires_at: TimeMs,
     },
     Returned,
 }
 
+/// The number of permits out for each run of an upstream.
+pub(super) type PermitsOut = Map<(UpstreamName, StartTime), u32>;
+
 /// Keeps the room of groups of upstreams for all daemons.
 ///
 /// It answers the load of many daemons that each send few requests to each of many upstreams: the
@@ -102,12 +104,17 @@
     list_since: TimeMs,
     cluster: Option<ClusterState>,
     layout: GroupLayout,
+    /// When the division into groups was last changed, which gives groups other keepers as a list does.
+    layout_since: TimeMs,
     members: Map<GroupId, Vec<Arc<DiscoveredUpstream>>>,
     groups: Map<GroupId, Group>,
     asks: Map<AskKey, AskState>,
     /// Permits that were returned, oldest first.
     returned: VecDeque<(TimeMs, AskKey)>,
     acknowledgements: Map<SocketAddr, (TimeMs, Vec<PermitId>)>,
+    /// When the last tick was handled. The next one is due a fixed time after it, also while
+    /// messages arrive more often.
+    ticked_at: TimeMs,
     counts: KeeperCounts,
 }
 
@@ -120,11 +127,13 @@
             list_since: now,
             cluster: None,
             layout: GroupLayout::default(),
+            layout_since: now,
             members: new_map(),
             groups: new_map(),
             asks: new_map(),
             returned: VecDeque::new(),
             acknowledgements: new_map(),
+            ticked_at: now,
             counts: KeeperCounts::default(),
         }
     }
@@ -150,12 +159,12 @@
     }
 
     /// Returns when the keeper needs a [`KeeperInput::Tick`], or `None` if it holds nothing.
-    pub fn next_wakeup(&self, now: TimeMs) -> Option<TimeMs> {
+    pub fn next_wakeup(&self) -> Option<TimeMs> {
         if self.groups.values().any(|group| !group.is_idle()) {
-            return Some(now.after(CHECK_INTERVAL_MS));
+            return Some(self.ticked_at.after(CHECK_INTERVAL_MS));
         }
         let is_idle = self.asks.is_empty() && self.acknowledgements.is_empty();
-        (!is_idle).then(|| now.after(ACKNOWLEDGE_MS / 2))
+        (!is_idle).then(|| self.ticked_at.after(ACKNOWLEDGE_MS / 2))
     }
 
     /// Returns what the keeper has decided and holds.
@@ -184,11 +193,7 @@
             .cloned()
             .collect();
         for id in moved {
-            if let Some(mut group) = self.groups.remove(&id) {
-                for waiting in group.drain() {
-                    self.refuse(&waiting, PermitRefusal::NotKept, NOT_KEPT_RETRY_MS, outputs);
-                }
-            }
+            self.drop_group(&id, outputs);
         }
     }
 
@@ -204,7 +209,11 @@
                 || !Arc::ptr_eq(&known.table, &cluster.table)
         });
         if has_changed {
-            self.layout = GroupLayout::new(&cluster.upstreams);
+            let layout = GroupLayout::new(&cluster.upstreams);
+            if layout != self.layout {
+                self.layout = layout;
+                self.layout_since = now;
+            }
             self.members = members(&self.layout, &cluster.upstreams);
         }
         self.cluster = Some(cluster);
@@ -213,19 +222,44 @@
         }
         let groups: Vec<GroupId> = self.groups.keys().cloned().collect();
         for id in groups {
-            self.refresh_group(now, &id, outputs);
-            self.serve(now, &id, outputs);
+            if self.members.contains_key(&id) {
+                self.refresh_group(now, &id, outputs);
+                self.serve(now, &id, outputs);
+            } else {
+                self.drop_group(&id, outputs);
+            }
         }
     }
 
+    /// Drops a group that this daemon does not keep or that has no upstreams. Its permits are still
+    /// counted if it comes back.
+    fn drop_group(&mut self, id: &GroupId, outputs: &mut Vec<KeeperOutput>) {
+        let group = self.groups.remove(id);
+        for waiting in group.map(|mut group| group.drain()).unwrap_or_default() {
+            self.refuse(&waiting, PermitRefusal::NotKept, NOT_KEPT_RETRY_MS, outputs);
+        }
+    }
+
+    fn permits_out(&self) -> PermitsOut {
+        let mut permits = new_map();
+        for state in self.asks.values() {
+            if let AskState::Granted { upstream, .. } = state {
+                let run = (upstream.entry.name.clone(), upstream.entry.born);
+                *permits.entry(run).or_default() += 1;
+            }
+        }
+        permits
+    }
+
     /// Adopts the present upstreams of a group, and refuses requests for those that are gone.
     fn refresh_group(&mut self, now: TimeMs, id: &GroupId, outputs: &mut Vec<KeeperOutput>) {
         let warmup = self.warmup(id);
-        let cold_from = self.list_since.after(COLD_HOLD_MS);
+        let cold_from = self.list_since.max(self.layout_since).after(COLD_HOLD_MS);
+        let permits = self.permits_out();
         let members = self.members.get(id).map_or(&[][..], Vec::as_slice);
         let group = self.groups.entry(id.clone());
         let group = group.or_insert_with(Group::new);
-        let orphaned = group.set_upstreams(now, members, warmup, cold_from);
+        let orphaned = group.set_upstreams(now, members, warmup, cold_from, &permits);
         for waiting in orphaned {
             self.refuse(&waiting, PermitRefusal::NotKept, NOT_KEPT_RETRY_MS, outputs);
         }
@@ -246,11 +280,9 @@
     ) {
         let key = (from, request.id);
         match self.asks.get(&key) {
-            Some(AskState::Granted {
-                group, upstream, ..
-            }) => {
+            Some(AskState::Granted { upstream, .. }) => {
                 let answer = granted(upstream);
-                let load = self.load(now, group);
+                let load = self.load(now, &self.layout.group_of(&upstream.entry));
                 return self.answer(key, answer, load, outputs);
             }
             Some(AskState::Waiting(group)) => {
@@ -270,7 +302,7 @@
             deadline: now.after(u64::from(request.deadline_left_ms)),
             usual_ms: request.usual_ms,
         };
-        if !self.is_keeper_of(&id) {
+        if !self.is_keeper_of(&id) || !self.members.contains_key(&id) {
             return self.refuse(&waiting, PermitRefusal::NotKept, NOT_KEPT_RETRY_MS, outputs);
         }
         if !self.groups.contains_key(&id) {
@@ -280,12 +312,19 @@
             return;
         };
         if !group.accepts(&waiting) {
-            return self.refuse(&waiting, PermitRefusal::NotKept, NOT_KEPT_RETRY_MS, outputs);
+            let (refusal, retry_after_ms) = match waiting.scope {
+                PermitScope::Owner(_) => (PermitRefusal::NotKept, NOT_KEPT_RETRY_MS),
+                // The request was sent to all upstreams of the group before.
+                PermitScope::Any { .. } => {
+                    (PermitRefusal::Busy, group.retry_after_ms(now, &waiting, 0))
+                }
+            };
+            return self.refuse(&waiting, refusal, retry_after_ms, outputs);
         }
         if !group.push(waiting.clone()) {
-            let refusal = PermitRefusal::QueueFull;
-            let retry_after_ms = self.load(now, &id).wait_ms.max(NOT_KEPT_RETRY_MS);
-            return self.refuse(&waiting, refusal, retry_after_ms, outputs);
+            let backlog_ms = u64::from(group.load(now).wait_ms);
+            let retry_after_ms = group.retry_after_ms(now, &waiting, backlog_ms);
+            return self.refuse(&waiting, PermitRefusal::QueueFull, retry_after_ms, outputs);
         }
         self.asks.insert(key, AskState::Waiting(id.clone()));
         self.serve(now, &id, outputs);
@@ -321,10 +360,9 @@
             .or_insert_with(|| (now, Vec::new()));
         ids.push(returned.id);
         match self.asks.insert(key, AskState::Returned) {
-            Some(AskState::Granted {
-                group, upstream, ..
-            }) => {
+            Some(AskState::Granted { upstream, .. }) => {
                 self.returned.push_back((now, key));
+                let group = self.layout.group_of(&upstream.entry);
                 if let Some(kept) = self.groups.get_mut(&group) {
                     kept.record_return(now, &upstream, returned);
                 }
@@ -343,16 +381,13 @@
     }
 
     fn tick(&mut self, now: TimeMs, outputs: &mut Vec<KeeperOutput>) {
+        self.ticked_at = now;
         self.forget_returned(now);
         self.expire_permits(now);
         let busy = self.groups.iter().filter(|(_, group)| !group.is_idle());
         let busy: Vec<GroupId> = busy.map(|(id, _)| id.clone()).collect();
         for id in busy {
             self.serve(now, &id, outputs);
-            let group = self.groups.get_mut(&id);
-            for (waiting, retry_after_ms) in group.map(|g| g.expire(now)).unwrap_or_default() {
-                self.refuse(&waiting, PermitRefusal::Busy, retry_after_ms, outputs);
-            }
         }
         self.acknowledge(now, outputs);
     }
@@ -375,10 +410,7 @@
         });
         let expired: Vec<AskKey> = expired.collect();
         for key in expired {
-            let Some(AskState::Granted {
-                group, upstream, ..
-            }) = self.asks.remove(&key)
-            else {
+            let Some(AskState::Granted { upstream, .. }) = self.asks.remove(&key) else {
                 continue;
             };
             self.counts.expired += 1;
@@ -388,6 +420,7 @@
                 pause_ms: None,
                 load: None,
             };
+            let group = self.layout.group_of(&upstream.entry);
             if let Some(kept) = self.groups.get_mut(&group) {
                 kept.record_return(now, &upstream, &returned);
             }
@@ -407,14 +440,21 @@
         });
     }
 
-    /// Grants waiting requests of a group, as far as there is room.
+    /// Refuses waiting requests of a group whose time is over, and grants others as far as there is
+    /// room.
     fn serve(&mut self, now: TimeMs, id: &GroupId, outputs: &mut Vec<KeeperOutput>) {
-        let grants = self.groups.get_mut(id).map(|group| group.serve(now));
-        for Grant { waiting, upstream } in grants.unwrap_or_default() {
+        let Some(group) = self.groups.get_mut(id) else {
+            return;
+        };
+        let expired = group.expire(now);
+        let grants = group.serve(now);
+        for (waiting, retry_after_ms) in expired {
+            self.refuse(&waiting, PermitRefusal::Busy, retry_after_ms, outputs);
+        }
+        for Grant { waiting, upstream } in grants {
             self.counts.granted += 1;
             let answer = granted(&upstream);
             let state = AskState::Granted {
-                group: id.clone(),
                 upstream,
                 expires_at: waiting.deadline,
             };
