--- a/crates/balsam-decide/tests/lost_keeper.rs
+++ b/crates/balsam-decide/tests/lost_keeper.rs
@@ -201,7 +201,7 @@
     );
     let mut outputs = pool.handle(now, PoolInput::Request(request(now, 1, 2_000)));
     let mut asks = 0;
-    while let [ask] = &asked(&outputs)[..] {
+    while let [ask] = asked(&outputs).as_slice() {
         asks += 1;
         assert!(asks <= 3, "the request goes on asking");
         let newer = grant(&upstream_run(1, 0, 2));
--- a/crates/balsam-decide/tests/room_sim/fleet.rs
+++ b/crates/balsam-decide/tests/room_sim/fleet.rs
@@ -337,7 +337,7 @@
             } => self.call(daemon, route, deadline, is_return),
             Event::Arrive(attempt) => self.arrive(attempt),
             Event::Finish(attempt) => self.finish(attempt),
-            Event::Done { attempt, verdict } => self.done(attempt, verdict),
+            Event::Done { attempt, verdict } => self.done(&attempt, verdict),
         }
     }
 
@@ -513,7 +513,7 @@
         self.schedule(LATENCY_MS, Event::Done { attempt, verdict });
     }
 
-    fn done(&mut self, attempt: Attempt, verdict: Verdict) {
+    fn done(&mut self, attempt: &Attempt, verdict: Verdict) {
         if self.members[usize::from(attempt.daemon)].life != attempt.life {
             return;
         }
