Pace upstreams that start, recover or do not serve

Cause: the keeper sent every upstream as many requests as it has slots, also right after a start or a recovery, and went on asking one that only rejects.

The pace starts slowly after a start or a recovery that was seen, grows with answers in time, falls with rejections and late answers, and spaces the starts at cold upstreams by the told rate. Upstreams that join a known group start slowly. The expected wait at a cold upstream counts the interval between starts.

--- a/crates/balsam-decide/src/pace/mod.rs
+++ b/crates/balsam-decide/src/pace/mod.rs
@@ -4,6 +4,7 @@
 
 mod machine;
 mod message;
+mod spacing;
 
 pub use machine::Pace;
 pub use message::{PaceOutcome, PaceTerms, PaceVerdict};
--- a/crates/balsam-decide/src/room/group.rs
+++ b/crates/balsam-decide/src/room/group.rs
@@ -63,7 +63,8 @@
     /// any more.
     ///
     /// Cold upstreams that are new to the group get nothing before `cold_from`, because another
-    /// keeper may just have sent them requests.
+    /// keeper may just have sent them requests. Upstreams that join a group that was known before
+    /// have probably just started.
     pub(super) fn set_upstreams(
         &mut self,
         now: TimeMs,
@@ -72,6 +73,7 @@
         cold_from: TimeMs,
     ) -> Vec<Waiting> {
         let mut former = std::mem::take(&mut self.targets);
+        let was_known = !former.is_empty();
         for upstream in upstreams {
             let name = upstream.entry.name.clone();
             let known = former.remove(&name);
@@ -82,6 +84,9 @@
                     if warmup.is_some() && upstream.warmup_ends_at > now {
                         target.pause(cold_from);
                     }
+                    if was_known {
+                        target.record_start(now);
+                    }
                     target
                 });
             target.update(now, Arc::clone(upstream), warmup);
@@ -255,7 +260,10 @@
             .iter()
             .filter(|(name, _)| waiting.accepts(name))
             .collect();
-        let concurrency: f64 = usable.iter().map(|(_, target)| target.concurrency()).sum();
+        let concurrency: f64 = usable
+            .iter()
+            .map(|(_, target)| target.concurrency(now))
+            .sum();
         if concurrency <= 0.0 {
             return u64::MAX;
         }
@@ -281,12 +289,13 @@
     pub(super) fn load(&self, now: TimeMs) -> RoomLoad {
         let free = self.targets.values().map(|target| {
             if target.verdict(now) == PaceVerdict::Now {
-                (target.concurrency() - f64::from(target.in_flight())).max(1.0)
+                (target.concurrency(now) - f64::from(target.in_flight())).max(1.0)
             } else {
                 0.0
             }
         });
-        let concurrency: f64 = self.targets.values().map(Target::concurrency).sum();
+        let targets = self.targets.values();
+        let concurrency: f64 = targets.map(|target| target.concurrency(now)).sum();
         let waiting_ms: f64 = self
             .queue
             .iter()
@@ -306,7 +315,7 @@
 
 /// Returns the expected response time of another request, relative to the usual one.
 fn expected_cost(target: &Target, now: TimeMs) -> f64 {
-    target.slowness(now) * (1.0 + f64::from(target.in_flight()) / target.concurrency())
+    target.slowness(now) * (1.0 + f64::from(target.in_flight()) / target.concurrency(now))
 }
 
 /// Adds up to a quarter to a delay, so that refused callers return one after the other.
--- a/crates/balsam-decide/src/room/target.rs
+++ b/crates/balsam-decide/src/room/target.rs
@@ -56,6 +56,11 @@
         self.upstream = upstream;
     }
 
+    /// Records that the upstream has started.
+    pub(super) fn record_start(&mut self, now: TimeMs) {
+        self.pace.record_start(now);
+    }
+
     /// Sends no requests before `until`.
     pub(super) fn pause(&mut self, until: TimeMs) {
         self.paused_until = self.paused_until.max(until);
@@ -86,9 +91,10 @@
         told.map_or(self.slowness, |(_, told)| self.slowness.max(told))
     }
 
-    /// Returns the number of requests that may be in flight at present.
-    pub(super) fn concurrency(&self) -> f64 {
-        self.pace.concurrency().max(0.25)
+    /// Returns the number of requests that are expected to be in flight if as many are sent as may
+    /// be.
+    pub(super) fn concurrency(&self, now: TimeMs) -> f64 {
+        self.pace.expected_concurrency(now).max(0.25)
     }
 
     /// Returns the number of requests in flight.
