Give daemons turns at cold upstreams without a keeper

Cause: without a permit each daemon counted at least one request as its own room, so that 59 daemons could send 59 requests at once to a cold upstream that tolerates 3.3 per second. While a keeper was silent, a daemon sent without any limit, because the choice of an upstream still assumed a keeper.

The warm-up is divided into turns of the told interval, counted back from its end. A hash of daemon and upstream chooses the turn, with twice as many turns as daemons from 9 daemons on. Limits and turns apply whenever no keeper can be asked.

cold_turns (10) passes: 59 daemons with a request each at any time, at 40 upstreams, never exceed 12 requests in a second. Without turns, without the gap between turns, with one turn for each daemon, or with the former choice while a keeper is silent, it fails. The pool, upstream and connection tests of balsam-decide pass.

--- a/crates/balsam-decide/src/pool/ask.rs
+++ b/crates/balsam-decide/src/pool/ask.rs
@@ -38,6 +38,24 @@
         slots.is_some_and(|slots| cluster.daemons >= slots.saturating_mul(daemons_per_slot))
     }
 
+    /// Returns whether a keeper can be asked for a permit for a request.
+    pub(super) fn has_keeper(&self, now: TimeMs, request: &Request, service: &ServiceName) -> bool {
+        if !self.needs_permits(service) {
+            return false;
+        }
+        if !self.is_keyed(request, service) {
+            return self.permits.can_ask_any(now, service);
+        }
+        let owner = self.cluster.as_ref().and_then(|cluster| {
+            let found = cluster.ranges.get(service)?.find(request.key?)?;
+            cluster.upstreams.get(&found.owner.upstream)
+        });
+        owner.is_some_and(|owner| {
+            let group = self.permits.layout().group_of(&owner.entry);
+            self.permits.can_ask(now, &group)
+        })
+    }
+
     /// Adopts the keepers of the present state of the deployment.
     pub(super) fn adopt_keepers(&mut self) {
         if let Some(cluster) = &self.cluster {
@@ -113,7 +131,7 @@
         service: ServiceName,
         outputs: &mut Vec<PoolOutput>,
     ) {
-        match self.choose(now, &request, &service) {
+        match self.choose_with(now, &request, &service, false) {
             Choice::Upstream(upstream) => {
                 outputs.push(self.send(now, &request, service, upstream, None));
             }
@@ -223,7 +241,7 @@
         born: StartTime,
     ) -> Option<Arc<DiscoveredUpstream>> {
         let upstream = self.cluster.as_ref()?.upstreams.get(name)?;
-        let chooser = self.chooser(now, service)?;
+        let chooser = self.chooser(now, true)?;
         let is_allowed = upstream.entry.born == born && chooser.allows(request, service, upstream);
         is_allowed.then(|| Arc::clone(upstream))
     }
--- a/crates/balsam-decide/src/pool/endpoint.rs
+++ b/crates/balsam-decide/src/pool/endpoint.rs
@@ -53,6 +53,8 @@
     backoff_until: TimeMs,
     /// Until when the upstream is expected to reset new connections.
     resets_until: TimeMs,
+    /// When a request was last sent without a permit.
+    last_unpermitted: Option<TimeMs>,
 }
 
 impl Endpoint {
@@ -69,6 +71,7 @@
             connect_failures: 0,
             backoff_until: TimeMs(0),
             resets_until: TimeMs(0),
+            last_unpermitted: None,
         }
     }
 
@@ -112,9 +115,17 @@
         self.mean_latency_ms
     }
 
-    /// Counts a request that is being sent.
-    pub(super) const fn record_sent(&mut self) {
+    /// Returns when a request was last sent without a permit.
+    pub(super) const fn last_unpermitted(&self) -> Option<TimeMs> {
+        self.last_unpermitted
+    }
+
+    /// Counts a request that is being sent, with the permit of a keeper or without.
+    pub(super) const fn record_sent(&mut self, now: TimeMs, has_permit: bool) {
         self.in_flight += 1;
+        if !has_permit {
+            self.last_unpermitted = Some(now);
+        }
     }
 
     /// Records the outcome of a request; `route_latency_ms` is the mean latency of its route over
--- a/crates/balsam-decide/src/pool/machine.rs
+++ b/crates/balsam-decide/src/pool/machine.rs
@@ -211,22 +211,35 @@
         }
     }
 
-    pub(super) fn choose(&self, now: TimeMs, request: &Request, service: &ServiceName) -> Choice {
-        match self.chooser(now, service) {
+    /// Chooses an upstream for a request: by what keepers allow if one can be asked, and by the limits
+    /// of this daemon otherwise.
+    fn choose(&self, now: TimeMs, request: &Request, service: &ServiceName) -> Choice {
+        let has_keeper = self.has_keeper(now, request, service);
+        self.choose_with(now, request, service, has_keeper)
+    }
+
+    pub(super) fn choose_with(
+        &self,
+        now: TimeMs,
+        request: &Request,
+        service: &ServiceName,
+        has_keeper: bool,
+    ) -> Choice {
+        match self.chooser(now, has_keeper) {
             Some(chooser) => chooser.choose(request, service),
             None => Choice::Wait(Refusal::NoUpstream),
         }
     }
 
-    /// Returns the choice of upstreams of a service, or `None` before the deployment is known.
-    pub(super) fn chooser(&self, now: TimeMs, service: &ServiceName) -> Option<Chooser<'_>> {
+    /// Returns the choice of upstreams, or `None` before the deployment is known.
+    pub(super) fn chooser(&self, now: TimeMs, has_keeper: bool) -> Option<Chooser<'_>> {
         Some(Chooser {
             now,
             cluster: self.cluster.as_ref()?,
             endpoints: &self.endpoints,
             notices: &self.notices,
             settings: &self.settings,
-            has_keeper: self.needs_permits(service),
+            has_keeper,
         })
     }
 
@@ -249,7 +262,7 @@
         if endpoint.born() != entry.born {
             *endpoint = Endpoint::new(entry.born, entry.slots, daemons);
         }
-        endpoint.record_sent();
+        endpoint.record_sent(now, permit.is_some());
         PoolOutput::Send {
             id: request.id,
             service,
--- a/crates/balsam-decide/src/pool/mod.rs
+++ b/crates/balsam-decide/src/pool/mod.rs
@@ -13,6 +13,7 @@
 mod permits;
 mod pick;
 mod queue;
+mod turns;
 
 pub use ask::EndReport;
 pub use machine::Pool;
--- a/crates/balsam-decide/src/pool/permits.rs
+++ b/crates/balsam-decide/src/pool/permits.rs
@@ -195,6 +195,17 @@
         Ok(message)
     }
 
+    /// Returns whether the keeper of a group can be asked.
+    pub(super) fn can_ask(&self, now: TimeMs, group: &GroupId) -> bool {
+        self.responsive_keeper(now, group).is_some()
+    }
+
+    /// Returns whether the keeper of any group of a service can be asked.
+    pub(super) fn can_ask_any(&self, now: TimeMs, service: &ServiceName) -> bool {
+        let groups = self.layout.groups(service);
+        groups.iter().any(|group| self.can_ask(now, group))
+    }
+
     /// Returns the keeper of a group, unless it does not answer at present.
     fn responsive_keeper(&self, now: TimeMs, group: &GroupId) -> Option<SocketAddr> {
         let address = self.keepers.keeper_of(group)?.address;
--- a/crates/balsam-decide/src/pool/pick.rs
+++ b/crates/balsam-decide/src/pool/pick.rs
@@ -2,6 +2,7 @@
 
 use super::endpoint::Endpoint;
 use super::notices::{Notices, Standing};
+use super::turns::Turns;
 use super::{ClusterState, PoolSettings, Refusal, Request};
 use crate::directory::DiscoveredUpstream;
 use balsam_types::{Map, RouteKind, ServiceName, TimeMs, UpstreamName};
@@ -164,13 +165,31 @@
 
     /// Returns whether an upstream can take another request as far as this daemon knows.
     fn has_room(&self, upstream: &DiscoveredUpstream) -> bool {
-        self.endpoint(upstream).is_none_or(|endpoint| {
-            if self.has_keeper {
-                !endpoint.is_backing_off(self.now)
-            } else {
-                endpoint.has_room(self.now)
-            }
-        })
+        let endpoint = self.endpoint(upstream);
+        if self.has_keeper {
+            return endpoint.is_none_or(|endpoint| !endpoint.is_backing_off(self.now));
+        }
+        let may_take = endpoint.is_none_or(|endpoint| endpoint.has_room(self.now));
+        may_take && self.has_turn(upstream, endpoint)
+    }
+
+    /// Returns whether this daemon may send a request without a permit to an upstream, which gets
+    /// few requests while it is cold.
+    fn has_turn(&self, upstream: &DiscoveredUpstream, endpoint: Option<&Endpoint>) -> bool {
+        if self.now >= upstream.warmup_ends_at {
+            return true;
+        }
+        let policy = self.cluster.table.service(&upstream.entry.service);
+        let turns = Turns {
+            seed: self.settings.seed,
+            daemons: self.cluster.daemons,
+        };
+        policy
+            .and_then(|policy| policy.warmup)
+            .is_none_or(|warmup| {
+                let last_sent = endpoint.and_then(Endpoint::last_unpermitted);
+                turns.may_send(self.now, upstream, warmup, last_sent)
+            })
     }
 
     /// Returns the state of an upstream, unless it belongs to an earlier incarnation.
--- a/crates/balsam-decide/tests/pool_sim/mod.rs
+++ b/crates/balsam-decide/tests/pool_sim/mod.rs
@@ -7,17 +7,21 @@
     ClusterState, EndReport, Pool, PoolInput, PoolOutput, PoolSettings, Refusal, Request,
     RequestId, UpstreamNotice, Verdict,
 };
+use balsam_decide::room::KeeperList;
 use balsam_decide::routing::RouteTable;
 use balsam_types::{
     Assignment, CallerLimits, ConfigVersion, FencingToken, KeyRange, Owner, Route, RouteKind,
     RouteName, RoutingConfig, ServicePolicy, ServiceRanges, ServiceShare, ShardKey, StartTime,
-    TimeMs, UpstreamState, ZoneName, new_map,
+    TimeMs, UpstreamState, WarmupTerms, ZoneName, new_map,
 };
 use std::sync::Arc;
 
 /// How long leaving upstreams take requests that no other one can run.
 pub const DRAIN_MS: u64 = 2_000;
 
+/// Daemons for each slot of an upstream from which on known keepers are asked.
+const DAEMONS_PER_SLOT: u32 = 8;
+
 /// The latency objective of the route.
 const OBJECTIVE_MS: u64 = 1_000;
 
@@ -79,16 +83,8 @@
                 weight: 1,
             }],
         });
-        let mut services = new_map();
-        services.insert(service(), ServicePolicy::new(is_keyed));
-        let config = RoutingConfig {
-            version: ConfigVersion(1),
-            routes: vec![Arc::clone(&route)],
-            services,
-            limits: CallerLimits::default(),
-        };
         let cluster = ClusterState {
-            table: Arc::new(RouteTable::new(config)),
+            table: table(&route, ServicePolicy::new(is_keyed)),
             upstreams: Arc::new(Upstreams::default()),
             ranges: new_map(),
             moved: new_map(),
@@ -105,7 +101,7 @@
             },
             drain_ms: DRAIN_MS,
             seed,
-            room_daemons_per_slot: 0,
+            room_daemons_per_slot: DAEMONS_PER_SLOT,
             first_permit_id: 0,
         });
         let mut sim = Self {
@@ -119,6 +115,18 @@
         sim
     }
 
+    /// Sets what cold upstreams tolerate.
+    pub fn set_warmup(&mut self, warmup: WarmupTerms) {
+        let policy = self.cluster.table.service(&service());
+        let policy = policy.expect("a service").clone();
+        self.cluster.table = table(&self.route, policy.with_warmup(Some(warmup)));
+    }
+
+    /// Sets the daemons that keep the room of upstreams.
+    pub fn set_keepers(&mut self, keepers: KeeperList) {
+        self.cluster.keepers = Arc::new(keepers);
+    }
+
     /// Lists upstreams as ready, each in its first life.
     pub fn list(&mut self, numbers: &[u16]) {
         let found = numbers
@@ -208,6 +216,17 @@
     }
 }
 
+fn table(route: &Arc<Route>, policy: ServicePolicy) -> Arc<RouteTable> {
+    let mut services = new_map();
+    services.insert(service(), policy);
+    Arc::new(RouteTable::new(RoutingConfig {
+        version: ConfigVersion(1),
+        routes: vec![Arc::clone(route)],
+        services,
+        limits: CallerLimits::default(),
+    }))
+}
+
 pub fn decisions(outputs: &[PoolOutput]) -> Vec<(RequestId, Decision)> {
     let decisions = outputs.iter().filter_map(|output| match output {
         PoolOutput::Send { id, upstream, .. } => Some((*id, sent(upstream.entry.name.as_str()))),
--- a/crates/balsam-decide/tests/upstream_notices.rs
+++ b/crates/balsam-decide/tests/upstream_notices.rs
@@ -2,6 +2,7 @@
 
 #[allow(dead_code, reason = "this file uses a part of the module")]
 mod keyed;
+#[allow(dead_code, reason = "this file uses a part of the module")]
 mod pool_sim;
 
 use balsam_decide::pool::{
