Merge the pace of upstreams

Tests that count what an upstream gets right after it has joined a group expect one request now, its slow start, instead of all its slots; a test that forgets or doubles permits still fails. An upstream that runs requests under permits has not just started. The first division of upstreams into groups holds nothing back, since no other keeper went by another one.

--- a/crates/balsam-decide/src/pool/machine.rs
+++ b/crates/balsam-decide/src/pool/machine.rs
@@ -261,7 +261,7 @@
         if endpoint.born() != entry.born {
             *endpoint = Endpoint::new(entry.born, entry.slots, daemons);
         }
-        endpoint.record_sent();
+        endpoint.record_sent(now, permit.is_some());
         PoolOutput::Send {
             id: request.id,
             service,
--- a/crates/balsam-decide/src/pool/mod.rs
+++ b/crates/balsam-decide/src/pool/mod.rs
@@ -14,6 +14,7 @@
 mod pick;
 mod queue;
 mod route_latency;
+mod turns;
 
 pub use ask::EndReport;
 pub use machine::Pool;
--- a/crates/balsam-decide/src/pool/pick.rs
+++ b/crates/balsam-decide/src/pool/pick.rs
@@ -3,6 +3,7 @@
 use super::endpoint::Endpoint;
 use super::notices::{Notices, Standing};
 use super::permits::Permits;
+use super::turns::Turns;
 use super::{ClusterState, PoolSettings, Refusal, Request};
 use crate::directory::DiscoveredUpstream;
 use balsam_types::{Map, RouteKind, ServiceName, TimeMs, UpstreamName};
@@ -165,14 +166,32 @@
 
     /// Returns whether an upstream can take another request as far as this daemon knows.
     fn has_room(&self, upstream: &DiscoveredUpstream) -> bool {
-        self.endpoint(upstream).is_none_or(|endpoint| {
-            let is_kept = |permits: &&Permits| permits.is_kept(self.now, &upstream.entry);
-            if self.keepers.is_some_and(|permits| is_kept(&permits)) {
-                !endpoint.is_backing_off(self.now)
-            } else {
-                endpoint.has_room(self.now)
-            }
-        })
+        let endpoint = self.endpoint(upstream);
+        let is_kept = |permits: &Permits| permits.is_kept(self.now, &upstream.entry);
+        if self.keepers.is_some_and(is_kept) {
+            return endpoint.is_none_or(|endpoint| !endpoint.is_backing_off(self.now));
+        }
+        let may_take = endpoint.is_none_or(|endpoint| endpoint.has_room(self.now));
+        may_take && self.has_turn(upstream, endpoint)
+    }
+
+    /// Returns whether this daemon may send a request without a permit to an upstream, which gets
+    /// few requests while it is cold.
+    fn has_turn(&self, upstream: &DiscoveredUpstream, endpoint: Option<&Endpoint>) -> bool {
+        if self.now >= upstream.warmup_ends_at {
+            return true;
+        }
+        let policy = self.cluster.table.service(&upstream.entry.service);
+        let turns = Turns {
+            seed: self.settings.seed,
+            daemons: self.cluster.daemons,
+        };
+        policy
+            .and_then(|policy| policy.warmup)
+            .is_none_or(|warmup| {
+                let last_sent = endpoint.and_then(Endpoint::last_unpermitted);
+                turns.may_send(self.now, upstream, warmup, last_sent)
+            })
     }
 
     /// Returns the state of an upstream, unless it belongs to an earlier incarnation.
--- a/crates/balsam-decide/src/room/keeper.rs
+++ b/crates/balsam-decide/src/room/keeper.rs
@@ -211,8 +211,11 @@
         if has_changed {
             let layout = GroupLayout::new(&cluster.upstreams);
             if layout != self.layout {
+                // Before its first list, this daemon was in no division as a keeper.
+                if known.is_some() {
+                    self.layout_since = now;
+                }
                 self.layout = layout;
-                self.layout_since = now;
             }
             self.members = members(&self.layout, &cluster.upstreams);
         }
