Limit the bytes that a daemon holds for all exchanges together

Cause: each body of a request was read whole and copied for each attempt, and nothing limited the sum.

Change: balsam-decide/memory decides from the new optional setting machine.memory_mb who may hold bytes. Bodies are reserved whole before they are read, wait up to 2 s by arrival, or are refused as not run (503, or 413 if they can never fit). Small bodies and answers have reserved parts. Callers that stall are cut off only while others wait. One task of the edge owns the budget and answers by messages; the first 8 KiB of an exchange need none. Head and body are written as two parts, so that no attempt copies a body. Support of the edge's tests now starts daemons with 120 MB.

--- a/crates/balsam-decide/src/lib.rs
+++ b/crates/balsam-decide/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod keys;
 pub mod lease;
 pub mod membership;
+pub mod memory;
 pub mod node;
 pub mod orders;
 pub mod pace;
--- a/crates/balsam-edge/src/assembly.rs
+++ b/crates/balsam-edge/src/assembly.rs
@@ -2,6 +2,7 @@
 
 use crate::clock::now;
 use crate::control::{ControlInput, ControlPath};
+use crate::memory::{MemoryClient, MemoryTask};
 use crate::metrics::EdgeMetrics;
 use crate::operator::OperatorApi;
 use crate::order::OrderRequest;
@@ -16,6 +17,7 @@
 use crate::store::StoreRequest;
 use crate::view::{SyncStatus, View};
 use actix_rt::Arbiter;
+use balsam_decide::memory::MemoryTerms;
 use balsam_decide::pool::PoolSettings;
 use balsam_log::LostLines;
 use balsam_metrics::MetricsError;
@@ -218,6 +220,7 @@
             metrics.clone(),
         ));
         let pool = PoolClient::new(pool_tx);
+        let (memory, connections_max) = start_memory(settings, &metrics);
         let request_context = RequestContext {
             names: adapter.names,
             read_notice: adapter.read_notice,
@@ -225,6 +228,7 @@
             freshness: FreshnessGate::new(serves_until, metrics.clone()),
             pool: pool.clone(),
             control: control.clone(),
+            memory,
             recorder: Recorder::new(metrics.clone()),
         };
         let readiness_phase = phases.clone();
@@ -249,7 +253,7 @@
         actix_rt::spawn(probe::run(metrics_listener, metrics_endpoint));
         let grace = grace(settings);
         let drain = grace.saturating_sub(READINESS_PROPAGATION);
-        let listener = run_listener(callers, request_context, phases, CONNECTIONS_MAX, drain);
+        let listener = run_listener(callers, request_context, phases, connections_max, drain);
         Ok(Self {
             phase,
             listener: actix_rt::spawn(listener),
@@ -305,6 +309,19 @@
     }
 }
 
+/// Starts the memory budget, if the machine's memory is configured. Returns its handle and the
+/// number of connections that callers may have.
+fn start_memory(settings: &Settings, metrics: &EdgeMetrics) -> (MemoryClient, usize) {
+    match settings.machine.memory_whole_mb() {
+        Some(memory_mb) => {
+            let terms = MemoryTerms::of_machine(memory_mb);
+            let connections_max = MemoryTerms::connections_max(memory_mb).min(CONNECTIONS_MAX);
+            (MemoryTask::start(terms, metrics.clone()), connections_max)
+        }
+        None => (MemoryClient::Unlimited, CONNECTIONS_MAX),
+    }
+}
+
 /// Returns how long requests may continue after the daemon was asked to stop.
 fn grace(settings: &Settings) -> Duration {
     Duration::from_millis(settings.bounds.grace_ms()).saturating_sub(EXIT_RESERVE)
--- a/crates/balsam-edge/src/http/connection.rs
+++ b/crates/balsam-edge/src/http/connection.rs
@@ -5,7 +5,7 @@
 use balsam_http1::{BodyDecoder, BodyStep, Fields, ParsedResponseHead, parse_response};
 use bytes::{Bytes, BytesMut};
 use snafu::{ResultExt, ensure};
-use std::io;
+use std::io::{self, IoSlice};
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -81,6 +81,11 @@
         })
     }
 
+    /// Limits the buffers that the system has for the connection.
+    pub(crate) fn limit_buffers(&self) {
+        socket::limit_buffers(&self.stream);
+    }
+
     /// Waits for the time in which the peer resets a connection that it does not take. Returns
     /// whether the connection is still open and may carry a request.
     pub async fn settle(&self, wait: Duration) -> bool {
@@ -131,6 +136,8 @@
     /// Sends a request and reads the head of the response. `sent` tells how much of the request was
     /// sent, also after an error.
     ///
+    /// Head and body are passed separately, so that no attempt needs a copy of the body.
+    ///
     /// Reading and writing go on at the same time, because the peer may respond before it has read
     /// the whole request.
     ///
@@ -139,12 +146,15 @@
     /// Returns an [`ExchangeError`] if the connection fails or the response is malformed.
     pub async fn start(
         &mut self,
-        request: &[u8],
+        request_head: &[u8],
+        request_body: &[u8],
         is_head_request: bool,
         sent: &mut Sent,
     ) -> Result<ParsedResponseHead, ExchangeError> {
         *sent = Sent::Nothing;
-        let mut rest = request;
+        let mut slices = [IoSlice::new(request_head), IoSlice::new(request_body)];
+        let mut rest = &mut slices[..];
+        IoSlice::advance_slices(&mut rest, 0);
         let mut head_bytes = 0;
         loop {
             if let Some(head) =
@@ -155,10 +165,10 @@
             self.buffer.reserve(READ_BYTES);
             let (mut read, mut write) = self.stream.split();
             tokio::select! {
-                written = write.write(rest), if !rest.is_empty() => {
+                written = write.write_vectored(rest), if !rest.is_empty() => {
                     let written_bytes = written.context(IoSnafu)?;
                     ensure!(written_bytes > 0, ClosedSnafu);
-                    rest = &rest[written_bytes..];
+                    IoSlice::advance_slices(&mut rest, written_bytes);
                     *sent = if rest.is_empty() { Sent::Whole } else { Sent::Partly };
                 }
                 read = read.read_buf(&mut self.buffer) => {
@@ -248,7 +258,7 @@
         max_bytes: usize,
         sent: &mut Sent,
     ) -> Result<(Response, bool), ExchangeError> {
-        let mut head = self.start(request, false, sent).await?;
+        let mut head = self.start(request, &[], false, sent).await?;
         let body = self.body(&mut head.body, max_bytes).await?;
         self.last_used_at = Instant::now();
         let keep = head.keep_alive && *sent == Sent::Whole && self.buffer.is_empty();
--- a/crates/balsam-edge/src/http/mod.rs
+++ b/crates/balsam-edge/src/http/mod.rs
@@ -6,3 +6,4 @@
 
 pub use connection::{Connection, Response, Sent};
 pub use error::ExchangeError;
+pub(crate) use socket::limit_buffers;
--- a/crates/balsam-edge/src/http/socket.rs
+++ b/crates/balsam-edge/src/http/socket.rs
@@ -17,6 +17,11 @@
 /// How long sent bytes may stay unacknowledged before the connection counts as broken.
 const USER_TIMEOUT: Duration = Duration::from_millis(2_500);
 
+/// Size of the receive and send buffers of a socket where memory is limited. The system counts them
+/// as memory of the process, and would let them grow to several megabytes each. This size carries
+/// 200 Mbit/s at round-trip times of up to 2.5 ms.
+const LIMITED_BUFFER_BYTES: usize = 64 << 10;
+
 /// Sets the options of a connection that this process opened.
 ///
 /// A peer that has lost power or is behind a network partition does not close its connections.
@@ -44,3 +49,15 @@
         debug!("connection cannot be reset and is closed instead: {error}");
     }
 }
+
+/// Limits the buffers of a socket.
+pub(crate) fn limit_buffers(socket: &TcpStream) {
+    let sock_ref = SockRef::from(socket);
+    let results = [
+        sock_ref.set_recv_buffer_size(LIMITED_BUFFER_BYTES),
+        sock_ref.set_send_buffer_size(LIMITED_BUFFER_BYTES),
+    ];
+    for error in results.into_iter().filter_map(Result::err) {
+        debug!("socket buffer not limited: {error}");
+    }
+}
--- a/crates/balsam-edge/src/lib.rs
+++ b/crates/balsam-edge/src/lib.rs
@@ -14,6 +14,7 @@
 mod assembly;
 mod clock;
 mod control;
+mod memory;
 mod metrics;
 mod operator;
 mod peer;
--- a/crates/balsam-edge/src/metrics/instruments.rs
+++ b/crates/balsam-edge/src/metrics/instruments.rs
@@ -1,5 +1,6 @@
 //! Counters and histograms of the request path, and gauges of the routing state.
 
+use balsam_decide::memory::MemoryCounts;
 use balsam_decide::room::KeeperCounts;
 use balsam_types::ServiceName;
 use opentelemetry::KeyValue;
@@ -40,6 +41,37 @@
     permits_awaited: Gauge<u64>,
     keeper_decisions: Counter<u64>,
     keeper_holds: Gauge<u64>,
+    memory: MemoryInstruments,
+}
+
+/// Instruments of the memory budget.
+#[derive(Debug)]
+struct MemoryInstruments {
+    held: Gauge<u64>,
+    waiting: Gauge<u64>,
+    decisions: Counter<u64>,
+}
+
+impl MemoryInstruments {
+    fn new(meter: &Meter) -> Self {
+        Self {
+            held: meter
+                .u64_gauge("balsam.edge.memory.held")
+                .with_description("Bytes reserved for bodies and answers")
+                .with_unit("By")
+                .build(),
+            waiting: meter
+                .u64_gauge("balsam.edge.memory.waiting")
+                .with_description("Reservations of bytes that wait")
+                .build(),
+            decisions: meter
+                .u64_counter("balsam.edge.memory.decisions")
+                .with_description(
+                    "Reservations that waited or were refused, and holders that gave way",
+                )
+                .build(),
+        }
+    }
 }
 
 impl EdgeMetrics {
@@ -137,15 +169,20 @@
                     "Permits, waiting requests and groups of upstreams at this daemon's keeper",
                 )
                 .build(),
+            memory: MemoryInstruments::new(meter),
         }));
-        // Counters that operators watch for any increase start at 0.
+        metrics.start_counters();
+        metrics
+    }
+
+    /// Sets counters that operators watch for any increase to 0.
+    fn start_counters(&self) {
         for direction in ["in", "out"] {
-            metrics.count_dropped(direction, 0);
+            self.count_dropped(direction, 0);
         }
         for is_current in [true, false] {
-            metrics.count_held(is_current, 0);
+            self.count_held(is_current, 0);
         }
-        metrics
     }
 
     /// Counts a finished request and records its latency.
@@ -279,6 +316,22 @@
         self.0.permits_awaited.record(awaited as u64, &[]);
     }
 
+    /// Sets the gauges of the memory budget, and counts its decisions since the counts `before`.
+    pub(crate) fn memory(&self, before: &MemoryCounts, counts: &MemoryCounts) {
+        let decisions = [
+            ("waited", counts.waited - before.waited),
+            ("refused", counts.refused - before.refused),
+            ("too-large", counts.too_large - before.too_large),
+            ("gave-way", counts.gave_way - before.gave_way),
+        ];
+        for (decision, count) in decisions {
+            let label = KeyValue::new("decision", decision);
+            self.0.memory.decisions.add(count, &[label]);
+        }
+        self.0.memory.held.record(counts.held_bytes, &[]);
+        self.0.memory.waiting.record(counts.waiting, &[]);
+    }
+
     /// Sets the gauges of the keeper, and counts its decisions since the counts `before`.
     pub(crate) fn keeper(&self, before: &KeeperCounts, counts: &KeeperCounts) {
         let decisions = [
--- a/crates/balsam-edge/src/request/forward.rs
+++ b/crates/balsam-edge/src/request/forward.rs
@@ -1,12 +1,14 @@
 //! The filter that sends a request to an upstream and classifies the response.
 
 use super::HeaderNames;
-use super::reply::{BodyPart, Reply};
+use super::reply::{BodyPart, Reply, WholeResponse};
 use super::route::RoutedRequest;
 use super::serve::RequestContext;
 use crate::clock::{instant_at, now};
 use crate::http::{Connection, ExchangeError, Sent};
+use crate::memory::Held;
 use crate::pool::Lease;
+use balsam_decide::memory::Purpose;
 use balsam_decide::pool::{EndReport, Verdict};
 use balsam_http1::{BodyDecoder, Fields, Framing, ParsedResponseHead, encode_request};
 use balsam_types::{TimeMs, UpstreamState};
@@ -15,13 +17,20 @@
 use std::cell::Cell;
 use std::time::Duration;
 use tokio::sync::mpsc;
-use tokio::time::timeout_at;
+use tokio::time::{sleep, timeout_at};
 
 /// Upper limit on the bytes of a response that are buffered before any are sent to the caller.
 ///
 /// A buffered response that is truncated can be requested again without the caller noticing.
 const BUFFER_MAX_BYTES: usize = 256 << 10;
 
+/// Bytes that a longer response holds: its buffered start, and behind it the chunks that are queued,
+/// being read and being written.
+const LONG_RESPONSE_BYTES: usize = 2 * BUFFER_MAX_BYTES;
+
+/// Pause before a reservation is repeated that the task of the memory budget could not take.
+const RESERVE_RETRY_DELAY: Duration = Duration::from_millis(20);
+
 /// Number of chunks of a body that are queued for a slow caller.
 const CHUNKS_QUEUED_MAX: usize = 2;
 
@@ -40,7 +49,7 @@
 pub(super) struct AttemptEnded {
     pub(super) verdict: Verdict,
     /// The complete response of the upstream, if it may be sent to the caller.
-    pub(super) reply: Option<Reply>,
+    pub(super) reply: Option<WholeResponse>,
     /// Time until a connection was available, in milliseconds.
     pub(super) opened_ms: u64,
     pub(super) took_ms: u64,
@@ -74,6 +83,7 @@
 pub(super) async fn forward(
     context: &RequestContext,
     routed: &RoutedRequest,
+    memory: &mut Held,
     mut lease: Lease,
 ) -> ForwardOutcome {
     let names = &context.names;
@@ -92,7 +102,7 @@
             took_ms,
         })
     };
-    let mut connection = match connect(routed, &lease, idle).await {
+    let mut connection = match connect(context, routed, &lease, idle).await {
         Ok(connection) => connection,
         Err(verdict) => return end(lease, verdict, None, None),
     };
@@ -104,16 +114,17 @@
         return end(lease, Verdict::Withdrawn, None, Some(connection));
     }
     let remaining_ms = routed.deadline.since(now());
-    let Some(bytes) = encode(names, routed, &lease, remaining_ms) else {
+    let Some(request_head) = encode_head(names, routed, &lease, remaining_ms) else {
         return end(lease, Verdict::Dropped, None, Some(connection));
     };
     let mut progress = Progress::default();
     let exchange = exchange(
         context,
         routed,
+        memory,
         &lease,
         &mut connection,
-        &bytes,
+        &request_head,
         &mut progress,
     );
     let (head, body) = match timeout_at(instant_at(routed.deadline), exchange).await {
@@ -140,7 +151,7 @@
                 && !connection.has_unread()
                 && (!verdict.is_refusal() || connection.record_refusal(&routed.attempt_id));
             let connection = (keep && connection.rest()).then_some(connection);
-            let reply = Reply::Whole {
+            let reply = WholeResponse {
                 status: head.status,
                 fields: head.fields,
                 body,
@@ -172,13 +183,17 @@
 
 impl StreamingResponse {
     /// Returns the reply, and the future that supplies its body.
-    pub(super) fn split(self: Box<Self>) -> (Reply, impl Future<Output = AttemptEnded>) {
+    pub(super) fn split(
+        self: Box<Self>,
+        held: Held,
+    ) -> (Reply, impl Future<Output = AttemptEnded>) {
         let (sender, parts) = mpsc::channel(CHUNKS_QUEUED_MAX);
         let reply = Reply::Stream {
             status: self.status,
             fields: self.fields.clone(),
             length_bytes: self.length_bytes,
             parts,
+            held: Box::new(held),
         };
         (reply, self.feed(sender))
     }
@@ -239,6 +254,7 @@
 
 /// Returns the idle connection, or opens one that may carry the request.
 async fn connect(
+    context: &RequestContext,
     routed: &RoutedRequest,
     lease: &Lease,
     idle: Option<Connection>,
@@ -254,6 +270,9 @@
         );
         Verdict::Unreachable
     })?;
+    if context.memory.is_limited() {
+        connection.limit_buffers();
+    }
     if lease.resets_connections && !connection.settle(RESET_ARRIVAL_TIME).await {
         return Err(Verdict::Surplus);
     }
@@ -265,7 +284,7 @@
     Connection::open(lease.upstream.entry.address, CONNECT_TIMEOUT.min(remaining)).await
 }
 
-fn encode(
+fn encode_head(
     names: &HeaderNames,
     routed: &RoutedRequest,
     lease: &Lease,
@@ -291,10 +310,7 @@
         Framing::None
     };
     match encode_request(&head.method, &head.target, kept, &added, framing) {
-        Ok(mut bytes) => {
-            bytes.extend_from_slice(body);
-            Some(bytes)
-        }
+        Ok(bytes) => Some(bytes),
         Err(error) => {
             debug!(
                 "request {}: cannot be encoded for the upstream: {error}",
@@ -350,15 +366,19 @@
 async fn exchange(
     context: &RequestContext,
     routed: &RoutedRequest,
+    memory: &mut Held,
     lease: &Lease,
     connection: &mut Connection,
-    bytes: &[u8],
+    request_head: &[u8],
     progress: &mut Progress,
 ) -> Result<(ParsedResponseHead, BufferedBody), ExchangeError> {
     let names = &context.names;
     let is_head_request = routed.request.head.method.as_ref() == b"HEAD";
     let sent = &mut progress.sent;
-    let mut head = connection.start(bytes, is_head_request, sent).await?;
+    let request_body = &routed.request.body;
+    let mut head = connection
+        .start(request_head, request_body, is_head_request, sent)
+        .await?;
     progress.has_head = true;
     let mut stale_responses = 0;
     // A response to an earlier request may arrive late. Its id shows that it is not the response to
@@ -372,7 +392,9 @@
         if !has_id || stale_responses > STALE_RESPONSES_MAX || !head.keep_alive {
             return Err(ExchangeError::Mismatched);
         }
+        reserve_response(memory, BUFFER_MAX_BYTES).await;
         connection.body(&mut head.body, BUFFER_MAX_BYTES).await?;
+        memory.release(BUFFER_MAX_BYTES as u64);
         head = connection.next_head(is_head_request).await?;
     }
     report_notice(context, routed, lease, &head);
@@ -380,6 +402,9 @@
         BodyDecoder::Length { left_bytes } => Some(left_bytes),
         BodyDecoder::Chunked(_) | BodyDecoder::UntilClose => None,
     };
+    let short_bytes = length_bytes.and_then(|bytes| usize::try_from(bytes).ok());
+    let short_bytes = short_bytes.filter(|bytes| *bytes <= BUFFER_MAX_BYTES);
+    reserve_response(memory, short_bytes.unwrap_or(LONG_RESPONSE_BYTES)).await;
     let mut body = BytesMut::new();
     while let Some(chunk) = connection.chunk(&mut head.body).await? {
         if body.is_empty() {
@@ -394,6 +419,14 @@
     Ok((head, BufferedBody::Whole(body.freeze())))
 }
 
+/// Reserves bytes for a response. The request has run, so that its response waits as long as
+/// the deadline allows.
+async fn reserve_response(held: &mut Held, bytes: usize) {
+    while held.reserve(bytes as u64, Purpose::Answer).await.is_err() {
+        sleep(RESERVE_RETRY_DELAY).await;
+    }
+}
+
 /// Reports what an upstream announces about itself in the head of a response, if the id shows that
 /// it is the response to this request and comes from this upstream.
 fn report_notice(
--- a/crates/balsam-edge/src/request/record.rs
+++ b/crates/balsam-edge/src/request/record.rs
@@ -146,12 +146,7 @@
 
     /// Records that an upstream's response goes to the caller.
     pub(super) fn delivered(&mut self, response: &Reply) {
-        let status = match response {
-            Reply::Local { status, .. }
-            | Reply::Whole { status, .. }
-            | Reply::Stream { status, .. } => *status,
-        };
-        self.write("answered", status, "", now());
+        self.write("answered", response.status(), "", now());
     }
 
     /// Records the end of a streamed response.
--- a/crates/balsam-edge/src/request/reply.rs
+++ b/crates/balsam-edge/src/request/reply.rs
@@ -1,5 +1,6 @@
 //! Responses to callers.
 
+use crate::memory::Held;
 use balsam_http1::{Fields, Framing, Http1Error, encode_response};
 use bytes::{Bytes, BytesMut};
 use tokio::sync::mpsc;
@@ -13,6 +14,14 @@
     End,
 }
 
+/// A complete response of an upstream.
+#[derive(Debug)]
+pub(super) struct WholeResponse {
+    pub(super) status: u16,
+    pub(super) fields: Fields,
+    pub(super) body: Bytes,
+}
+
 /// A response to one request.
 #[derive(Debug)]
 pub(super) enum Reply {
@@ -24,9 +33,9 @@
     },
     /// The complete response of an upstream.
     Whole {
-        status: u16,
-        fields: Fields,
-        body: Bytes,
+        response: WholeResponse,
+        /// The bytes that the exchange holds until the response is written.
+        held: Box<Held>,
     },
     /// A response of an upstream whose body is still arriving.
     Stream {
@@ -34,10 +43,20 @@
         fields: Fields,
         length_bytes: Option<u64>,
         parts: mpsc::Receiver<BodyPart>,
+        /// The bytes that the exchange holds until the response is written.
+        held: Box<Held>,
     },
 }
 
 impl Reply {
+    /// Returns the status.
+    pub(super) const fn status(&self) -> u16 {
+        match self {
+            Self::Whole { response, .. } => response.status,
+            Self::Local { status, .. } | Self::Stream { status, .. } => *status,
+        }
+    }
+
     /// Creates a response that the daemon generates itself.
     pub(super) const fn local(status: u16) -> Self {
         Self::Local {
@@ -47,8 +66,8 @@
         }
     }
 
-    /// Encodes the head, and the body if it is complete.
-    pub(super) fn encode(
+    /// Encodes the head.
+    pub(super) fn encode_head(
         &self,
         attempt_id_name: &str,
         close: bool,
@@ -73,18 +92,17 @@
                 }
                 encode_response(*status, std::iter::empty(), &added, Framing::Length(0))
             }
-            Self::Whole {
-                status,
-                fields,
-                body,
-            } => {
+            Self::Whole { response, .. } => {
+                let WholeResponse {
+                    status,
+                    fields,
+                    body,
+                } = response;
                 let framing = match (*status, is_head_request) {
                     (204 | 304, _) | (_, true) => Framing::None,
                     _ => Framing::Length(body.len() as u64),
                 };
-                let mut out = encode_response(*status, fields.end_to_end(), &added, framing)?;
-                out.extend_from_slice(body);
-                Ok(out)
+                encode_response(*status, fields.end_to_end(), &added, framing)
             }
             Self::Stream {
                 status,
--- a/crates/balsam-edge/src/request/route.rs
+++ b/crates/balsam-edge/src/request/route.rs
@@ -48,6 +48,10 @@
     Outdated,
     /// The daemon is about to stop.
     Stopping,
+    /// There is no memory for the body of the request.
+    NoMemory,
+    /// The body of the request exceeds the memory for bodies.
+    ExceedsMemory,
     /// No route matches the request.
     NoRoute,
     /// The request has no id, or a header field that affects routing is malformed.
@@ -58,7 +62,8 @@
     /// Returns the status of the response to the caller.
     pub(super) const fn status(self) -> u16 {
         match self {
-            Self::NoConfig | Self::Outdated | Self::Stopping => 503,
+            Self::NoConfig | Self::Outdated | Self::Stopping | Self::NoMemory => 503,
+            Self::ExceedsMemory => 413,
             Self::NoRoute => 404,
             Self::BadRequest => 400,
         }
@@ -70,6 +75,8 @@
             Self::NoConfig => "no-config",
             Self::Outdated => "outdated",
             Self::Stopping => "stopping",
+            Self::NoMemory => "no-memory",
+            Self::ExceedsMemory => "exceeds-memory",
             Self::NoRoute => "no-route",
             Self::BadRequest => "bad-request",
         }
--- a/crates/balsam-edge/src/request/serve.rs
+++ b/crates/balsam-edge/src/request/serve.rs
@@ -4,11 +4,12 @@
 use super::freshness::FreshnessGate;
 use super::read::CallerRequest;
 use super::record::{Record, Recorder};
-use super::reply::Reply;
+use super::reply::{Reply, WholeResponse};
 use super::route::{RouteError, RoutedRequest, route};
 use super::{HeaderNames, NoticeReader};
 use crate::clock::{instant_at, now};
 use crate::control::ControlInput;
+use crate::memory::{Held, MemoryClient};
 use crate::pool::{LeaseError, LeaseRequest, PoolClient};
 use crate::view::View;
 use balsam_decide::attempts::{AttemptTracker, Ending, Step};
@@ -45,6 +46,7 @@
     pub(crate) freshness: FreshnessGate,
     pub(crate) pool: PoolClient,
     pub(crate) control: mpsc::Sender<ControlInput>,
+    pub(crate) memory: MemoryClient,
     pub(crate) recorder: Recorder,
 }
 
@@ -93,7 +95,11 @@
         RouteError::NoConfig | RouteError::Outdated => Some(NO_CONFIG_RETRY_MS),
         // Other daemons already accept new connections.
         RouteError::Stopping => Some(0),
-        RouteError::NoRoute | RouteError::BadRequest => None,
+        // For want of memory the connection itself refuses requests, with the time of the budget.
+        RouteError::NoMemory
+        | RouteError::ExceedsMemory
+        | RouteError::NoRoute
+        | RouteError::BadRequest => None,
     };
     // The caller may have disconnected, in which case nobody needs the response.
     drop(reply.send(Reply::Local {
@@ -112,11 +118,18 @@
     /// Upstreams to which earlier attempts were sent.
     avoid: Vec<UpstreamName>,
     /// Error response of an upstream, which is delivered if no other attempt can be made.
-    failure: Option<Reply>,
+    failure: Option<WholeResponse>,
+    /// The bytes that the request, and responses to it, hold.
+    held: Held,
 }
 
 impl Attempts {
-    fn new(context: RequestContext, routed: RoutedRequest) -> Self {
+    fn new(context: RequestContext, mut routed: RoutedRequest) -> Self {
+        let no_bytes = context.memory.hold(0);
+        let mut held = std::mem::replace(&mut routed.request.held, no_bytes);
+        // A body of unknown length has reserved more than it has.
+        let surplus_bytes = held.used_bytes() - routed.request.body.len() as u64;
+        held.release(surplus_bytes);
         let attempt_tracker = AttemptTracker::new(routed.route.kind, routed.route.attempts_max);
         let record = context.recorder.start(&routed);
         Self {
@@ -126,6 +139,7 @@
             record,
             avoid: Vec::new(),
             failure: None,
+            held,
         }
     }
 
@@ -146,16 +160,22 @@
             };
             let upstream = Arc::clone(&lease.upstream);
             self.record.attempt_started(&lease);
-            match forward(&self.context, &self.routed, lease).await {
+            let request_bytes = self.held.used_bytes();
+            match forward(&self.context, &self.routed, &mut self.held, lease).await {
                 ForwardOutcome::StreamingResponse(streaming) => {
                     self.clear_suspicion();
-                    let (response, stream) = streaming.split();
+                    let held = self.take_held();
+                    let (response, stream) = streaming.split(held);
                     // If the caller has disconnected, the stream ends too.
                     drop(reply.send(response));
                     let ended = stream.await;
                     return self.record.streamed(ended.verdict);
                 }
                 ForwardOutcome::AttemptEnded(ended) => {
+                    let response_bytes = ended.reply.as_ref().map_or(0, |reply| reply.body.len());
+                    let needed_bytes = request_bytes + response_bytes as u64;
+                    let surplus_bytes = self.held.used_bytes().saturating_sub(needed_bytes);
+                    self.held.release(surplus_bytes);
                     if let Some(step) = self.record_outcome(ended, upstream).await {
                         return self.finish(reply, step);
                     }
@@ -164,6 +184,15 @@
         }
     }
 
+    /// Takes what is held out of the request, whose body is not needed any more.
+    fn take_held(&mut self) -> Held {
+        let no_bytes = self.context.memory.hold(0);
+        let mut held = std::mem::replace(&mut self.held, no_bytes);
+        let body = std::mem::take(&mut self.routed.request.body);
+        held.release(body.len() as u64);
+        held
+    }
+
     fn request_lease(&mut self) -> LeaseRequest {
         LeaseRequest {
             route: Arc::clone(&self.routed.route),
@@ -182,7 +211,7 @@
         &mut self,
         ended: AttemptEnded,
         upstream: Arc<DiscoveredUpstream>,
-    ) -> Option<(Step, Option<Reply>)> {
+    ) -> Option<(Step, Option<WholeResponse>)> {
         let verdict = ended.verdict;
         let entry = &upstream.entry;
         self.record.attempt(&entry.name, &ended);
@@ -197,7 +226,11 @@
         let step = self.attempt_tracker.note(verdict);
         match step {
             Step::Deliver | Step::End(_) => return Some((step, ended.reply)),
-            Step::RetryOrDeliver => self.failure = ended.reply,
+            Step::RetryOrDeliver => {
+                if let Some(earlier) = std::mem::replace(&mut self.failure, ended.reply) {
+                    self.held.release(earlier.body.len() as u64);
+                }
+            }
             Step::Retry => {}
         }
         if let (Verdict::NotHeld, Some(key), Some(service)) =
@@ -266,7 +299,11 @@
         self.end(reply, ending, "crashes-upstreams", retry);
     }
 
-    fn finish(mut self, reply: oneshot::Sender<Reply>, (step, response): (Step, Option<Reply>)) {
+    fn finish(
+        mut self,
+        reply: oneshot::Sender<Reply>,
+        (step, response): (Step, Option<WholeResponse>),
+    ) {
         match (step, response) {
             (Step::End(ending), _) => {
                 let retry = (ending == Ending::NotRun).then_some(REFUSED_RETRY_MS);
@@ -286,7 +323,9 @@
         self.end(reply, ending, refused.refusal.as_str(), retry);
     }
 
-    fn deliver(&mut self, reply: oneshot::Sender<Reply>, response: Reply) {
+    fn deliver(&mut self, reply: oneshot::Sender<Reply>, response: WholeResponse) {
+        let held = Box::new(self.take_held());
+        let response = Reply::Whole { response, held };
         self.record.delivered(&response);
         // The caller may have disconnected, in which case nobody needs the response.
         drop(reply.send(response));
--- a/crates/balsam-edge/src/settings/file.rs
+++ b/crates/balsam-edge/src/settings/file.rs
@@ -70,6 +70,10 @@
     pub cpu_speed: f64,
     /// Bandwidth of the network link in megabits per second.
     pub link_mbps: f64,
+    /// Memory in megabytes (10^6 bytes). Without it the bytes that are held for callers and
+    /// upstreams are not limited.
+    #[serde(default)]
+    pub memory_mb: Option<f64>,
 }
 
 /// Limits of the deployment. Times are in seconds.
@@ -200,6 +204,11 @@
 /// Bandwidth in megabits per second that can carry the messages of a keeper in addition to requests.
 const KEEPER_MBPS: f64 = 10.0;
 
+/// Range of the configurable memory in megabytes. Below the minimum little would be left for bodies
+/// beside the program and its connections.
+const MEMORY_MIN_MB: f64 = 64.0;
+const MEMORY_MAX_MB: f64 = 1_048_576.0;
+
 impl Machine {
     fn validate(&self) -> Result<(), SettingsError> {
         let fields = [
@@ -217,9 +226,24 @@
                 }
             );
         }
+        if let Some(memory_mb) = self.memory_mb {
+            ensure!(
+                (MEMORY_MIN_MB..=MEMORY_MAX_MB).contains(&memory_mb),
+                OutOfRangeSnafu {
+                    field: "machine.memory_mb",
+                    value: memory_mb.to_string(),
+                    accepted: "64 to 1048576 megabytes, or left out for no limit",
+                }
+            );
+        }
         Ok(())
     }
 
+    /// Returns the memory in whole megabytes, if it is limited.
+    pub fn memory_whole_mb(&self) -> Option<u64> {
+        self.memory_mb.map(|memory_mb| memory_mb as u64)
+    }
+
     /// Returns the share of the leader's duties that the machine can carry, from 0 to 1.
     pub fn leader_capacity(&self) -> f64 {
         let cores = self.cpu_share * self.cpu_speed / LEADER_CORES;
--- a/crates/balsam-edge/tests/settings_check.rs
+++ b/crates/balsam-edge/tests/settings_check.rs
@@ -31,6 +31,8 @@
 #[case::hold("/bounds/hold_max_s", json!(99999), "bounds.hold_max_s")]
 #[case::ratio("/bounds/retry_budget_ratio", json!(-0.1), "bounds.retry_budget_ratio")]
 #[case::cpu("/machine/cpu_share", json!(0), "machine.cpu_share")]
+#[case::memory("/machine", json!({"cpu_share": 1, "cpu_speed": 1, "link_mbps": 1, "memory_mb": 63}),
+    "machine.memory_mb")]
 #[case::row("/row_max_bytes", json!(100), "row_max_bytes")]
 #[case::name("/daemon", json!("a b"), "daemon")]
 #[case::address("/store", json!("nowhere"), "socket address")]
@@ -53,6 +55,19 @@
     assert!((machine.leader_capacity() - leader_capacity).abs() < 1e-9);
 }
 
+/// Settings without the memory of the machine must stay valid, and those of the deploy file too.
+#[rstest]
+#[case::absent(None)]
+#[case::whole(Some(120))]
+fn machine_memory(#[case] memory_mb: Option<u64>) {
+    let mut settings = settings_json();
+    if let Some(memory_mb) = memory_mb {
+        settings["machine"]["memory_mb"] = json!(memory_mb);
+    }
+    let machine = read(&settings).expect("settings").machine;
+    assert_eq!(machine.memory_whole_mb(), memory_mb);
+}
+
 /// A misspelt field must not be ignored.
 #[test]
 fn unknown_field() {
--- a/crates/balsam-edge/tests/support/mod.rs
+++ b/crates/balsam-edge/tests/support/mod.rs
@@ -54,6 +54,9 @@
 /// Credential of the operators.
 pub const OPERATOR_CREDENTIAL: &str = "operators-of-tests";
 
+/// Memory of a daemon's machine, that of the smallest one in use.
+const MEMORY_MB: f64 = 120.0;
+
 const ANY_PORT: SocketAddr =
     SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 0);
 
@@ -71,6 +74,7 @@
             cpu_share: 0.5,
             cpu_speed: 1.0,
             link_mbps: 100.0,
+            memory_mb: Some(MEMORY_MB),
         },
         peer_credential: "test".to_owned(),
         operator_credential: Credential::new(OPERATOR_CREDENTIAL),
@@ -164,6 +168,11 @@
 
 /// Starts a daemon that is named by its number as a client of the store.
 pub async fn start_at(store: &Store, client: usize) -> Edge {
+    start_limited(store, client, MEMORY_MB).await
+}
+
+/// Starts a daemon on a machine with `memory_mb` megabytes.
+pub async fn start_limited(store: &Store, client: usize, memory_mb: f64) -> Edge {
     let (orders, _) = mpsc::channel::<OrderRequest>(1);
     let store = store.client(client);
     let adapter = Adapter {
@@ -172,7 +181,9 @@
         connect: Box::new(|| PlatformChannels { store, orders }),
         lost_lines: balsam_log::LostLines::default(),
     };
-    let started = Edge::start(&settings(client), adapter).await;
+    let mut settings = settings(client);
+    settings.machine.memory_mb = Some(memory_mb);
+    let started = Edge::start(&settings, adapter).await;
     started.expect("a running daemon")
 }
 
--- a/crates/balsam-edge/tests/support/upstream.rs
+++ b/crates/balsam-edge/tests/support/upstream.rs
@@ -1,7 +1,7 @@
 //! An upstream that follows a script.
 
 use super::NAMES;
-use balsam_http1::{RequestHead, parse_request};
+use balsam_http1::{BodyStep, RequestHead, parse_request};
 use bytes::BytesMut;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -34,6 +34,8 @@
     Endless(&'static str, &'static str),
     /// Responds after a delay.
     Slow(Duration),
+    /// Reads the body of the request, and responds after a delay.
+    TakeBody(Duration),
     /// Responds with further header fields.
     Announce(&'static str),
     /// Refuses the request as not run, with the request's id and further header fields.
@@ -126,7 +128,7 @@
     let mut buffer = BytesMut::new();
     let mut refusal = String::new();
     loop {
-        let head: RequestHead = loop {
+        let mut head: RequestHead = loop {
             if let Some(head) = parse_request(&mut buffer, 1 << 14).expect("a request") {
                 break head;
             }
@@ -176,6 +178,21 @@
                     .expect("a listening test");
                 return ServeOutcome::Running;
             }
+            Behavior::TakeBody(pause) => {
+                loop {
+                    match head.body.step(&mut buffer).expect("a body") {
+                        BodyStep::Chunk(_) => {}
+                        BodyStep::End => break,
+                        BodyStep::NeedMore => {
+                            if !matches!(stream.read_buf(&mut buffer).await, Ok(read) if read > 0) {
+                                return ServeOutcome::Running;
+                            }
+                        }
+                    }
+                }
+                sleep(pause).await;
+                response(&id)
+            }
             Behavior::Slow(pause) => {
                 let mut rest = BytesMut::new();
                 tokio::select! {
