Evacuate a zone that the operator names in op/evacuate/ZONE

Cause: the row was not read, so that a zone that was to be emptied went on getting requests. ServicePolicy::warmup was lost whenever a daemon had the configuration from another daemon.

Change: rows evacuate/ZONE become StoreChange::Evacuation. A row that cannot be read changes nothing.

The pool sends nothing to an evacuated zone, except requests for keys that an upstream there owns, until 1 s before bounds.evacuation_s has passed since the earliest possible acknowledgement: the store held the rows known before at the time that their age tells. Requests are checked again before they are sent. Keepers follow the same rule. A service that is evacuated as a whole is refused at once with the reason "evacuated".

When a zone is taken back, its upstreams count as warming up in services with warmup_s.

--- a/crates/balsam-decide/src/directory/machine.rs
+++ b/crates/balsam-decide/src/directory/machine.rs
@@ -2,7 +2,8 @@
 
 use super::{DiscoveredUpstream, DiscoveryNotice, DiscoveryOutcome, Upstreams};
 use balsam_types::{
-    Map, Set, StartTime, TimeMs, UpstreamEntry, UpstreamName, UpstreamRow, new_map,
+    Map, ServiceName, Set, StartTime, TimeMs, UpstreamEntry, UpstreamName, UpstreamRow, ZoneName,
+    new_map,
 };
 use std::sync::Arc;
 
@@ -37,6 +38,14 @@
     },
     /// A call to the store failed, or the store has just become available again.
     StoreFailed,
+    /// A zone that was evacuated is taken back into use. Its upstreams have had no requests, so that
+    /// they are cold whatever their rows say.
+    ZoneTakenBack {
+        /// The zone.
+        zone: ZoneName,
+        /// How long upstreams are cold after a start, in milliseconds, by service.
+        warmups_ms: Map<ServiceName, u64>,
+    },
     /// Time has passed. The ticks remove upstreams that were kept long enough while nothing else is
     /// heard from the store.
     Tick,
@@ -67,6 +76,8 @@
     removed: Map<UpstreamName, u64>,
     /// Upstreams that are kept although their rows have disappeared.
     missing: Map<UpstreamName, MissingUpstream>,
+    /// Until when the upstreams of a service in a zone that was taken back are cold.
+    cold_until: Map<(ZoneName, ServiceName), TimeMs>,
     /// When a call to the store last failed, or the store last became available again.
     failed_at: Option<TimeMs>,
     /// How rows were handled since the notices were last taken.
@@ -86,6 +97,7 @@
             upstreams: new_map(),
             removed: new_map(),
             missing: new_map(),
+            cold_until: new_map(),
             failed_at: None,
             notices: Vec::new(),
         }
@@ -106,6 +118,9 @@
                 self.failed_at = Some(now);
                 false
             }
+            DirectoryInput::ZoneTakenBack { zone, warmups_ms } => {
+                self.take_back(now, &zone, warmups_ms)
+            }
             DirectoryInput::Tick => false,
         };
         let expired = self.expire(now);
@@ -173,7 +188,10 @@
             DiscoveryOutcome::Draining
         };
         self.record_outcome(&entry.name, entry.born, version, outcome);
+        let cold_until = (entry.zone.clone(), entry.service.clone());
+        let cold_until = self.cold_until.get(&cold_until).copied();
         let warmup_ends_at = now.after(entry.warmup_left_ms);
+        let warmup_ends_at = warmup_ends_at.max(cold_until.unwrap_or_default());
         let name = entry.name.clone();
         let current = Arc::new(DiscoveredUpstream {
             entry,
@@ -184,6 +202,31 @@
         true
     }
 
+    /// Marks the upstreams of a zone as cold. Returns whether that has changed any.
+    fn take_back(
+        &mut self,
+        now: TimeMs,
+        zone: &ZoneName,
+        warmups_ms: Map<ServiceName, u64>,
+    ) -> bool {
+        self.cold_until.retain(|_, until| *until > now);
+        for (service, warmup_ms) in warmups_ms {
+            let until = now.after(warmup_ms);
+            self.cold_until.insert((zone.clone(), service), until);
+        }
+        let mut changed = false;
+        for known in self.upstreams.values_mut() {
+            let entry = &known.current.entry;
+            let group = (entry.zone.clone(), entry.service.clone());
+            let until = self.cold_until.get(&group).copied().unwrap_or_default();
+            if entry.zone == *zone && until > known.current.warmup_ends_at {
+                Arc::make_mut(&mut known.current).warmup_ends_at = until;
+                changed = true;
+            }
+        }
+        changed
+    }
+
     /// Returns whether newer data than the row is known of its upstream.
     ///
     /// Responses of the store, changes relayed by the leader and the leader's snapshots may arrive
--- a/crates/balsam-decide/src/feed/machine.rs
+++ b/crates/balsam-decide/src/feed/machine.rs
@@ -297,6 +297,12 @@
         ages[0].max(ages[1])
     }
 
+    /// Returns how long ago the store last stood at the known version of a table for certain, in
+    /// milliseconds, if anything shows that.
+    pub fn age_ms(&self, now: TimeMs, table: FeedTable) -> Option<u64> {
+        self.known(table).age_ms(now, &self.clock)
+    }
+
     /// Returns until when requests may be served from the tables, as far as is known now.
     ///
     /// That is while they are shown to be young enough. A daemon to which the store does not respond
@@ -415,6 +421,12 @@
         }
     }
 
+    /// Returns whether calls for a table fail, and the store is not known to have responded to any
+    /// daemon since.
+    pub const fn is_unavailable(&self, table: FeedTable) -> bool {
+        self.known(table).is_unavailable()
+    }
+
     /// Returns whether this daemon lacks a change that another daemon has announced.
     pub const fn is_behind(&self, table: FeedTable) -> bool {
         self.known(table).behind_since().is_some()
--- a/crates/balsam-decide/src/keys/assigner.rs
+++ b/crates/balsam-decide/src/keys/assigner.rs
@@ -3,12 +3,13 @@
 use super::orders::{ProgressMap, SentOrder};
 use super::outstanding::OutstandingGrants;
 use super::reachability::Reachability;
-use super::service::{OrderContext, ServiceState, assignment_key};
+use super::service::{KnownUpstreams, OrderContext, ServiceState, assignment_key};
 use super::{
     AssignerInput, AssignerOutput, Commit, CommitResult, DaemonIdentity, GrantTiming, MoveScope,
     Order, OrderId, OrderKind, OrderResult, RowVersion, StoredLead, StoredRanges,
 };
 use crate::directory::Upstreams;
+use crate::evacuation::EvacuatedZones;
 use balsam_types::{Map, ServiceName, ServiceRanges, TimeMs, new_map};
 use std::sync::Arc;
 
@@ -90,6 +91,8 @@
     /// The services whose keys have one owner each.
     pub(super) keyed: Vec<ServiceName>,
     pub(super) upstreams: Arc<Upstreams>,
+    /// The zones whose upstreams should own no keys.
+    pub(super) evacuated: Arc<EvacuatedZones>,
     pub(super) outstanding: OutstandingGrants,
     pub(super) reachability: Reachability,
     /// Orders in flight.
@@ -122,6 +125,7 @@
             services: new_map(),
             keyed: Vec::new(),
             upstreams: Arc::new(Upstreams::default()),
+            evacuated: Arc::default(),
             outstanding: OutstandingGrants::default(),
             reachability: Reachability::new(),
             sent: new_map(),
@@ -204,9 +208,11 @@
             AssignerInput::Cluster { upstreams, keyed } => {
                 self.upstreams = upstreams;
                 self.keyed = keyed;
-                for service in self.services.values_mut() {
-                    service.request_plan();
-                }
+                self.request_plans();
+            }
+            AssignerInput::Evacuated(evacuated) => {
+                self.evacuated = evacuated;
+                self.request_plans();
             }
             AssignerInput::Committed(result) => self.committed(now, result),
             AssignerInput::Ordered { id, result } => moved = self.ordered(now, id, &result),
@@ -250,6 +256,12 @@
         state.or_insert_with(|| ServiceState::new(name.clone()))
     }
 
+    fn request_plans(&mut self) {
+        for service in self.services.values_mut() {
+            service.request_plan();
+        }
+    }
+
     fn observe_ranges(&mut self, stored: StoredRanges) {
         let service = stored.ranges.service.clone();
         self.service(&service).store(stored);
@@ -384,17 +396,15 @@
         };
         let settled_lead = self.have_earlier_leaders_ended(now).then_some(lead);
         for name in self.keyed.clone() {
-            let upstreams = Arc::clone(&self.upstreams);
+            let known = KnownUpstreams {
+                upstreams: &self.upstreams,
+                evacuated: &self.evacuated,
+                reachability: &self.reachability,
+            };
             let state = self.services.entry(name.clone());
             let state = state.or_insert_with(|| ServiceState::new(name));
-            if let Some(ranges) = state.propose(
-                now,
-                &self.timing,
-                &upstreams,
-                &self.reachability,
-                moves,
-                settled_lead,
-            ) {
+            let proposed = state.propose(now, &self.timing, known, moves, settled_lead);
+            if let Some(ranges) = proposed {
                 let expected = state.stored().version;
                 self.pending = Some(PendingCommit::Ranges {
                     sent_at: now,
--- a/crates/balsam-decide/src/keys/message.rs
+++ b/crates/balsam-decide/src/keys/message.rs
@@ -1,6 +1,7 @@
 //! Inputs and outputs of the [`Assigner`](super::Assigner).
 
 use crate::directory::Upstreams;
+use crate::evacuation::EvacuatedZones;
 use balsam_types::{
     DaemonName, FencingToken, Incarnation, KeyRange, Owner, ServiceName, ServiceRanges, ShardKey,
     TimeMs, UpstreamName,
@@ -206,6 +207,8 @@
         /// The services whose keys have one owner each.
         keyed: Vec<ServiceName>,
     },
+    /// The evacuated zones, whose upstreams should own no keys.
+    Evacuated(Arc<EvacuatedZones>),
     /// A commit has ended.
     Committed(CommitResult),
     /// An order has ended.
--- a/crates/balsam-decide/src/keys/service.rs
+++ b/crates/balsam-decide/src/keys/service.rs
@@ -7,6 +7,7 @@
     ResponseTimes, RowVersion, StoredRanges, plan,
 };
 use crate::directory::Upstreams;
+use crate::evacuation::EvacuatedZones;
 use balsam_types::{
     Assignment, FencingToken, KeyRange, Map, Owner, ServiceName, ServiceRanges, ShardKey, TimeMs,
     UpstreamName, new_map, new_set,
@@ -79,6 +80,14 @@
     }
 }
 
+/// What is known of the upstreams that may own keys.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct KnownUpstreams<'a> {
+    pub(super) upstreams: &'a Upstreams,
+    pub(super) evacuated: &'a EvacuatedZones,
+    pub(super) reachability: &'a Reachability,
+}
+
 /// The stored assignments of one service and the progress of their orders.
 #[derive(Debug)]
 pub(super) struct ServiceState {
@@ -321,8 +330,7 @@
         &mut self,
         now: TimeMs,
         timing: &GrantTiming,
-        upstreams: &Upstreams,
-        reachability: &Reachability,
+        known: KnownUpstreams<'_>,
         moves: MoveScope,
         settled_lead: Option<RowVersion>,
     ) -> Option<Arc<ServiceRanges>> {
@@ -339,13 +347,7 @@
             self.relative_latency = (now, self.answers.relative_latency(now));
         }
         let relative_latency = &self.relative_latency.1;
-        let candidates = candidates(
-            now,
-            &draft.service,
-            upstreams,
-            reachability,
-            relative_latency,
-        );
+        let candidates = candidates(now, &draft.service, known, relative_latency);
         if self.candidates.0 != candidates.len() {
             self.candidates = (candidates.len(), now);
         }
@@ -409,17 +411,18 @@
 }
 
 /// Returns the upstreams that may own keys of a service, weighted by slots, warm-up and latency.
+///
+/// There are none if all upstreams are in evacuated zones. All keys then stay where they are.
 fn candidates(
     now: TimeMs,
     service: &ServiceName,
-    upstreams: &Upstreams,
-    reachability: &Reachability,
+    known: KnownUpstreams<'_>,
     relative_latency: &Map<UpstreamName, f64>,
 ) -> Vec<Candidate> {
-    let ready = upstreams
-        .of(service)
-        .iter()
-        .filter(|discovered| discovered.entry.is_ready());
+    let ready = known.upstreams.of(service).iter().filter(|discovered| {
+        let entry = &discovered.entry;
+        entry.is_ready() && !known.evacuated.contains(&entry.zone)
+    });
     let all = ready.map(|discovered| {
         let entry = &discovered.entry;
         let slots = f64::from(entry.slots.max(1));
@@ -438,7 +441,7 @@
             },
         }
     });
-    all.filter(|candidate| reachability.is_eligible(now, &candidate.owner))
+    all.filter(|candidate| known.reachability.is_eligible(now, &candidate.owner))
         .collect()
 }
 
--- a/crates/balsam-decide/src/lib.rs
+++ b/crates/balsam-decide/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod directory;
 pub mod dispatch;
 pub mod entry;
+pub mod evacuation;
 pub mod feed;
 pub mod grants;
 pub mod hotkeys;
--- a/crates/balsam-decide/src/pool/ask.rs
+++ b/crates/balsam-decide/src/pool/ask.rs
@@ -42,8 +42,9 @@
     pub(super) fn adopt_keepers(&mut self) {
         if let Some(cluster) = &self.cluster {
             let layout = GroupLayout::new(&cluster.upstreams);
+            let evacuated = Arc::clone(&cluster.evacuated);
             self.permits
-                .set_keepers(Arc::clone(&cluster.keepers), layout);
+                .set_keepers(Arc::clone(&cluster.keepers), layout, evacuated);
         }
     }
 
--- a/crates/balsam-decide/src/pool/machine.rs
+++ b/crates/balsam-decide/src/pool/machine.rs
@@ -46,6 +46,11 @@
 /// dropped.
 const ROUTES_MAX: usize = 4_096;
 
+/// Time after which callers should return whose upstreams are all in evacuated zones, in
+/// milliseconds. Nobody knows when a zone is taken back; every daemon then knows it within about
+/// this time.
+const EVACUATED_RETRY_MS: u64 = 1_000;
+
 /// Interval at which queues are checked while they hold requests, in milliseconds.
 const QUEUE_CHECK_MS: u64 = 20;
 
@@ -208,6 +213,7 @@
                     outputs.push(refuse_blocked(now, &request, until));
                 }
             }
+            Choice::Evacuated => outputs.push(refuse_evacuated(&request)),
         }
     }
 
@@ -397,6 +403,7 @@
         let has_changed = known.is_none_or(|known| {
             !Arc::ptr_eq(&known.upstreams, &cluster.upstreams)
                 || !Arc::ptr_eq(&known.keepers, &cluster.keepers)
+                || !Arc::ptr_eq(&known.evacuated, &cluster.evacuated)
         });
         self.cluster = Some(cluster);
         if has_changed {
@@ -443,6 +450,10 @@
                     outputs
                         .extend(blocked.map(|queued| refuse_blocked(now, &queued.request, until)));
                 }
+                Some((Choice::Evacuated, _)) => {
+                    let evacuated = queue.take(index);
+                    outputs.extend(evacuated.map(|queued| refuse_evacuated(&queued.request)));
+                }
                 Some((Choice::Wait(_) | Choice::Blocked { .. }, _)) => index += 1,
             }
         }
@@ -450,6 +461,7 @@
             let refusal = match self.choose(now, &queued.request, service) {
                 Choice::Wait(refusal) => refusal,
                 Choice::Blocked { .. } => Refusal::Announced,
+                Choice::Evacuated => Refusal::Evacuated,
                 Choice::Upstream(_) => Refusal::Busy,
             };
             outputs.push(refuse(&queued.request, refusal));
@@ -464,11 +476,31 @@
 fn wait_ms(request: &Request, refusal: Refusal) -> u64 {
     let percent = match refusal {
         Refusal::NoOwner => OWNER_WAIT_PERCENT,
-        Refusal::NoUpstream | Refusal::Busy | Refusal::Budget | Refusal::Announced => WAIT_PERCENT,
+        Refusal::NoUpstream
+        | Refusal::Busy
+        | Refusal::Budget
+        | Refusal::Announced
+        | Refusal::Evacuated => WAIT_PERCENT,
     };
     request.route.objective_ms * percent / 100
 }
 
+/// Refuses a request whose upstreams are all in evacuated zones.
+fn refuse_evacuated(request: &Request) -> PoolOutput {
+    let spread_ms = EVACUATED_RETRY_MS * RETURN_SPREAD_PERCENT / 100;
+    PoolOutput::Refuse {
+        id: request.id,
+        refusal: Refusal::Evacuated,
+        retry_after_ms: EVACUATED_RETRY_MS + spread(request, spread_ms),
+    }
+}
+
+/// Returns a part of `range_ms` that differs between requests.
+const fn spread(request: &Request, range_ms: u64) -> u64 {
+    let hash = request.id.0.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 32;
+    hash % range_ms
+}
+
 /// Refuses a request that no upstream takes before `until`. The callers are told to return a little
 /// later, at different times, so that they do not all return at once.
 fn refuse_blocked(now: TimeMs, request: &Request, until: Option<TimeMs>) -> PoolOutput {
@@ -478,11 +510,10 @@
     let left_ms = until.since(now);
     let spread_ms = (left_ms.saturating_mul(RETURN_SPREAD_PERCENT) / 100)
         .clamp(RETRY_AFTER_MIN_MS, RETURN_SPREAD_MAX_MS);
-    let hash = request.id.0.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 32;
     PoolOutput::Refuse {
         id: request.id,
         refusal: Refusal::Announced,
-        retry_after_ms: left_ms.saturating_add(hash % spread_ms),
+        retry_after_ms: left_ms.saturating_add(spread(request, spread_ms)),
     }
 }
 
--- a/crates/balsam-decide/src/pool/message.rs
+++ b/crates/balsam-decide/src/pool/message.rs
@@ -4,6 +4,7 @@
 use super::permits::Permit;
 use crate::budget::BudgetTerms;
 use crate::directory::{DiscoveredUpstream, Upstreams};
+use crate::evacuation::EvacuatedZones;
 use crate::room::{KeeperList, RoomMessage};
 use crate::routing::RouteTable;
 use balsam_types::{
@@ -101,6 +102,8 @@
     Budget,
     /// All suitable upstreams have announced a pause, or that they leave.
     Announced,
+    /// All suitable upstreams are in evacuated zones.
+    Evacuated,
 }
 
 impl Refusal {
@@ -112,6 +115,7 @@
             Self::Busy => "busy",
             Self::Budget => "retry-budget",
             Self::Announced => "announced",
+            Self::Evacuated => "evacuated",
         }
     }
 }
@@ -131,6 +135,8 @@
     pub daemons: u32,
     /// The daemons that keep the room of upstreams; empty if none is known.
     pub keepers: Arc<KeeperList>,
+    /// The zones whose upstreams get no requests.
+    pub evacuated: Arc<EvacuatedZones>,
 }
 
 /// Inputs of the [`Pool`](super::Pool).
--- a/crates/balsam-decide/src/pool/permits.rs
+++ b/crates/balsam-decide/src/pool/permits.rs
@@ -1,6 +1,7 @@
 //! Permits that this daemon has asked for or holds, and the keepers that it asks.
 
 use super::Request;
+use crate::evacuation::EvacuatedZones;
 use crate::room::{
     GroupId, GroupLayout, KeeperList, PermitId, PermitRequest, PermitReturn, PermitScope, RoomLoad,
     RoomMessage,
@@ -105,6 +106,7 @@
     last_id: u64,
     keepers: Arc<KeeperList>,
     layout: GroupLayout,
+    evacuated: Arc<EvacuatedZones>,
     asking: Map<PermitId, Asking>,
     silent_until: Map<SocketAddr, TimeMs>,
     loads: Map<GroupId, (TimeMs, RoomLoad)>,
@@ -120,6 +122,7 @@
             last_id: first_id,
             keepers: Arc::default(),
             layout: GroupLayout::default(),
+            evacuated: Arc::default(),
             asking: new_map(),
             silent_until: new_map(),
             loads: new_map(),
@@ -127,10 +130,17 @@
         }
     }
 
-    /// Adopts the keepers and the division of the upstreams into groups.
-    pub(super) fn set_keepers(&mut self, keepers: Arc<KeeperList>, layout: GroupLayout) {
+    /// Adopts the keepers, the division of the upstreams into groups, and the zones whose groups are
+    /// not asked.
+    pub(super) fn set_keepers(
+        &mut self,
+        keepers: Arc<KeeperList>,
+        layout: GroupLayout,
+        evacuated: Arc<EvacuatedZones>,
+    ) {
         self.keepers = keepers;
         self.layout = layout;
+        self.evacuated = evacuated;
         let listed =
             |address: &SocketAddr| self.keepers.keepers.iter().any(|k| k.address == *address);
         self.silent_until.retain(|address, _| listed(address));
@@ -213,8 +223,11 @@
         tried: &[GroupId],
     ) -> Option<GroupId> {
         let groups = self.layout.groups(service).into_iter();
-        let candidates = groups
-            .filter(|group| !tried.contains(group) && self.responsive_keeper(now, group).is_some());
+        let candidates = groups.filter(|group| {
+            !tried.contains(group)
+                && !self.evacuated.contains(&group.zone)
+                && self.responsive_keeper(now, group).is_some()
+        });
         candidates.min_by_key(|group| {
             let load = self.loads.get(group);
             let load = load.filter(|(at, _)| now.since(*at) < LOAD_KEPT_MS);
--- a/crates/balsam-decide/src/pool/pick.rs
+++ b/crates/balsam-decide/src/pool/pick.rs
@@ -4,6 +4,7 @@
 use super::notices::{Notices, Standing};
 use super::{ClusterState, PoolSettings, Refusal, Request};
 use crate::directory::DiscoveredUpstream;
+use crate::evacuation::ZoneStanding;
 use balsam_types::{Map, RouteKind, ServiceName, TimeMs, UpstreamName};
 use std::sync::Arc;
 
@@ -27,6 +28,8 @@
     /// All suitable upstreams have announced that they take no request before `until`, which is
     /// `None` if they leave.
     Blocked { until: Option<TimeMs> },
+    /// All suitable upstreams are in evacuated zones.
+    Evacuated,
 }
 
 /// The upstreams of a service that a request may be sent to, by what they have announced.
@@ -63,6 +66,9 @@
 impl Chooser<'_> {
     /// Chooses an upstream of `service` for a request.
     pub(super) fn choose(&self, request: &Request, service: &ServiceName) -> Choice {
+        if self.is_evacuated(service) {
+            return Choice::Evacuated;
+        }
         let is_keyed = self
             .cluster
             .table
@@ -74,6 +80,22 @@
         }
     }
 
+    /// Returns whether all upstreams of a service are in evacuated zones.
+    fn is_evacuated(&self, service: &ServiceName) -> bool {
+        let evacuated = &self.cluster.evacuated;
+        let upstreams = self.cluster.upstreams.of(service);
+        !evacuated.is_empty()
+            && !upstreams.is_empty()
+            && upstreams
+                .iter()
+                .all(|found| evacuated.contains(&found.entry.zone))
+    }
+
+    fn zone_standing(&self, upstream: &DiscoveredUpstream) -> ZoneStanding {
+        let zone = &upstream.entry.zone;
+        self.cluster.evacuated.standing(self.now, zone)
+    }
+
     /// Chooses the owner of a key, once it holds the key and has room.
     fn owner(&self, service: &ServiceName, key: balsam_types::ShardKey) -> Choice {
         let ranges = self.cluster.ranges.get(service);
@@ -89,6 +111,9 @@
         }) else {
             return Choice::Wait(Refusal::NoOwner);
         };
+        if self.zone_standing(upstream) == ZoneStanding::Closed {
+            return Choice::Evacuated;
+        }
         match self.notices.standing(self.now, upstream) {
             // Nobody else can run the request until the key has another owner.
             Standing::Open | Standing::Leaving => {}
@@ -106,8 +131,11 @@
     /// leave are chosen only if no other one can run the request.
     fn cheapest(&self, request: &Request, service: &ServiceName) -> Choice {
         let ready = self.cluster.upstreams.of(service).iter();
-        let untried = ready
-            .filter(|found| found.entry.is_ready() && !request.avoid.contains(&found.entry.name));
+        let untried = ready.filter(|found| {
+            found.entry.is_ready()
+                && !request.avoid.contains(&found.entry.name)
+                && self.zone_standing(found) == ZoneStanding::Open
+        });
         let mut candidates = Candidates::default();
         for found in untried {
             match self.notices.standing(self.now, found) {
@@ -154,6 +182,7 @@
             None => {
                 upstream.entry.is_ready()
                     && self.has_room(upstream)
+                    && self.zone_standing(upstream) == ZoneStanding::Open
                     && matches!(
                         self.notices.standing(self.now, upstream),
                         Standing::Open | Standing::Leaving
--- a/crates/balsam-decide/src/room/group.rs
+++ b/crates/balsam-decide/src/room/group.rs
@@ -119,6 +119,11 @@
         self.queue.drain()
     }
 
+    /// Removes the waiting requests that do not name their upstream.
+    pub(super) fn drain_unnamed(&mut self) -> Vec<Waiting> {
+        self.queue.drain_unnamed()
+    }
+
     /// Removes the waiting requests that have too little time left.
     pub(super) fn expire(&mut self, now: TimeMs) -> Vec<Waiting> {
         self.queue.expire(now)
--- a/crates/balsam-decide/src/room/keeper.rs
+++ b/crates/balsam-decide/src/room/keeper.rs
@@ -7,6 +7,7 @@
     PermitReturn, RoomLoad, RoomMessage,
 };
 use crate::directory::{DiscoveredUpstream, Upstreams};
+use crate::evacuation::ZoneStanding;
 use crate::pace::PaceOutcome;
 use crate::pool::ClusterState;
 use balsam_types::{Map, TimeMs, WarmupTerms, new_map};
@@ -33,6 +34,10 @@
 /// milliseconds.
 const NOT_KEPT_RETRY_MS: u32 = 100;
 
+/// Time after which the callers of requests should return that are refused because the zone is
+/// evacuated, in milliseconds. Meanwhile the daemons that asked learn of the evacuation.
+const EVACUATED_RETRY_MS: u32 = 1_000;
+
 /// Inputs of the [`Keeper`].
 #[derive(Debug)]
 pub enum KeeperInput {
@@ -202,6 +207,7 @@
         let has_changed = known.is_none_or(|known| {
             !Arc::ptr_eq(&known.upstreams, &cluster.upstreams)
                 || !Arc::ptr_eq(&known.table, &cluster.table)
+                || !Arc::ptr_eq(&known.evacuated, &cluster.evacuated)
         });
         if has_changed {
             self.layout = GroupLayout::new(&cluster.upstreams);
@@ -408,8 +414,24 @@
         });
     }
 
+    /// Refuses the waiting requests of a group that may not run there because its zone is evacuated.
+    fn refuse_evacuated(&mut self, now: TimeMs, id: &GroupId, outputs: &mut Vec<KeeperOutput>) {
+        let cluster = self.cluster.as_ref();
+        let standing = cluster.map(|cluster| cluster.evacuated.standing(now, &id.zone));
+        let group = self.groups.get_mut(id);
+        let refused = match (standing, group) {
+            (Some(ZoneStanding::OwnersOnly), Some(group)) => group.drain_unnamed(),
+            (Some(ZoneStanding::Closed), Some(group)) => group.drain(),
+            (Some(ZoneStanding::Open) | None, _) | (_, None) => return,
+        };
+        for waiting in refused {
+            self.refuse(&waiting, PermitRefusal::Paused, EVACUATED_RETRY_MS, outputs);
+        }
+    }
+
     /// Grants waiting requests of a group, as far as there is room.
     fn serve(&mut self, now: TimeMs, id: &GroupId, outputs: &mut Vec<KeeperOutput>) {
+        self.refuse_evacuated(now, id, outputs);
         let grants = self.groups.get_mut(id).map(|group| group.serve(now));
         for Grant { waiting, upstream } in grants.unwrap_or_default() {
             self.counts.granted += 1;
--- a/crates/balsam-decide/src/room/queue.rs
+++ b/crates/balsam-decide/src/room/queue.rs
@@ -114,6 +114,15 @@
         expired
     }
 
+    /// Removes the requests that do not name their upstream and returns them.
+    pub(super) fn drain_unnamed(&mut self) -> Vec<Waiting> {
+        let (unnamed, kept) = std::mem::take(&mut self.waiting)
+            .into_iter()
+            .partition(|waiting| matches!(waiting.scope, PermitScope::Any { .. }));
+        self.waiting = kept;
+        unnamed
+    }
+
     /// Removes all requests and returns them.
     pub(super) fn drain(&mut self) -> Vec<Waiting> {
         std::mem::take(&mut self.waiting)
--- a/crates/balsam-decide/tests/moved_keys.rs
+++ b/crates/balsam-decide/tests/moved_keys.rs
@@ -175,6 +175,7 @@
         moved: new_map(),
         daemons: 1,
         keepers: std::sync::Arc::default(),
+        evacuated: std::sync::Arc::default(),
     };
     cluster_state.ranges.insert(service(), Arc::clone(&ranges));
     let mut pool = Pool::new(PoolSettings {
--- a/crates/balsam-decide/tests/pool_sim/mod.rs
+++ b/crates/balsam-decide/tests/pool_sim/mod.rs
@@ -54,7 +54,7 @@
     pub pool: Pool,
     pub route: Arc<Route>,
     pub now: TimeMs,
-    cluster: ClusterState,
+    pub cluster: ClusterState,
     last_id: u64,
 }
 
@@ -94,6 +94,7 @@
             moved: new_map(),
             daemons,
             keepers: std::sync::Arc::default(),
+            evacuated: std::sync::Arc::default(),
         };
         let pool = Pool::new(PoolSettings {
             zone: ZoneName::new("z").expect("a valid name"),
--- a/crates/balsam-decide/tests/surplus_connections.rs
+++ b/crates/balsam-decide/tests/surplus_connections.rs
@@ -67,6 +67,7 @@
             moved: new_map(),
             daemons: 1,
             keepers: std::sync::Arc::default(),
+            evacuated: std::sync::Arc::default(),
         }),
     );
     (pool, route)
--- a/crates/balsam-edge/src/control/events.rs
+++ b/crates/balsam-edge/src/control/events.rs
@@ -2,7 +2,7 @@
 
 use balsam_decide::directory::{DiscoveryNotice, DiscoveryOutcome};
 use balsam_decide::keys::{AssignerOutput, Commit, CommitResult, OrderKind, OrderResult};
-use balsam_types::{KeyRange, ServiceName, TimeMs, UpstreamName};
+use balsam_types::{KeyRange, ServiceName, TimeMs, UpstreamName, ZoneName};
 use serde::Serialize;
 
 /// A log event of the control path. The kind and the fields give the reason for a decision.
@@ -13,6 +13,18 @@
     Configured { version: u64, routes: usize },
     /// A version of the configuration was ignored because a newer one is in force.
     ConfigIgnored { version: u64, in_force: u64 },
+    /// The operator has asked for the evacuation of a zone. The store acknowledged that at most
+    /// `age_ms` ago, if that is known. Upstreams of the zone get requests for keys that they own for
+    /// another `owners_left_ms`.
+    ZoneEvacuated {
+        zone: &'a ZoneName,
+        age_ms: Option<u64>,
+        owners_left_ms: u64,
+    },
+    /// The operator has ended the evacuation of a zone, which was known for `known_ms`.
+    ZoneTakenBack { zone: &'a ZoneName, known_ms: u64 },
+    /// The number of keys whose owner is in an evacuated zone has changed.
+    EvacuatingKeys { keys: u64 },
     /// A row of the list of upstreams was applied, or ignored because a newer one is known.
     Upstream {
         upstream: &'a UpstreamName,
--- a/crates/balsam-edge/src/control/mod.rs
+++ b/crates/balsam-edge/src/control/mod.rs
@@ -2,6 +2,7 @@
 //! and publishes the routing state.
 
 mod act;
+mod evacuation;
 mod events;
 mod follow;
 mod freshness;
--- a/crates/balsam-edge/src/control/path.rs
+++ b/crates/balsam-edge/src/control/path.rs
@@ -102,6 +102,7 @@
         let credential = settings.peer_credential.clone();
         let zone = settings.zone.clone();
         let keeper_weight = settings.machine.keeper_weight();
+        let evacuation_ms = settings.bounds.evacuation_ms();
         let thread = Arbiter::new();
         thread.spawn_fn(move || {
             let PlatformChannels { store, orders } = (self.connect)();
@@ -125,6 +126,7 @@
                 row_assignments_max,
                 zone,
                 keeper_weight,
+                evacuation_ms,
             };
             let task = ControlTask::new(
                 this_daemon,
--- a/crates/balsam-edge/src/control/snapshots.rs
+++ b/crates/balsam-edge/src/control/snapshots.rs
@@ -6,7 +6,7 @@
 use crate::peer::{Part, PeerMessage, Snapshot, Topic, split_snapshot};
 use balsam_decide::feed::FeedTable;
 use balsam_decide::keys::{AssignerInput, RowVersion, StoredRanges};
-use balsam_types::{ServiceName, TimeMs};
+use balsam_types::{RoutingConfig, ServiceName, TimeMs};
 use log::{debug, warn};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -58,7 +58,7 @@
         let Some((version, snapshot)) = self.snapshot(topic) else {
             return;
         };
-        match split_snapshot(topic, version, &snapshot) {
+        match split_snapshot(topic, version, snapshot) {
             Ok(parts) => {
                 let bytes = parts.iter().map(|part| part.bytes.len()).sum();
                 if !self.snapshot_budget.take(now(), bytes) {
@@ -91,7 +91,7 @@
             Topic::Table(_) => PUSHED_PARTS_MAX,
             Topic::Ranges(_) => PUSHED_RANGES_PARTS_MAX,
         };
-        match split_snapshot(topic, version, &snapshot) {
+        match split_snapshot(topic, version, snapshot) {
             Ok(parts) if parts.len() <= parts_max => {
                 for part in parts {
                     self.send(peers.clone(), PeerMessage::Part(part));
@@ -107,9 +107,9 @@
         match topic {
             Topic::Table(table) => {
                 let snapshot = match table {
-                    FeedTable::Config => match &self.config {
-                        Some(config) => Snapshot::Config(config.clone()),
-                        None => Snapshot::NoConfig,
+                    FeedTable::Config => Snapshot::Config {
+                        config: self.config.clone(),
+                        evacuated: Some(self.view.evacuated.names().cloned().collect()),
                     },
                     FeedTable::Upstreams => Snapshot::Upstreams(self.directory.listed()),
                 };
@@ -134,6 +134,14 @@
     }
 
     fn apply_snapshot(&mut self, topic: &Topic, version: u64, snapshot: Snapshot) {
+        let snapshot = match snapshot {
+            Snapshot::Config {
+                config,
+                evacuated: None,
+            } => return self.apply_partial_config(config),
+            snapshot => snapshot,
+        };
+        let change_age_ms = self.config_change_age_ms();
         let is_new = match topic {
             Topic::Table(table) => self.feed.accept_snapshot(now(), *table, version),
             Topic::Ranges(_) => true,
@@ -147,8 +155,14 @@
         }
         .emit();
         match snapshot {
-            Snapshot::Config(config) => self.apply_config(config),
-            Snapshot::NoConfig => {}
+            Snapshot::Config { config, evacuated } => {
+                if let Some(config) = config {
+                    self.apply_config(config);
+                }
+                if let Some(evacuated) = evacuated {
+                    self.set_evacuated_zones(evacuated, change_age_ms);
+                }
+            }
             Snapshot::Upstreams(rows) => self.set_upstreams(version, rows, RowSource::Snapshot),
             Snapshot::Ranges(ranges) => {
                 let (version, ranges) = (RowVersion(version), Arc::new(ranges));
@@ -157,4 +171,14 @@
             }
         }
     }
+
+    /// Handles a snapshot of the operator's table that a daemon of an earlier build has sent. It
+    /// lacks the evacuated zones, so this daemon still has to read the table from the store.
+    fn apply_partial_config(&mut self, config: Option<RoutingConfig>) {
+        if let Some(config) = config
+            && self.feed.is_unavailable(FeedTable::Config)
+        {
+            self.apply_config(config);
+        }
+    }
 }
--- a/crates/balsam-edge/src/control/tables.rs
+++ b/crates/balsam-edge/src/control/tables.rs
@@ -32,6 +32,7 @@
         };
         let has_changes = is_complete || !page.changes.is_empty();
         let base = self.feed.state(now()).of(table).changed;
+        let change_age_ms = self.config_change_age_ms();
         let response = StoreResponse {
             asked_at,
             store_now: page.store_now,
@@ -62,7 +63,7 @@
         }
         match table {
             FeedTable::Config => {
-                self.apply_configs(page);
+                self.apply_configs(page, is_complete, change_age_ms);
                 if has_changes {
                     self.push_snapshot(&Topic::Table(FeedTable::Config));
                 }
@@ -84,7 +85,7 @@
         }
     }
 
-    fn log_bad_row(table: StoreTable, key: &str, reason: &str) {
+    pub(super) fn log_bad_row(table: StoreTable, key: &str, reason: &str) {
         ControlEvent::RowUnreadable {
             table: table.as_str(),
             key,
@@ -93,22 +94,26 @@
         .emit();
     }
 
-    fn apply_configs(&mut self, page: Page) {
+    fn apply_configs(&mut self, page: Page, is_complete: bool, age_ms: Option<u64>) {
+        let mut evacuations = Vec::new();
         for change in page.changes {
             match change {
                 StoreChange::Config(config) => self.apply_config(config),
+                StoreChange::Evacuation { zone, state } => evacuations.push((zone, state)),
                 StoreChange::Unreadable { key, reason, .. } => {
                     Self::log_bad_row(StoreTable::Config, &key, &reason);
                 }
                 _ => {}
             }
         }
+        self.apply_evacuation_rows(evacuations, is_complete, age_ms);
     }
 
     /// Adopts a version of the configuration unless it is older than the one in force.
     pub(super) fn apply_config(&mut self, config: RoutingConfig) {
         let version = config.version;
         let in_force = self.view.table.as_ref().map(|table| table.version());
+        let in_force = in_force.filter(|_| !self.lacks_warmups_of(&config));
         if let Some(in_force) = in_force.filter(|in_force| *in_force >= version) {
             if in_force > version {
                 let (version, in_force) = (version.0, in_force.0);
@@ -128,6 +133,18 @@
         self.publish();
     }
 
+    /// Returns whether `config` is the configuration in force with limits of cold upstreams, which
+    /// the one in force lacks because a daemon of an earlier build has sent it.
+    fn lacks_warmups_of(&self, config: &RoutingConfig) -> bool {
+        let has_warmups = |config: &RoutingConfig| {
+            let mut policies = config.services.values();
+            policies.any(|policy| policy.warmup.is_some())
+        };
+        let known = self.config.as_ref();
+        let known = known.filter(|known| known.version == config.version);
+        known.is_some_and(|known| !has_warmups(known) && has_warmups(config))
+    }
+
     fn apply_upstreams(&mut self, page: Page, base: u64, is_complete: bool) {
         let version = page.version;
         let update = page.changes.into_iter().filter_map(|change| match change {
@@ -145,7 +162,9 @@
                 let name = UpstreamName::new(&*key).ok()?;
                 Some(UpstreamChange::Removed { version, name })
             }
-            StoreChange::Config(_) | StoreChange::Cluster { .. } => None,
+            StoreChange::Config(_)
+            | StoreChange::Evacuation { .. }
+            | StoreChange::Cluster { .. } => None,
         });
         let update: Vec<UpstreamChange> = update.collect();
         if is_complete {
--- a/crates/balsam-edge/src/control/task.rs
+++ b/crates/balsam-edge/src/control/task.rs
@@ -86,6 +86,11 @@
     pub(super) zone: ZoneName,
     /// Strength of this daemon as a keeper of the room of upstreams.
     pub(super) keeper_weight: u16,
+    /// Time after the acknowledgement of an evacuation from which on no request may reach the zone,
+    /// in milliseconds.
+    pub(super) evacuation_ms: u64,
+    /// The last reported number of keys whose owner is in an evacuated zone.
+    pub(super) evacuating_keys: u64,
 }
 
 /// Channels and handles that the control task uses.
@@ -106,6 +111,9 @@
     pub(crate) zone: ZoneName,
     /// Strength of this daemon as a keeper of the room of upstreams.
     pub(crate) keeper_weight: u16,
+    /// Time after the acknowledgement of an evacuation from which on no request may reach the zone,
+    /// in milliseconds.
+    pub(crate) evacuation_ms: u64,
 }
 
 /// When a daemon makes its first calls to the store, and when it tries to become leader.
@@ -129,6 +137,8 @@
     ) -> Self {
         let assigner = Assigner::new(now(), this_daemon.clone(), timing, delays.election_ms)
             .with_first_read_delay(delays.first_read_ms);
+        channels.metrics.zone_evacuated(&channels.zone, false);
+        channels.metrics.evacuating_keys(0);
         Self {
             this_daemon,
             executor: Executor {
@@ -170,6 +180,8 @@
             keeper_election: KeeperElection::new(),
             zone: channels.zone,
             keeper_weight: channels.keeper_weight,
+            evacuation_ms: channels.evacuation_ms,
+            evacuating_keys: 0,
         }
     }
 }
@@ -380,7 +392,8 @@
     }
 
     /// Publishes the view to the request tasks and sets the gauges of the routing state.
-    pub(super) fn publish(&self) {
+    pub(super) fn publish(&mut self) {
+        self.report_evacuating_keys();
         let version = self
             .view
             .table
--- a/crates/balsam-edge/src/lib.rs
+++ b/crates/balsam-edge/src/lib.rs
@@ -23,4 +23,5 @@
 mod view;
 
 pub use assembly::{Adapter, Addresses, Edge, PlatformChannels, StartError};
+pub use peer::{Snapshot, decode_snapshot, encode_snapshot};
 pub use view::View;
--- a/crates/balsam-edge/src/metrics/instruments.rs
+++ b/crates/balsam-edge/src/metrics/instruments.rs
@@ -1,7 +1,7 @@
 //! Counters and histograms of the request path, and gauges of the routing state.
 
 use balsam_decide::room::KeeperCounts;
-use balsam_types::ServiceName;
+use balsam_types::{ServiceName, ZoneName};
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Gauge, Histogram, Meter};
 use std::sync::Arc;
@@ -40,6 +40,28 @@
     permits_awaited: Gauge<u64>,
     keeper_decisions: Counter<u64>,
     keeper_holds: Gauge<u64>,
+    evacuation: EvacuationGauges,
+}
+
+#[derive(Debug)]
+struct EvacuationGauges {
+    zones: Gauge<u64>,
+    keys: Gauge<u64>,
+}
+
+impl EvacuationGauges {
+    fn new(meter: &Meter) -> Self {
+        Self {
+            zones: meter
+                .u64_gauge("balsam.edge.zones.evacuated")
+                .with_description("1 while the operator has a zone evacuated, by zone")
+                .build(),
+            keys: meter
+                .u64_gauge("balsam.edge.keys.evacuating")
+                .with_description("Keys whose owner is in an evacuated zone")
+                .build(),
+        }
+    }
 }
 
 impl EdgeMetrics {
@@ -137,15 +159,20 @@
                     "Permits, waiting requests and groups of upstreams at this daemon's keeper",
                 )
                 .build(),
+            evacuation: EvacuationGauges::new(meter),
         }));
-        // Counters that operators watch for any increase start at 0.
+        metrics.start_counters();
+        metrics
+    }
+
+    /// Sets the counters that operators watch for any increase to 0.
+    fn start_counters(&self) {
         for direction in ["in", "out"] {
-            metrics.count_dropped(direction, 0);
+            self.count_dropped(direction, 0);
         }
         for is_current in [true, false] {
-            metrics.count_held(is_current, 0);
+            self.count_held(is_current, 0);
         }
-        metrics
     }
 
     /// Counts a finished request and records its latency.
@@ -269,6 +296,18 @@
             .add(1, &[KeyValue::new("field", field)]);
     }
 
+    /// Sets whether a zone is evacuated.
+    pub(crate) fn zone_evacuated(&self, zone: &ZoneName, is_evacuated: bool) {
+        let zone = KeyValue::new("zone", zone.as_str().to_owned());
+        let value = u64::from(is_evacuated);
+        self.0.evacuation.zones.record(value, &[zone]);
+    }
+
+    /// Sets the number of keys whose owner is in an evacuated zone.
+    pub(crate) fn evacuating_keys(&self, keys: u64) {
+        self.0.evacuation.keys.record(keys, &[]);
+    }
+
     /// Sets whether this daemon is the leader, which assigns keys.
     pub(crate) fn leader(&self, is_leader: bool) {
         self.0.is_leader.record(u64::from(is_leader), &[]);
--- a/crates/balsam-edge/src/peer/mod.rs
+++ b/crates/balsam-edge/src/peer/mod.rs
@@ -11,5 +11,6 @@
     FollowerStatus, Heartbeat, Part, PeerMessage, PeerOutput, RangesDelta, Topic, UpstreamChange,
     UpstreamsDelta,
 };
-pub(crate) use snapshot::{Snapshot, SnapshotAssembler, split_snapshot};
+pub use snapshot::{Snapshot, decode_snapshot, encode_snapshot};
+pub(crate) use snapshot::{SnapshotAssembler, split_snapshot};
 pub(crate) use task::{PeerSocket, PeerTask};
--- a/crates/balsam-edge/src/request/forward.rs
+++ b/crates/balsam-edge/src/request/forward.rs
@@ -7,6 +7,7 @@
 use crate::clock::{instant_at, now};
 use crate::http::{Connection, ExchangeError, Sent};
 use crate::pool::Lease;
+use balsam_decide::evacuation::ZoneStanding;
 use balsam_decide::pool::{EndReport, Verdict};
 use balsam_http1::{BodyDecoder, Fields, Framing, ParsedResponseHead, encode_request};
 use balsam_types::{TimeMs, UpstreamState};
@@ -100,7 +101,8 @@
     if !context.freshness.pass(routed.deadline).await {
         return end(lease, Verdict::Dropped, None, Some(connection));
     }
-    if lease.is_withdrawn() || !is_listed(context, &lease) {
+    if lease.is_withdrawn() || !is_listed(context, &lease) || is_evacuated(context, routed, &lease)
+    {
         return end(lease, Verdict::Withdrawn, None, Some(connection));
     }
     let remaining_ms = routed.deadline.since(now());
@@ -237,6 +239,23 @@
     })
 }
 
+/// Returns whether the zone of a lease's upstream has been evacuated, so that the request must not be
+/// sent there.
+fn is_evacuated(context: &RequestContext, routed: &RoutedRequest, lease: &Lease) -> bool {
+    let view = context.views.borrow();
+    let zone = &lease.upstream.entry.zone;
+    match view.evacuated.standing(now(), zone) {
+        ZoneStanding::Open => false,
+        ZoneStanding::OwnersOnly => {
+            let table = view.table.as_ref();
+            let policy = table.and_then(|table| table.service(&lease.service));
+            let has_owner = routed.key.is_some() && policy.is_some_and(|policy| policy.is_keyed);
+            !has_owner
+        }
+        ZoneStanding::Closed => true,
+    }
+}
+
 /// Returns the idle connection, or opens one that may carry the request.
 async fn connect(
     routed: &RoutedRequest,
--- a/crates/balsam-edge/src/settings/file.rs
+++ b/crates/balsam-edge/src/settings/file.rs
@@ -94,6 +94,14 @@
     /// default, daemons do not get sooner.
     #[serde(default = "default_propagation_s")]
     pub propagation_s: f64,
+    /// How soon after the store has acknowledged the evacuation of a zone the last request reaches
+    /// its upstreams.
+    #[serde(default = "default_evacuation_s")]
+    pub evacuation_s: f64,
+}
+
+const fn default_evacuation_s() -> f64 {
+    5.0
 }
 
 const fn default_propagation_s() -> f64 {
@@ -158,6 +166,10 @@
                 "bounds.propagation_s",
                 self.bounds.propagation_ms() != next.bounds.propagation_ms(),
             ),
+            (
+                "bounds.evacuation_s",
+                self.bounds.evacuation_ms() != next.bounds.evacuation_ms(),
+            ),
         ];
         let changed = changed.into_iter().filter(|(_, differs)| *differs);
         changed.map(|(field, _)| field).collect()
@@ -243,6 +255,7 @@
             ("bounds.budget_window_s", self.budget_window_s),
             ("bounds.hold_max_s", self.hold_max_s),
             ("bounds.propagation_s", self.propagation_s),
+            ("bounds.evacuation_s", self.evacuation_s),
         ];
         for (field, value) in times {
             let value_text = value.to_string();
@@ -312,6 +325,11 @@
         }
     }
 
+    /// Returns how soon after its acknowledgement an evacuation is complete, in milliseconds.
+    pub fn evacuation_ms(&self) -> u64 {
+        to_ms(self.evacuation_s)
+    }
+
     /// Returns the longest duration of a grant in milliseconds.
     pub fn hold_max_ms(&self) -> u64 {
         to_ms(self.hold_max_s)
--- a/crates/balsam-edge/src/store/message.rs
+++ b/crates/balsam-edge/src/store/message.rs
@@ -1,7 +1,7 @@
 //! Calls to the store and their results.
 
 use balsam_decide::feed::{FeedTable, StoreTimeMs};
-use balsam_types::{RoutingConfig, UpstreamName, UpstreamRow};
+use balsam_types::{RoutingConfig, UpstreamName, UpstreamRow, ZoneName};
 use bytes::Bytes;
 use snafu::Snafu;
 use std::sync::Arc;
@@ -38,11 +38,34 @@
     }
 }
 
+/// What a row says about the evacuation of a zone.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum EvacuationState {
+    /// The zone is to be evacuated.
+    Requested,
+    /// The row was removed: the zone is in use.
+    Removed,
+    /// The row cannot be decoded, which changes nothing.
+    Unreadable {
+        /// The key of the row.
+        key: Arc<str>,
+        /// The cause.
+        reason: String,
+    },
+}
+
 /// A row as it was read, decoded as far as its table defines the format.
 #[derive(Clone, Debug)]
 pub enum StoreChange {
     /// A version of the configuration.
     Config(RoutingConfig),
+    /// The row of the evacuation of a zone was written or removed.
+    Evacuation {
+        /// The zone.
+        zone: ZoneName,
+        /// What the row says.
+        state: EvacuationState,
+    },
     /// The entry of an upstream was written.
     Upstream(UpstreamRow),
     /// The entry of an upstream was removed.
--- a/crates/balsam-edge/src/store/mod.rs
+++ b/crates/balsam-edge/src/store/mod.rs
@@ -6,5 +6,7 @@
 mod rows;
 
 pub(crate) use client::StoreClient;
-pub use message::{Page, StoreChange, StoreError, StoreRequest, StoreTable, WriteOutcome};
+pub use message::{
+    EvacuationState, Page, StoreChange, StoreError, StoreRequest, StoreTable, WriteOutcome,
+};
 pub use rows::{ClusterRowKey, RangesRow, RangesRowError, RowError, decode_row, encode_row};
--- a/crates/balsam-edge/src/view.rs
+++ b/crates/balsam-edge/src/view.rs
@@ -2,6 +2,7 @@
 
 use balsam_decide::crashes::SuspectList;
 use balsam_decide::directory::Upstreams;
+use balsam_decide::evacuation::EvacuatedZones;
 use balsam_decide::pool::ClusterState;
 use balsam_decide::room::KeeperList;
 use balsam_decide::routing::RouteTable;
@@ -32,6 +33,8 @@
     pub suspects: Arc<SuspectList>,
     /// The daemons that keep the room of upstreams.
     pub keepers: Arc<KeeperList>,
+    /// The zones whose upstreams get no requests.
+    pub evacuated: Arc<EvacuatedZones>,
 }
 
 /// The known leader, and the age of this daemon's copy of the store's tables.
@@ -73,6 +76,7 @@
             has_upstreams: false,
             suspects: Arc::new(SuspectList::default()),
             keepers: Arc::default(),
+            evacuated: Arc::default(),
         }
     }
 }
@@ -92,6 +96,7 @@
             moved: self.moved.clone(),
             daemons: self.daemons,
             keepers: Arc::clone(&self.keepers),
+            evacuated: Arc::clone(&self.evacuated),
         })
     }
 }
--- a/crates/balsam-edge/tests/settings_check.rs
+++ b/crates/balsam-edge/tests/settings_check.rs
@@ -24,6 +24,32 @@
     );
 }
 
+/// A platform that does not set the bound of evacuations must get the default, and one that does must
+/// get its own.
+#[rstest]
+#[case::unset(None, 5_000)]
+#[case::set(Some(8.0), 8_000)]
+fn evacuation_bound(#[case] evacuation_s: Option<f64>, #[case] expected_ms: u64) {
+    let mut settings = settings_json();
+    if let Some(evacuation_s) = evacuation_s {
+        settings["bounds"]["evacuation_s"] = json!(evacuation_s);
+    }
+    let settings = read(&settings).expect("settings");
+    assert_eq!(settings.bounds.evacuation_ms(), expected_ms);
+}
+
+/// An invalid bound of evacuations must be rejected with the name of its field.
+#[rstest]
+#[case::negative(json!(-1), "bounds.evacuation_s")]
+#[case::long(json!(99_999), "bounds.evacuation_s")]
+#[case::text(json!("5"), "invalid type")]
+fn bad_evacuation_bound(#[case] value: Value, #[case] expected: &str) {
+    let mut settings = settings_json();
+    settings["bounds"]["evacuation_s"] = value;
+    let error = read(&settings).expect_err("a refusal").to_string();
+    assert!(error.contains(expected), "{error}");
+}
+
 /// An invalid value must be rejected with the name of its field.
 #[rstest]
 #[case::credential("/peer_credential", json!(""), "peer_credential")]
--- a/crates/balsam-edge/tests/support/mod.rs
+++ b/crates/balsam-edge/tests/support/mod.rs
@@ -84,6 +84,7 @@
             hold_max_s: 10.0,
             drain_s: 1.0,
             propagation_s: 2.0,
+            evacuation_s: 5.0,
         },
         room_daemons_per_slot: 8,
         first_start: false,
--- a/crates/balsam-edge/tests/support/store.rs
+++ b/crates/balsam-edge/tests/support/store.rs
@@ -184,6 +184,9 @@
         let newest = self.version;
         let (table, key) = match &mut change {
             StoreChange::Config(_) => ("config", Arc::from("config")),
+            StoreChange::Evacuation { zone, .. } => {
+                ("config", Arc::from(format!("evacuate/{zone}")))
+            }
             StoreChange::Upstream(row) => {
                 row.version = newest;
                 ("upstreams", Arc::from(row.entry.name.as_str()))
