--- a/crates/balsam-decide/src/pace/machine.rs
+++ b/crates/balsam-decide/src/pace/machine.rs
@@ -12,12 +12,17 @@
 /// Factor applied to the concurrency limit after a late answer or a request without an answer.
 const LATE_LIMIT_FACTOR: f64 = 0.85;
 
-/// Factor applied to the concurrency limit after a rejection or a reset.
-const REJECTED_LIMIT_FACTOR: f64 = 0.7;
+/// Factor applied to the concurrency limit after a reset.
+const RESET_LIMIT_FACTOR: f64 = 0.7;
+
+/// Factor applied to the concurrency limit after a rejection. An upstream may reject a part of its
+/// requests whatever their number is; with a lower factor it would be left idle for that.
+const REJECTED_LIMIT_FACTOR: f64 = 0.85;
 
 /// Minimum interval between two decreases of the concurrency limit, in milliseconds, so that
-/// requests that were sent together and fail together lower it once.
-const DECREASE_INTERVAL_MS: u64 = 100;
+/// requests that were sent together and fail together lower it once. Rejections take no time, so that
+/// many of them fit between two answers.
+const DECREASE_INTERVAL_MS: u64 = 500;
 
 /// Increase of the concurrency limit after an answer in time; it is divided by the current limit.
 const LIMIT_INCREASE: f64 = 0.25;
@@ -50,6 +55,10 @@
 /// has more slots: all requests in flight may fail together.
 const FAILURES_MAX: u32 = 3;
 
+/// Number of rejections without an answer in between after which an upstream counts as down. One that
+/// rejects half of its requests at random seldom reaches it.
+const REJECTIONS_MAX: u32 = 10;
+
 /// Time without an answer while requests are in flight after which one that times out means that the
 /// upstream is down, in milliseconds.
 const SILENT_MS: u64 = 2_000;
@@ -68,6 +77,8 @@
     Down {
         /// Requests that have failed since, one after the other.
         failures: u32,
+        /// Whether it may have started again meanwhile. One that rejects requests has not.
+        may_restart: bool,
     },
 }
 
@@ -95,8 +106,10 @@
     spacing: StartSpacing,
     /// Moving average of the response times, in milliseconds.
     mean_ms: f64,
-    /// Failures since the last answer.
+    /// Failures since the last answer, rejections not counted.
     failures: u32,
+    /// Rejections since the last answer.
+    rejections: u32,
     /// Failures to connect since the last answer.
     unreachable: u32,
     /// Since when requests are in flight without any answer.
@@ -118,6 +131,7 @@
             spacing: StartSpacing::default(),
             mean_ms: 0.0,
             failures: 0,
+            rejections: 0,
             unreachable: 0,
             unanswered_since: None,
         }
@@ -224,6 +238,7 @@
 
     fn record_answer(&mut self, now: TimeMs, took_ms: f64, usual_ms: f64) {
         self.failures = 0;
+        self.rejections = 0;
         self.unreachable = 0;
         self.unanswered_since = Some(now);
         self.mean_ms = if self.mean_ms > 0.0 {
@@ -235,7 +250,7 @@
         let is_spaced = self.start_interval_us(now).is_some();
         let is_late = usual_ms > 0.0 && took_ms > usual_ms * LATE_RATIO && !is_spaced;
         match self.phase {
-            Phase::Down { .. } => return self.recover(now),
+            Phase::Down { may_restart, .. } => return self.recover(now, may_restart),
             Phase::Steady | Phase::SlowStart if is_late => {
                 self.decrease(now, LATE_LIMIT_FACTOR, 1.0);
             }
@@ -250,14 +265,23 @@
     }
 
     fn record_failure(&mut self, now: TimeMs, failure: Failure) {
-        self.failures += 1;
-        if failure == Failure::Unreachable {
-            self.unreachable += 1;
+        match failure {
+            Failure::Rejected => self.rejections += 1,
+            Failure::Unreachable => {
+                self.failures += 1;
+                self.unreachable += 1;
+            }
+            Failure::Reset | Failure::TimedOut => self.failures += 1,
         }
-        if let Phase::Down { failures } = self.phase {
+        if let Phase::Down {
+            failures,
+            may_restart,
+        } = self.phase
+        {
             // Requests that were sent before the pause began say nothing new.
             if now >= self.paused_until {
-                self.back_off(now, failures + 1);
+                let may_restart = may_restart || failure != Failure::Rejected;
+                self.back_off(now, failures + 1, may_restart);
             }
             return;
         }
@@ -268,24 +292,28 @@
             || self.unreachable >= UNREACHABLE_MAX
             || self.failures >= self.terms.slots.max(FAILURES_MAX)
         {
-            return self.back_off(now, 0);
+            return self.back_off(now, 0, true);
+        }
+        if self.rejections >= REJECTIONS_MAX {
+            return self.back_off(now, 0, false);
         }
         match failure {
             Failure::TimedOut => self.decrease(now, LATE_LIMIT_FACTOR, 1.0),
-            Failure::Rejected | Failure::Reset | Failure::Unreachable => {
-                self.decrease(now, REJECTED_LIMIT_FACTOR, LIMIT_MIN);
+            Failure::Rejected => self.decrease(now, REJECTED_LIMIT_FACTOR, 1.0),
+            Failure::Reset | Failure::Unreachable => {
+                self.decrease(now, RESET_LIMIT_FACTOR, LIMIT_MIN);
             }
         }
         self.pause_below_one(now);
     }
 
-    /// Starts over after an upstream that did not serve has answered. It may have started just now,
-    /// so that it counts as cold if its service has warm-up terms.
-    fn recover(&mut self, now: TimeMs) {
+    /// Starts over after an upstream that did not serve has answered. If it may have started just now,
+    /// it counts as cold if its service has warm-up terms.
+    fn recover(&mut self, now: TimeMs, may_restart: bool) {
         self.phase = Phase::SlowStart;
         self.paused_until = now;
         self.slow_start(now);
-        if let Some(warmup) = self.terms.warmup {
+        if let Some(warmup) = self.terms.warmup.filter(|_| may_restart) {
             self.cold_until = self.cold_until.max(now.after(warmup.duration_ms));
         }
     }
@@ -302,8 +330,11 @@
     }
 
     /// Pauses after a failure of an upstream that does not serve.
-    fn back_off(&mut self, now: TimeMs, failures: u32) {
-        self.phase = Phase::Down { failures };
+    fn back_off(&mut self, now: TimeMs, failures: u32, may_restart: bool) {
+        self.phase = Phase::Down {
+            failures,
+            may_restart,
+        };
         self.limit = 1.0;
         let pause_ms = PROBE_PAUSE_MIN_MS.checked_shl(failures.min(u64::BITS / 2));
         let pause_ms = pause_ms.unwrap_or(PAUSE_MAX_MS).min(PAUSE_MAX_MS);
@@ -345,7 +376,14 @@
     /// it does not serve, because it is cold once it does.
     fn start_interval_us(&self, now: TimeMs) -> Option<u64> {
         let warmup = self.terms.warmup?;
-        let is_spaced = self.is_cold(now) || matches!(self.phase, Phase::Down { .. });
+        let may_restart = matches!(
+            self.phase,
+            Phase::Down {
+                may_restart: true,
+                ..
+            }
+        );
+        let is_spaced = self.is_cold(now) || may_restart;
         is_spaced.then_some(warmup.interval_us)
     }
 }
--- a/crates/balsam-decide/src/pool/ask.rs
+++ b/crates/balsam-decide/src/pool/ask.rs
@@ -54,7 +54,8 @@
         };
         let layout = GroupLayout::new(&cluster.upstreams);
         let keepers = Arc::clone(&cluster.keepers);
-        for (id, asking) in self.permits.set_keepers(keepers, layout) {
+        let evacuated = Arc::clone(&cluster.evacuated);
+        for (id, asking) in self.permits.set_keepers(keepers, layout, evacuated) {
             outputs.push(self.give_back_unused(now, asking.keeper, id));
             self.assign(now, asking.request, asking.service, outputs);
         }
--- a/crates/balsam-decide/src/pool/permits.rs
+++ b/crates/balsam-decide/src/pool/permits.rs
@@ -1,6 +1,7 @@
 //! Permits that this daemon has asked for or holds, and the keepers that it asks.
 
 use super::{Request, RequestId};
+use crate::evacuation::EvacuatedZones;
 use crate::room::{
     GroupId, GroupLayout, KeeperList, PermitId, PermitRequest, PermitReturn, PermitScope, RoomLoad,
     RoomMessage,
@@ -165,6 +166,7 @@
     last_id: u64,
     keepers: Arc<KeeperList>,
     layout: GroupLayout,
+    evacuated: Arc<EvacuatedZones>,
     asking: Map<PermitId, Asking>,
     /// Permits under which requests are in flight.
     in_use: Set<PermitId>,
@@ -182,6 +184,7 @@
             last_id: first_id,
             keepers: Arc::default(),
             layout: GroupLayout::default(),
+            evacuated: Arc::default(),
             asking: new_map(),
             in_use: new_set(),
             silent_until: new_map(),
@@ -190,15 +193,17 @@
         }
     }
 
-    /// Adopts the keepers and the division of the upstreams into groups. Returns the requests whose
-    /// group has another keeper now.
+    /// Adopts the keepers, the division of the upstreams into groups, and the zones whose groups are
+    /// not asked. Returns the requests whose group has another keeper now.
     pub(super) fn set_keepers(
         &mut self,
         keepers: Arc<KeeperList>,
         layout: GroupLayout,
+        evacuated: Arc<EvacuatedZones>,
     ) -> Vec<(PermitId, Asking)> {
         self.keepers = keepers;
         self.layout = layout;
+        self.evacuated = evacuated;
         let listed =
             |address: &SocketAddr| self.keepers.keepers.iter().any(|k| k.address == *address);
         self.silent_until.retain(|address, _| listed(address));
@@ -329,8 +334,11 @@
         tried: &[GroupId],
     ) -> Option<GroupId> {
         let groups = self.layout.groups(service).into_iter();
-        let candidates = groups
-            .filter(|group| !tried.contains(group) && self.responsive_keeper(now, group).is_some());
+        let candidates = groups.filter(|group| {
+            !tried.contains(group)
+                && !self.evacuated.contains(&group.zone)
+                && self.responsive_keeper(now, group).is_some()
+        });
         candidates.min_by_key(|group| {
             let load = self.loads.get(group);
             let load = load.filter(|(at, _)| now.since(*at) < LOAD_KEPT_MS);
--- a/crates/balsam-decide/src/room/group.rs
+++ b/crates/balsam-decide/src/room/group.rs
@@ -151,6 +151,11 @@
         with_retry.collect()
     }
 
+    /// Removes the waiting requests that do not name their upstream.
+    pub(super) fn drain_unnamed(&mut self) -> Vec<Waiting> {
+        self.queue.drain_unnamed()
+    }
+
     /// Returns whether no request waits.
     pub(super) const fn is_idle(&self) -> bool {
         self.queue.is_empty()
--- a/crates/balsam-decide/tests/cold_zone.rs
+++ b/crates/balsam-decide/tests/cold_zone.rs
@@ -80,6 +80,7 @@
             moved: new_map(),
             daemons: DAEMONS as u32,
             keepers: Arc::new(list),
+            evacuated: Arc::default(),
         };
         keeper.handle(TimeMs(START), KeeperInput::Cluster(cluster.clone()));
         Self {
--- a/crates/balsam-decide/tests/room_sim/mod.rs
+++ b/crates/balsam-decide/tests/room_sim/mod.rs
@@ -110,6 +110,7 @@
         moved: new_map(),
         daemons,
         keepers: Arc::new(keepers.clone()),
+        evacuated: Arc::default(),
     }
 }
 
--- a/crates/balsam-edge/src/metrics/instruments.rs
+++ b/crates/balsam-edge/src/metrics/instruments.rs
@@ -2,7 +2,7 @@
 
 use balsam_decide::memory::MemoryCounts;
 use balsam_decide::room::KeeperCounts;
-use balsam_types::ServiceName;
+use balsam_types::{ServiceName, ZoneName};
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Gauge, Histogram, Meter};
 use std::sync::Arc;
@@ -42,6 +42,7 @@
     keeper_decisions: Counter<u64>,
     keeper_holds: Gauge<u64>,
     memory: MemoryInstruments,
+    evacuation: EvacuationGauges,
 }
 
 /// Instruments of the memory budget.
@@ -74,6 +75,27 @@
     }
 }
 
+#[derive(Debug)]
+struct EvacuationGauges {
+    zones: Gauge<u64>,
+    keys: Gauge<u64>,
+}
+
+impl EvacuationGauges {
+    fn new(meter: &Meter) -> Self {
+        Self {
+            zones: meter
+                .u64_gauge("balsam.edge.zones.evacuated")
+                .with_description("1 while the operator has a zone evacuated, by zone")
+                .build(),
+            keys: meter
+                .u64_gauge("balsam.edge.keys.evacuating")
+                .with_description("Keys whose owner is in an evacuated zone")
+                .build(),
+        }
+    }
+}
+
 impl EdgeMetrics {
     /// Registers the instruments with `meter`.
     pub(crate) fn new(meter: &Meter) -> Self {
@@ -170,6 +192,7 @@
                 )
                 .build(),
             memory: MemoryInstruments::new(meter),
+            evacuation: EvacuationGauges::new(meter),
         }));
         metrics.start_counters();
         metrics
@@ -306,6 +329,18 @@
             .add(1, &[KeyValue::new("field", field)]);
     }
 
+    /// Sets whether a zone is evacuated.
+    pub(crate) fn zone_evacuated(&self, zone: &ZoneName, is_evacuated: bool) {
+        let zone = KeyValue::new("zone", zone.as_str().to_owned());
+        let value = u64::from(is_evacuated);
+        self.0.evacuation.zones.record(value, &[zone]);
+    }
+
+    /// Sets the number of keys whose owner is in an evacuated zone.
+    pub(crate) fn evacuating_keys(&self, keys: u64) {
+        self.0.evacuation.keys.record(keys, &[]);
+    }
+
     /// Sets whether this daemon is the leader, which assigns keys.
     pub(crate) fn leader(&self, is_leader: bool) {
         self.0.is_leader.record(u64::from(is_leader), &[]);
