Lower the pace only for rejections that more requests cause

A rejection lowers the limit now unless as many requests in flight were answered within the last second. All 26 tests of recovered_upstream pass.

--- a/crates/balsam-decide/src/pace/machine.rs
+++ b/crates/balsam-decide/src/pace/machine.rs
@@ -12,17 +12,17 @@
 /// Factor applied to the concurrency limit after a late answer or a request without an answer.
 const LATE_LIMIT_FACTOR: f64 = 0.85;
 
-/// Factor applied to the concurrency limit after a reset.
-const RESET_LIMIT_FACTOR: f64 = 0.7;
+/// Factor applied to the concurrency limit after a rejection or a reset.
+const REJECTED_LIMIT_FACTOR: f64 = 0.7;
 
-/// Factor applied to the concurrency limit after a rejection. An upstream may reject a part of its
-/// requests whatever their number is; with a lower factor it would be left idle for that.
-const REJECTED_LIMIT_FACTOR: f64 = 0.85;
+/// How long an answer shows that the upstream takes as many requests as were in flight with it, in
+/// milliseconds. An upstream may reject a part of its requests whatever their number is, and must not
+/// be left idle for that.
+const PROVEN_MS: u64 = 1_000;
 
 /// Minimum interval between two decreases of the concurrency limit, in milliseconds, so that
-/// requests that were sent together and fail together lower it once. Rejections take no time, so that
-/// many of them fit between two answers.
-const DECREASE_INTERVAL_MS: u64 = 500;
+/// requests that were sent together and fail together lower it once.
+const DECREASE_INTERVAL_MS: u64 = 100;
 
 /// Increase of the concurrency limit after an answer in time; it is divided by the current limit.
 const LIMIT_INCREASE: f64 = 0.25;
@@ -55,9 +55,9 @@
 /// has more slots: all requests in flight may fail together.
 const FAILURES_MAX: u32 = 3;
 
-/// Number of rejections without an answer in between after which an upstream counts as down. One that
-/// rejects half of its requests at random seldom reaches it.
-const REJECTIONS_MAX: u32 = 10;
+/// Number of rejections without an answer in between after which an upstream counts as down, unless it
+/// has more slots. One that rejects half of its requests at random seldom reaches it.
+const REJECTIONS_MAX: u32 = 8;
 
 /// Time without an answer while requests are in flight after which one that times out means that the
 /// upstream is down, in milliseconds.
@@ -110,6 +110,8 @@
     failures: u32,
     /// Rejections since the last answer.
     rejections: u32,
+    /// The most requests in flight with one that was answered lately, and when.
+    proven: Option<(u32, TimeMs)>,
     /// Failures to connect since the last answer.
     unreachable: u32,
     /// Since when requests are in flight without any answer.
@@ -132,6 +134,7 @@
             mean_ms: 0.0,
             failures: 0,
             rejections: 0,
+            proven: None,
             unreachable: 0,
             unanswered_since: None,
         }
@@ -220,15 +223,19 @@
 
     /// Records how a request has ended.
     pub fn record_outcome(&mut self, now: TimeMs, outcome: PaceOutcome) {
-        self.in_flight = self.in_flight.saturating_sub(1);
+        let in_flight = self.in_flight;
+        self.in_flight = in_flight.saturating_sub(1);
         match outcome {
             PaceOutcome::Answered { took_ms, usual_ms } => {
+                if !self.is_proven(now, in_flight + 1) {
+                    self.proven = Some((in_flight, now));
+                }
                 self.record_answer(now, f64::from(took_ms), f64::from(usual_ms));
             }
-            PaceOutcome::Rejected => self.record_failure(now, Failure::Rejected),
-            PaceOutcome::Reset => self.record_failure(now, Failure::Reset),
-            PaceOutcome::TimedOut => self.record_failure(now, Failure::TimedOut),
-            PaceOutcome::Unreachable => self.record_failure(now, Failure::Unreachable),
+            PaceOutcome::Rejected => self.record_failure(now, Failure::Rejected, in_flight),
+            PaceOutcome::Reset => self.record_failure(now, Failure::Reset, in_flight),
+            PaceOutcome::TimedOut => self.record_failure(now, Failure::TimedOut, in_flight),
+            PaceOutcome::Unreachable => self.record_failure(now, Failure::Unreachable, in_flight),
             PaceOutcome::Unused => {}
         }
         if self.in_flight == 0 {
@@ -264,7 +271,13 @@
         self.pause_below_one(now);
     }
 
-    fn record_failure(&mut self, now: TimeMs, failure: Failure) {
+    /// Returns whether an answer has shown lately that the upstream takes so many requests at once.
+    fn is_proven(&self, now: TimeMs, in_flight: u32) -> bool {
+        self.proven
+            .is_some_and(|(most, at)| in_flight <= most && now.since(at) < PROVEN_MS)
+    }
+
+    fn record_failure(&mut self, now: TimeMs, failure: Failure, in_flight: u32) {
         match failure {
             Failure::Rejected => self.rejections += 1,
             Failure::Unreachable => {
@@ -294,14 +307,14 @@
         {
             return self.back_off(now, 0, true);
         }
-        if self.rejections >= REJECTIONS_MAX {
+        if self.rejections >= self.terms.slots.max(REJECTIONS_MAX) {
             return self.back_off(now, 0, false);
         }
         match failure {
             Failure::TimedOut => self.decrease(now, LATE_LIMIT_FACTOR, 1.0),
-            Failure::Rejected => self.decrease(now, REJECTED_LIMIT_FACTOR, 1.0),
-            Failure::Reset | Failure::Unreachable => {
-                self.decrease(now, RESET_LIMIT_FACTOR, LIMIT_MIN);
+            Failure::Rejected if self.is_proven(now, in_flight) => return,
+            Failure::Rejected | Failure::Reset | Failure::Unreachable => {
+                self.decrease(now, REJECTED_LIMIT_FACTOR, LIMIT_MIN);
             }
         }
         self.pause_below_one(now);
