--- a/crates/balsam-decide/src/crashes/message.rs
+++ b/crates/balsam-decide/src/crashes/message.rs
@@ -39,7 +39,7 @@
     Heard(TrackerMessage),
     /// A heartbeat of the leader contains this digest of the requests that the leader refuses.
     LeaderDigest(u64),
-    /// The row of refused requests was read from the store.
+    /// The row of refused requests was read from the store; a missing row lists none.
     RowRead(Vec<Refused>),
     /// An attempt to write the row of refused requests has ended.
     RowWritten {
--- a/crates/balsam-decide/src/crashes/tracker.rs
+++ b/crates/balsam-decide/src/crashes/tracker.rs
@@ -82,6 +82,8 @@
             TrackerInput::LeaderDigest(digest) => self.compare(now, digest, &mut outputs),
             TrackerInput::RowRead(refused) => {
                 self.stored_digest = digest(&refused);
+                // A write that was acknowledged before a restoration of the store may be lost.
+                self.pending_digest = None;
                 self.refuse(now, refused, SuspectSource::Row, &mut outputs);
             }
             TrackerInput::RowWritten { is_done } => {
--- a/crates/balsam-decide/src/directory/machine.rs
+++ b/crates/balsam-decide/src/directory/machine.rs
@@ -2,7 +2,7 @@
 
 use super::{DiscoveredUpstream, DiscoveryNotice, DiscoveryOutcome, Upstreams};
 use balsam_types::{
-    Map, Set, StartTime, TimeMs, UpstreamEntry, UpstreamName, UpstreamRow, new_map,
+    Map, Set, StartTime, StoreEra, TimeMs, UpstreamEntry, UpstreamName, UpstreamRow, new_map,
 };
 use std::sync::Arc;
 
@@ -59,16 +59,27 @@
     version: u64,
 }
 
+/// An upstream that was removed.
+#[derive(Clone, Copy, Debug)]
+struct RemovedUpstream {
+    /// The version of the removal.
+    version: u64,
+    /// The start time of the process that was removed.
+    born: StartTime,
+}
+
 /// The upstreams that this daemon considers to exist.
 #[derive(Debug)]
 pub struct Directory {
     upstreams: Map<UpstreamName, KnownUpstream>,
-    /// Upstreams that were removed, with the version of the removal.
-    removed: Map<UpstreamName, u64>,
+    /// Upstreams that were removed.
+    removed: Map<UpstreamName, RemovedUpstream>,
     /// Upstreams that are kept although their rows have disappeared.
     missing: Map<UpstreamName, MissingUpstream>,
     /// When a call to the store last failed, or the store last became available again.
     failed_at: Option<TimeMs>,
+    /// The era of the newest list, once a list was read.
+    era: Option<StoreEra>,
     /// How rows were handled since the notices were last taken.
     notices: Vec<DiscoveryNotice>,
 }
@@ -87,6 +98,7 @@
             removed: new_map(),
             missing: new_map(),
             failed_at: None,
+            era: None,
             notices: Vec::new(),
         }
     }
@@ -99,7 +111,10 @@
     /// Handles one input, and returns the new list if it has changed.
     pub fn handle(&mut self, now: TimeMs, input: DirectoryInput) -> Option<Upstreams> {
         let changed = match input {
-            DirectoryInput::Listed { version, rows } => self.replace_all(now, version, rows),
+            DirectoryInput::Listed { version, rows } => {
+                self.enter_era(now, StoreEra::of(version));
+                self.replace_all(now, version, rows)
+            }
             DirectoryInput::Changed(row) => self.upsert(now, row),
             DirectoryInput::Removed { version, name } => self.remove(now, version, &name),
             DirectoryInput::StoreFailed => {
@@ -140,6 +155,15 @@
         self.missing.values().map(|missing| missing.until).min()
     }
 
+    /// Records the era of a list. The first list of a restored store may lack upstreams whose entries
+    /// it has lost, and they write them again as after an outage.
+    fn enter_era(&mut self, now: TimeMs, era: StoreEra) {
+        if self.era.is_some_and(|known| known < era) {
+            self.failed_at = Some(now);
+        }
+        self.era = self.era.max(Some(era));
+    }
+
     fn replace_all(&mut self, now: TimeMs, version: u64, rows: Vec<UpstreamRow>) -> bool {
         let mut changed = false;
         let listed: Set<UpstreamName> = rows.iter().map(|row| row.entry.name.clone()).collect();
@@ -159,6 +183,10 @@
             self.record_outcome(&entry.name, entry.born, version, DiscoveryOutcome::Older);
             return false;
         }
+        if self.has_left_before(&entry, version) {
+            self.record_outcome(&entry.name, entry.born, version, DiscoveryOutcome::Older);
+            return false;
+        }
         self.missing.remove(&entry.name);
         self.removed.remove(&entry.name);
         if let Some(known) = self.upstreams.get_mut(&entry.name)
@@ -190,10 +218,41 @@
     /// in any order. The start times are compared as well, because a late write of an earlier
     /// incarnation of the upstream has a newer version.
     fn is_older(&self, entry: &UpstreamEntry, version: u64) -> bool {
-        let is_removed = |removed: &u64| *removed > version;
+        let is_removed = |removed: &RemovedUpstream| removed.version >= version;
         let known = self.upstreams.get(&entry.name);
-        known.is_some_and(|known| known.version > version || known.current.entry.born > entry.born)
-            || self.removed.get(&entry.name).is_some_and(is_removed)
+        let is_newer = |known: &KnownUpstream| {
+            let current = &known.current.entry;
+            known.version > version
+                || current.born > entry.born
+                || known.version == version && entry.is_ready() && !current.is_ready()
+        };
+        known.is_some_and(is_newer) || self.removed.get(&entry.name).is_some_and(is_removed)
+    }
+
+    /// Returns whether a row of a restored store shows an upstream as ready that has left in the lost
+    /// time, and records its version, so that a row that the upstream writes again counts.
+    fn has_left_before(&mut self, entry: &UpstreamEntry, version: u64) -> bool {
+        let is_restored = |known: u64| StoreEra::of(known) < StoreEra::of(version);
+        if !entry.is_ready() {
+            return false;
+        }
+        if let Some(removed) = self.removed.get_mut(&entry.name) {
+            let has_left = removed.born == entry.born && is_restored(removed.version);
+            if has_left {
+                removed.version = version;
+            }
+            return has_left;
+        }
+        let Some(known) = self.upstreams.get_mut(&entry.name) else {
+            return false;
+        };
+        let current = &known.current.entry;
+        let has_left =
+            current.born == entry.born && !current.is_ready() && is_restored(known.version);
+        if has_left {
+            known.version = version;
+        }
+        has_left
     }
 
     fn remove(&mut self, now: TimeMs, version: u64, name: &UpstreamName) -> bool {
@@ -215,17 +274,18 @@
         }
         self.missing.remove(name);
         self.upstreams.remove(name);
-        self.remember_removal(name.clone(), version);
+        self.remember_removal(name.clone(), RemovedUpstream { version, born });
         self.record_outcome(name, born, version, DiscoveryOutcome::Removed);
         true
     }
 
-    fn remember_removal(&mut self, name: UpstreamName, version: u64) {
-        self.removed.insert(name, version);
+    fn remember_removal(&mut self, name: UpstreamName, removed: RemovedUpstream) {
+        self.removed.insert(name, removed);
+        let versions = self.removed.values().map(|removed| removed.version);
         if self.removed.len() > REMOVED_MAX
-            && let Some(oldest) = self.removed.values().min().copied()
+            && let Some(oldest) = versions.min()
         {
-            self.removed.retain(|_, version| *version > oldest);
+            self.removed.retain(|_, removed| removed.version > oldest);
         }
     }
 
@@ -236,7 +296,8 @@
             if let Some(known) = self.upstreams.remove(name) {
                 let born = known.current.entry.born;
                 self.record_outcome(name, born, *version, DiscoveryOutcome::Lapsed);
-                self.remember_removal(name.clone(), *version);
+                let version = *version;
+                self.remember_removal(name.clone(), RemovedUpstream { version, born });
             }
         }
         !due.is_empty()
--- a/crates/balsam-decide/src/feed/known.rs
+++ b/crates/balsam-decide/src/feed/known.rs
@@ -1,7 +1,7 @@
 //! What a daemon knows of one table.
 
 use super::{StoreClock, StoreResponse, StoreTimeMs, TableReading, TableState};
-use balsam_types::TimeMs;
+use balsam_types::{StoreEra, TimeMs};
 
 /// The known versions of a table, and what shows how old they are.
 #[derive(Clone, Copy, Debug, Default)]
@@ -107,6 +107,9 @@
         if self.state.is_none() {
             self.adopted_at = now;
         }
+        if self.is_later_era(response.version) {
+            self.read_at = None;
+        }
         let state = self.state.get_or_insert_default();
         if response.has_changes {
             state.changed = state.changed.max(response.version);
@@ -128,8 +131,9 @@
 
     /// Adopts a newer version of the table that another daemon has sent.
     pub(super) fn adopt(&mut self, now: TimeMs, version: u64) {
-        if self.state.is_none() {
+        if self.state.is_none() || self.is_later_era(version) {
             self.adopted_at = now;
+            self.read_at = None;
         }
         self.state = Some(TableState {
             changed: version,
@@ -157,7 +161,8 @@
         let known = self
             .peer_reading
             .filter(|known| clock.age_ms(now, known.read_at).is_some());
-        if known.is_none_or(|known| known.read_at < peer_reading.read_at) {
+        let order = |reading: &TableReading| (StoreEra::of(reading.state.seen), reading.read_at);
+        if known.is_none_or(|known| order(&known) < order(&peer_reading)) {
             self.peer_reading = Some(peer_reading);
         }
         // If the store responds to others, it is not unavailable; only this daemon cannot reach it.
@@ -166,6 +171,19 @@
         self.record_announced(now, peer_reading.state.changed);
     }
 
+    /// Returns whether the store was restored after the known versions and before this one. Its clock
+    /// may have gone back as well.
+    fn is_later_era(&self, version: u64) -> bool {
+        let known = self.state.map(|state| StoreEra::of(state.seen));
+        known.is_some_and(|known| known < StoreEra::of(version))
+    }
+
+    /// Returns whether the announced change is of a later era than the known versions, so that the
+    /// whole table is needed.
+    pub(super) fn is_restored(&self) -> bool {
+        self.is_later_era(self.announced)
+    }
+
     /// Compares the known versions with those that others know, and notes since when they are
     /// behind.
     fn update_lag(&mut self, now: TimeMs) {
--- a/crates/balsam-decide/src/feed/machine.rs
+++ b/crates/balsam-decide/src/feed/machine.rs
@@ -6,7 +6,7 @@
     StoreTimeMs,
 };
 use crate::peers::DIRECT_RECEIVERS_MAX;
-use balsam_types::TimeMs;
+use balsam_types::{StoreEra, TimeMs};
 
 /// How long the leader's heartbeats may be missing before a daemon no longer relies on the leader,
 /// in milliseconds: the time of three heartbeats.
@@ -44,6 +44,17 @@
 /// in milliseconds. Other daemons pass the change on, so that the heartbeat may overtake it.
 const RELAYED_CHANGE_WAIT_MS: u64 = 400;
 
+/// How long a daemon waits for the leader's snapshot of a table of a restored store before it reads
+/// the table, in milliseconds. The snapshot follows the heartbeat that announces it.
+const RESTORED_TABLE_WAIT_MS: u64 = 300;
+
+/// How long a daemon waits for that snapshot before it asks the leader for it, in milliseconds.
+const RESTORED_SNAPSHOT_AFTER_MS: u64 = 150;
+
+/// Upper limit on the time between the first and the last daemon that read such a table, in
+/// milliseconds. Together with the wait it is shorter than the time for which tables may be used.
+const RESTORED_SPREAD_MAX_MS: u64 = 400;
+
 /// Scale of a daemon's turn.
 const TURN_SCALE: u64 = 1_000;
 
@@ -191,7 +202,9 @@
     /// Returns whether they are new and follow the known changes without a gap; otherwise nothing
     /// is recorded, and the caller must ignore them.
     pub fn accept_delta(&mut self, now: TimeMs, table: FeedTable, base: u64, version: u64) -> bool {
-        let is_contiguous = self.seen(table).is_some_and(|seen| base <= seen);
+        let is_contiguous = self
+            .seen(table)
+            .is_some_and(|seen| base <= seen && StoreEra::of(seen) == StoreEra::of(version));
         is_contiguous && self.accept_snapshot(now, table, version)
     }
 
@@ -352,7 +365,9 @@
         let turn_at = proved_at.after(self.read_age_ms());
         known.behind_since().map_or(turn_at, |since| {
             let has_relays = self.daemons > DIRECT_RECEIVERS_MAX as u64;
-            let wait_ms = if has_relays {
+            let wait_ms = if known.is_restored() {
+                RESTORED_TABLE_WAIT_MS + self.restored_spread_ms() * self.turn / TURN_SCALE
+            } else if has_relays {
                 RELAYED_CHANGE_WAIT_MS
             } else {
                 0
@@ -361,6 +376,17 @@
         })
     }
 
+    /// Returns how far apart the first and the last daemon read a table of a restored store that the
+    /// leader's snapshot has not brought them, in milliseconds.
+    const fn restored_spread_ms(&self) -> u64 {
+        let spread_ms = self.daemons * 1_000 / PROBES_PER_S;
+        if spread_ms < RESTORED_SPREAD_MAX_MS {
+            spread_ms
+        } else {
+            RESTORED_SPREAD_MAX_MS
+        }
+    }
+
     /// Returns the age of the tables at which it is this daemon's turn to read the store, in
     /// milliseconds.
     ///
@@ -428,7 +454,12 @@
             return self.is_leader_fresh(now) || known.is_unavailable();
         }
         let since = known.behind_since();
-        since.is_some_and(|since| now.since(since) >= SNAPSHOT_AFTER_MS)
+        let after_ms = if known.is_restored() {
+            RESTORED_SNAPSHOT_AFTER_MS
+        } else {
+            SNAPSHOT_AFTER_MS
+        };
+        since.is_some_and(|since| now.since(since) >= after_ms)
     }
 
     /// Returns whether this daemon should replace the leader, because the store responds to this
--- a/crates/balsam-decide/src/keys/assigner.rs
+++ b/crates/balsam-decide/src/keys/assigner.rs
@@ -1,9 +1,10 @@
 //! State machine of the leader, which assigns keys, and of the daemons that stand by to replace it.
 
+use super::era::{EraState, RestoredTerm};
 use super::orders::{ProgressMap, SentOrder};
 use super::outstanding::OutstandingGrants;
 use super::reachability::Reachability;
-use super::service::{OrderContext, ServiceState, assignment_key};
+use super::service::{OrderContext, PlanContext, ServiceState, assignment_key};
 use super::{
     AssignerInput, AssignerOutput, Commit, CommitResult, DaemonIdentity, GrantTiming, MoveScope,
     Order, OrderId, OrderKind, OrderResult, RowVersion, StoredLead, StoredRanges,
@@ -39,6 +40,11 @@
         have_predecessors_ended: bool,
         /// Whether the rows have been read since this daemon became the leader.
         has_loaded_rows: bool,
+        /// Whether there has never been a leader before.
+        is_first: bool,
+        /// Which grants are permitted until the inherited ones have expired, if the rows may lack
+        /// assignments that were made before the store was restored.
+        restored: Option<RestoredTerm>,
     },
 }
 
@@ -101,6 +107,8 @@
     pub(super) is_reloading: bool,
     /// When the store is next asked whether this daemon is still the leader.
     pub(super) confirm_at: TimeMs,
+    /// The era of the store, and what this daemon did before it began.
+    pub(super) era: EraState,
 }
 
 impl Assigner {
@@ -130,9 +138,18 @@
             reload_at: Some(now),
             is_reloading: false,
             confirm_at: now,
+            era: EraState::default(),
         }
     }
 
+    /// Sets whether the whole deployment starts for the first time, so that a missing leader row
+    /// shows that there has never been a leader.
+    #[must_use]
+    pub const fn with_first_start(mut self, is_first_start: bool) -> Self {
+        self.era.is_first_start = is_first_start;
+        self
+    }
+
     /// Delays the first read of the rows. The heartbeat of a leader that arrives sooner replaces it.
     #[must_use]
     pub fn with_first_read_delay(mut self, delay_ms: u64) -> Self {
@@ -173,8 +190,9 @@
         let can_wait_for_tick = self.can_wait_for_tick(&input);
         let mut moved = None;
         match input {
+            AssignerInput::Era(era) => self.enter_era(now, era),
             AssignerInput::Lead(stored) => self.observe_lead(now, stored),
-            AssignerInput::Ranges(stored) => self.observe_ranges(stored),
+            AssignerInput::Ranges(stored) => self.observe_ranges(now, stored),
             AssignerInput::Reloaded => {
                 self.is_reloading = false;
                 self.reload_at = self.first_turn_after(now);
@@ -246,13 +264,18 @@
     }
 
     fn service(&mut self, name: &ServiceName) -> &mut ServiceState {
+        let era = self.era.current;
         let state = self.services.entry(name.clone());
-        state.or_insert_with(|| ServiceState::new(name.clone()))
+        state.or_insert_with(|| ServiceState::new(name.clone(), era))
     }
 
-    fn observe_ranges(&mut self, stored: StoredRanges) {
+    fn observe_ranges(&mut self, now: TimeMs, stored: StoredRanges) {
+        self.enter_era(now, stored.version.era());
         let service = stored.ranges.service.clone();
-        self.service(&service).store(stored);
+        if self.service(&service).store(stored) {
+            // Another daemon may have given keys away that this one believes to be held.
+            self.era.ended_term = None;
+        }
     }
 
     /// Returns whether this daemon is the leader and all grants of earlier leaders have expired.
@@ -268,18 +291,15 @@
         match (result, pending) {
             (CommitResult::Done(version), PendingCommit::Lead { sent_at, is_first }) => {
                 // The first leader of a deployment has no predecessor.
-                let expiry_after_takeover_ms = if is_first {
-                    0
-                } else {
-                    self.timing.expiry_after_takeover_ms(self.longest_hold_ms())
-                };
-                self.become_leader(now, version, sent_at, now.after(expiry_after_takeover_ms));
+                self.become_leader(now, version, sent_at, is_first);
             }
             (CommitResult::Done(version), PendingCommit::Ranges { sent_at, ranges }) => {
                 if let Lead::Mine { confirmed_at, .. } = &mut self.lead {
                     *confirmed_at = sent_at.max(*confirmed_at);
                 }
-                self.observe_ranges(StoredRanges { version, ranges });
+                let service = ranges.service.clone();
+                self.service(&service)
+                    .store(StoredRanges { version, ranges });
             }
             (CommitResult::Failed, PendingCommit::Lead { .. }) => {
                 self.election_at = now.after(ELECTION_RETRY_MS + self.stagger_ms);
@@ -383,18 +403,21 @@
             MoveScope::All
         };
         let settled_lead = self.have_earlier_leaders_ended(now).then_some(lead);
+        let is_restored = self.restored_term(now).is_some();
         for name in self.keyed.clone() {
             let upstreams = Arc::clone(&self.upstreams);
             let state = self.services.entry(name.clone());
-            let state = state.or_insert_with(|| ServiceState::new(name));
-            if let Some(ranges) = state.propose(
+            let state = state.or_insert_with(|| ServiceState::new(name, lead.era()));
+            if let Some(ranges) = state.propose(PlanContext {
                 now,
-                &self.timing,
-                &upstreams,
-                &self.reachability,
+                era: lead.era(),
+                timing: &self.timing,
+                upstreams: &upstreams,
+                reachability: &self.reachability,
                 moves,
                 settled_lead,
-            ) {
+                is_restored,
+            }) {
                 let expected = state.stored().version;
                 self.pending = Some(PendingCommit::Ranges {
                     sent_at: now,
@@ -424,6 +447,7 @@
         let upstreams = Arc::clone(&self.upstreams);
         let inherited_grants_until = self.inherited_grants_until();
         let stale_orders_until = self.stale_orders_until();
+        let restored = self.restored_term(now);
         for (name, state) in &mut self.services {
             let due = state.due(OrderContext {
                 now,
@@ -431,6 +455,7 @@
                 outstanding: &self.outstanding,
                 inherited_grants_until,
                 stale_orders_until,
+                restored,
                 upstreams: &upstreams,
                 keyed: &self.keyed,
             });
--- a/crates/balsam-decide/src/keys/leadership.rs
+++ b/crates/balsam-decide/src/keys/leadership.rs
@@ -8,6 +8,7 @@
 impl Assigner {
     /// Adopts a newer version of the leader's row.
     pub(super) fn observe_lead(&mut self, now: TimeMs, stored: StoredLead) {
+        self.enter_era(now, stored.version.era());
         match &self.lead {
             Lead::Mine { version, .. } if stored.version <= *version => return,
             Lead::Other(known) if stored.version <= known.version => return,
@@ -16,11 +17,10 @@
             Lead::Unread => self.reload_at = None,
             Lead::Other(_) | Lead::Mine { .. } => {}
         }
-        // This daemon's own commit succeeded, although its result was lost.
-        if stored.leader.as_ref() == Some(&self.me) {
-            let inherited_grants_until =
-                now.after(self.timing.expiry_after_takeover_ms(self.longest_hold_ms()));
-            self.become_leader(now, stored.version, now, inherited_grants_until);
+        // This daemon's own commit succeeded, although its result was lost. In a later era the row
+        // may be from before the restoration, so this daemon must be elected again.
+        if stored.leader.as_ref() == Some(&self.me) && !self.era.has_changed {
+            self.become_leader(now, stored.version, now, false);
             return;
         }
         // An earlier incarnation of this daemon has ended and sends no more orders.
@@ -39,7 +39,12 @@
         } else {
             self.timing.leader_timeout_ms
         };
-        self.election_at = if stored.version == RowVersion(0) {
+        self.election_at = if self.should_lead_again(now) {
+            // This daemon can renew the grants that are in force, and no other one can.
+            now
+        } else if stored.version.is_absent() && self.era.has_changed {
+            now.after(self.timing.leader_timeout_ms + self.stagger_ms)
+        } else if stored.version.is_absent() {
             self.first_turn_at.max(now)
         } else {
             now.after(wait_ms + self.stagger_ms)
@@ -53,8 +58,7 @@
     /// All daemons of a new deployment start at the same moment. Those with a longer stagger find
     /// the leader in the row when their turn comes.
     pub(super) fn first_turn_after(&self, now: TimeMs) -> Option<TimeMs> {
-        let has_no_leader =
-            matches!(&self.lead, Lead::Other(stored) if stored.version == RowVersion(0));
+        let has_no_leader = matches!(&self.lead, Lead::Other(stored) if stored.version.is_absent());
         (has_no_leader && now < self.first_turn_at).then_some(self.first_turn_at)
     }
 
@@ -64,8 +68,16 @@
         now: TimeMs,
         version: RowVersion,
         confirmed_at: TimeMs,
-        inherited_grants_until: TimeMs,
+        is_first: bool,
     ) {
+        self.enter_era(now, version.era());
+        // The first leader of a deployment has no predecessor.
+        let expiry_after_takeover_ms = if is_first {
+            0
+        } else {
+            self.timing.expiry_after_takeover_ms(self.longest_hold_ms())
+        };
+        let inherited_grants_until = now.after(expiry_after_takeover_ms);
         self.predecessor = self.leader().cloned();
         self.predecessor_version = self.lead_version();
         self.lead = Lead::Mine {
@@ -75,13 +87,17 @@
             inherited_hold_ms: self.longest_hold_ms(),
             have_predecessors_ended: false,
             has_loaded_rows: false,
+            is_first,
+            restored: None,
         };
         if self.followed.has_ended {
             self.predecessor_ended(now);
         }
         self.confirm_at = now.after(self.timing.confirm_interval_ms);
-        for service in self.services.values_mut() {
-            service.discard_progress();
+        if !self.should_lead_again(now) {
+            for service in self.services.values_mut() {
+                service.discard_progress();
+            }
         }
         // The rows are read again, because the previous leader may have committed assignments that
         // this daemon does not know.
@@ -162,6 +178,7 @@
             inherited_grants_until,
             inherited_hold_ms,
             have_predecessors_ended,
+            restored: None,
             ..
         } = &mut self.lead
             && self.followed.is_settled
@@ -184,14 +201,34 @@
     ///
     /// The rows may show that grants last longer than was known when this daemon became the leader.
     pub(super) fn rows_loaded(&mut self, now: TimeMs) {
-        let longest_ms = self.longest_hold_ms();
+        let restrictions = self.restrictions(now);
+        // Rows that are lost may have permitted the longest duration.
+        let longest_ms = match restrictions {
+            Some(_) => self.longest_hold_ms().max(self.timing.hold_max_ms),
+            None => self.longest_hold_ms(),
+        };
+        let expiry_after_takeover_ms = self.timing.expiry_after_takeover_ms(longest_ms);
         if let Lead::Mine {
             inherited_grants_until,
             inherited_hold_ms,
+            have_predecessors_ended,
             has_loaded_rows: has_loaded_rows @ false,
+            is_first,
+            restored,
             ..
         } = &mut self.lead
         {
+            if !*is_first && restrictions.is_some() {
+                *restored = restrictions;
+                *inherited_grants_until = now.after(expiry_after_takeover_ms);
+                *inherited_hold_ms = longest_ms;
+                *have_predecessors_ended = false;
+                if self.era.ended_term.take().is_none() {
+                    for service in self.services.values_mut() {
+                        service.discard_progress();
+                    }
+                }
+            }
             let longest_ms = longest_ms.max(*inherited_hold_ms);
             let extension_ms = self.timing.grant_expiry_ms(longest_ms)
                 - self.timing.grant_expiry_ms(*inherited_hold_ms);
@@ -233,6 +270,7 @@
     /// Extends this daemon's right to give orders if its row is still in the store, and ends its
     /// term as leader otherwise.
     pub(super) fn confirmed(&mut self, now: TimeMs, asked_at: TimeMs, read: Option<RowVersion>) {
+        self.enter_era(now, read.unwrap_or_default().era());
         let Lead::Mine {
             version,
             confirmed_at,
@@ -243,6 +281,10 @@
         };
         match read {
             Some(read) if read == *version => *confirmed_at = asked_at.max(*confirmed_at),
+            // The answer was given before the store was restored.
+            Some(read) if read.era() < version.era() => {
+                self.confirm_at = now.after(self.timing.confirm_interval_ms / 4);
+            }
             Some(_) => {
                 // Another daemon has become the leader; the row is read again to learn which.
                 self.lead = Lead::Unread;
@@ -265,12 +307,18 @@
     }
 
     /// Returns when orders of earlier leaders can no longer arrive at an upstream.
+    ///
+    /// After a restoration a range may have an owner that the rows do not name, and that an order
+    /// which arrived before this time let hold it. A release of the known owner is not conclusive
+    /// until its grants have expired too.
     pub(super) fn stale_orders_until(&self) -> TimeMs {
         let grant_expiry_ms = match self.lead {
             Lead::Mine {
-                inherited_hold_ms, ..
+                inherited_hold_ms,
+                restored: None,
+                ..
             } => self.timing.grant_expiry_ms(inherited_hold_ms),
-            Lead::Unread | Lead::Stopped | Lead::Other(_) => 0,
+            Lead::Mine { .. } | Lead::Unread | Lead::Stopped | Lead::Other(_) => 0,
         };
         TimeMs(
             self.inherited_grants_until()
@@ -285,7 +333,7 @@
         if waits || self.is_leaving {
             return None;
         }
-        let is_first = stored.version == RowVersion(0);
+        let is_first = self.is_first_leader(stored.version);
         self.pending = Some(PendingCommit::Lead {
             sent_at: now,
             is_first,
--- a/crates/balsam-decide/src/keys/message.rs
+++ b/crates/balsam-decide/src/keys/message.rs
@@ -3,16 +3,34 @@
 use crate::directory::Upstreams;
 use balsam_types::{
     DaemonName, FencingToken, Incarnation, KeyRange, Owner, ServiceName, ServiceRanges, ShardKey,
-    TimeMs, UpstreamName,
+    StoreEra, TimeMs, UpstreamName,
 };
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-/// The version of a row in the store; 0 stands for a row that does not exist.
+/// The version of a row in the store, with the era in which it was read or written; the number 0
+/// stands for a row that does not exist.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct RowVersion(pub u64);
 
+impl RowVersion {
+    /// Returns the version of a row that does not exist in an era.
+    pub const fn absent(era: StoreEra) -> Self {
+        Self(era.absent())
+    }
+
+    /// Returns the era of the store in which the row had this version.
+    pub const fn era(self) -> StoreEra {
+        StoreEra::of(self.0)
+    }
+
+    /// Returns whether the row does not exist.
+    pub const fn is_absent(self) -> bool {
+        StoreEra::number(self.0) == 0
+    }
+}
+
 /// A daemon in one incarnation.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct DaemonIdentity {
@@ -163,6 +181,8 @@
 /// Inputs of the [`Assigner`](super::Assigner).
 #[derive(Clone, Debug)]
 pub enum AssignerInput {
+    /// The store answers in this era. It comes before the rows of the same answer.
+    Era(StoreEra),
     /// The leader's row, as read from the store or received from the leader.
     Lead(StoredLead),
     /// The row of a service's assignments.
--- a/crates/balsam-decide/src/keys/mod.rs
+++ b/crates/balsam-decide/src/keys/mod.rs
@@ -10,6 +10,7 @@
 
 mod assigner;
 mod delta;
+mod era;
 mod leadership;
 mod load;
 mod message;
--- a/crates/balsam-decide/src/keys/service.rs
+++ b/crates/balsam-decide/src/keys/service.rs
@@ -1,5 +1,6 @@
 //! The leader's state for the assignments of one service.
 
+use super::era::RestoredTerm;
 use super::orders::{AssignmentKey, ProgressMap, SentOrder};
 use super::reachability::Reachability;
 use super::{
@@ -8,8 +9,8 @@
 };
 use crate::directory::Upstreams;
 use balsam_types::{
-    Assignment, FencingToken, KeyRange, Map, Owner, ServiceName, ServiceRanges, ShardKey, TimeMs,
-    UpstreamName, new_map, new_set,
+    Assignment, FencingToken, KeyRange, Map, Owner, ServiceName, ServiceRanges, ShardKey, StoreEra,
+    TimeMs, UpstreamName, new_map, new_set,
 };
 use std::sync::Arc;
 
@@ -60,11 +61,29 @@
     pub(super) inherited_grants_until: TimeMs,
     /// When orders of earlier leaders can no longer arrive.
     pub(super) stale_orders_until: TimeMs,
+    /// Which grants are permitted, if the store has lost assignments by which keys may be held.
+    pub(super) restored: Option<RestoredTerm>,
     pub(super) upstreams: &'a Upstreams,
     /// The services whose keys have one owner each.
     pub(super) keyed: &'a [ServiceName],
 }
 
+/// The state outside a service that its plan depends on.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct PlanContext<'a> {
+    pub(super) now: TimeMs,
+    pub(super) era: StoreEra,
+    pub(super) timing: &'a GrantTiming,
+    pub(super) upstreams: &'a Upstreams,
+    pub(super) reachability: &'a Reachability,
+    pub(super) moves: MoveScope,
+    /// The version of this daemon's row as leader, if all earlier leaders have ended.
+    pub(super) settled_lead: Option<RowVersion>,
+    /// Whether grants of assignments that a restored store has lost may be in force. Another upstream
+    /// may then hold the keys of an owner that has seen a higher token.
+    pub(super) is_restored: bool,
+}
+
 impl OrderContext<'_> {
     /// Returns whether an owner has certainly ended, because an upstream that started later and
     /// takes no keys uses its address. Orders that earlier leaders still send to that address have
@@ -82,7 +101,11 @@
 /// The stored assignments of one service and the progress of their orders.
 #[derive(Debug)]
 pub(super) struct ServiceState {
+    /// The assignments, with the version that their row has in the store. After a restoration they
+    /// may be newer than the row.
     stored: StoredRanges,
+    /// The era in which the assignments were read or written.
+    ranges_era: StoreEra,
     samples: KeySamples,
     answers: ResponseTimes,
     /// The relative latency of the upstreams, and when it was computed.
@@ -98,12 +121,13 @@
 
 impl ServiceState {
     /// Creates the state of a service without a row.
-    pub(super) fn new(service: ServiceName) -> Self {
+    pub(super) fn new(service: ServiceName, era: StoreEra) -> Self {
         Self {
             stored: StoredRanges {
-                version: RowVersion(0),
+                version: RowVersion::absent(era),
                 ranges: Arc::new(ServiceRanges::new(service)),
             },
+            ranges_era: era,
             samples: KeySamples::new(),
             answers: ResponseTimes::new(),
             relative_latency: (TimeMs(0), new_map()),
@@ -115,13 +139,35 @@
         }
     }
 
-    /// Adopts a row if it is newer than the known one.
-    pub(super) fn store(&mut self, stored: StoredRanges) {
-        if stored.version > self.stored.version {
-            self.progress_map.retain(&stored.ranges.assignments);
-            self.stored = stored;
-            self.is_plan_requested = true;
+    /// Adopts a row if it is newer than the known one. Returns whether the assignments were replaced.
+    ///
+    /// A row of a restored store that no leader of its era has written is older than the assignments
+    /// of an earlier era. Those are kept, because upstreams hold keys by them.
+    pub(super) fn store(&mut self, stored: StoredRanges) -> bool {
+        if stored.version <= self.stored.version {
+            return false;
+        }
+        self.is_plan_requested = true;
+        let is_older = self.ranges_era < stored.version.era()
+            && stored.ranges.next_fence <= self.stored.ranges.next_fence
+            && !self.stored.ranges.assignments.is_empty();
+        if is_older {
+            let long_hold_ms = stored.ranges.long_hold_ms;
+            if long_hold_ms > self.stored.ranges.long_hold_ms {
+                Arc::make_mut(&mut self.stored.ranges).long_hold_ms = long_hold_ms;
+            }
+            self.stored.version = stored.version;
+            return false;
         }
+        self.progress_map.retain(&stored.ranges.assignments);
+        self.ranges_era = stored.version.era();
+        self.stored = stored;
+        true
+    }
+
+    /// Records that the store was restored. Until it is read again, the row counts as missing.
+    pub(super) fn enter_era(&mut self, era: StoreEra) {
+        self.stored.version = self.stored.version.max(RowVersion::absent(era));
     }
 
     /// Returns the row as last stored.
@@ -162,6 +208,11 @@
         let service = &stored.ranges.service;
         let mut due = Vec::new();
         for assignment in &stored.ranges.assignments {
+            if let Some(RestoredTerm { renewable_below }) = context.restored
+                && (assignment.is_moving() || assignment.fence >= renewable_below)
+            {
+                continue;
+            }
             let mut is_free = true;
             // A range that moves back may have its owner among the former ones. Nobody else gets the
             // keys that the owner still holds, so it has nothing to release.
@@ -317,23 +368,30 @@
     }
 
     /// Returns the assignments to commit, or `None` if they should not change.
-    pub(super) fn propose(
-        &mut self,
-        now: TimeMs,
-        timing: &GrantTiming,
-        upstreams: &Upstreams,
-        reachability: &Reachability,
-        moves: MoveScope,
-        settled_lead: Option<RowVersion>,
-    ) -> Option<Arc<ServiceRanges>> {
+    pub(super) fn propose(&mut self, context: PlanContext<'_>) -> Option<Arc<ServiceRanges>> {
+        let PlanContext {
+            now,
+            era,
+            timing,
+            upstreams,
+            reachability,
+            moves,
+            settled_lead,
+            is_restored,
+        } = context;
         let is_due = self.is_plan_requested || now.since(self.planned_at) >= PLAN_INTERVAL_MS;
         if !is_due && !self.stored.ranges.assignments.is_empty() {
             return None;
         }
         self.is_plan_requested = false;
         let mut draft = ServiceRanges::clone(&self.stored.ranges);
-        let has_ended_moves = self.end_moves(&mut draft);
-        let mut changed = has_ended_moves && now.since(self.moves_ended_at) >= MOVE_END_INTERVAL_MS;
+        // A later leader of a lost time may have issued any token of its era.
+        let has_old_tokens = draft.next_fence < era.first_fence();
+        draft.next_fence = draft.next_fence.max(era.first_fence());
+
+        let has_ended_moves = self.end_moves(&mut draft, is_restored);
+        let mut changed = has_old_tokens && !draft.assignments.is_empty()
+            || has_ended_moves && now.since(self.moves_ended_at) >= MOVE_END_INTERVAL_MS;
         // The end of any order may trigger a plan; latencies change more slowly than that.
         if now.since(self.relative_latency.0) >= PLAN_INTERVAL_MS {
             self.relative_latency = (now, self.answers.relative_latency(now));
@@ -374,6 +432,10 @@
             draft.settled_lead = lead.0;
             changed = true;
         }
+        // Later leaders of this era need not wait for grants of earlier ones.
+        if !is_restored && StoreEra::of(draft.settled_lead) < era {
+            draft.settled_lead = era.absent();
+        }
         let long_hold_ms = timing.long_hold_ms(draft.assignments.len());
         if long_hold_ms > draft.long_hold_ms {
             draft.long_hold_ms = long_hold_ms;
@@ -387,14 +449,14 @@
 
     /// Ends moves whose new owner holds the keys, and replaces fencing tokens that are lower than
     /// one an owner has seen. Returns whether anything changed.
-    fn end_moves(&self, draft: &mut ServiceRanges) -> bool {
+    fn end_moves(&self, draft: &mut ServiceRanges, is_restored: bool) -> bool {
         let mut changed = false;
         let mut next_fence = draft.next_fence;
         for assignment in &mut draft.assignments {
             let Some(progress) = self.progress_map.get(assignment) else {
                 continue;
             };
-            if progress.is_fenced {
+            if progress.is_fenced && !is_restored {
                 assignment.fence = next_fence;
                 next_fence = FencingToken(next_fence.0 + 1);
                 changed = true;
--- a/crates/balsam-decide/tests/key_world/delivery.rs
+++ b/crates/balsam-decide/tests/key_world/delivery.rs
@@ -41,6 +41,11 @@
     /// Sends an order to its upstream, and delivers the answer now or later.
     pub(super) fn send(&mut self, at: usize, order: Order) {
         let id = order.id;
+        if matches!(order.kind, OrderKind::Grant { .. }) {
+            let owner = self.token_owners.entry(order.fence);
+            let owner = owner.or_insert_with(|| order.to.clone());
+            self.reused_tokens += u32::from(*owner != order.to);
+        }
         if self.now >= order.send_before && self.flaw != Flaw::NoCheckBeforeSend {
             return self.deliver(
                 at,
--- a/crates/balsam-decide/tests/key_world/kinds.rs
+++ b/crates/balsam-decide/tests/key_world/kinds.rs
@@ -26,6 +26,11 @@
     LongHoldNotStored,
     /// A leader that was frozen sends its orders without checking whether they have expired.
     NoCheckBeforeSend,
+    /// A restored store answers in the same era as before.
+    EraHidden,
+    /// The rows of a restored store tell that a leader of its era has waited for the grants of
+    /// earlier eras.
+    NoRestoredWait,
 }
 
 /// How soon a crashed upstream restarts under its name.
@@ -46,4 +51,23 @@
     pub held: u64,
     /// All checks.
     pub looks: u64,
+    /// Fencing tokens that two owners were granted keys with.
+    pub reused_tokens: u32,
+    /// The longest time for which a key had no owner, in milliseconds.
+    pub longest_gap_ms: u64,
+}
+
+/// A scripted event of a schedule without random faults.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Event {
+    /// An upstream starts to leave.
+    Drain(usize),
+    /// A daemon ends and restarts at once.
+    RestartDaemon(usize),
+    /// All daemons end and restart at once.
+    RestartAll,
+    /// A daemon is suspended for some milliseconds.
+    Freeze(usize, u64),
+    /// The store goes back to a copy of some milliseconds ago.
+    Restore(u64),
 }
--- a/crates/balsam-decide/tests/key_world/world.rs
+++ b/crates/balsam-decide/tests/key_world/world.rs
@@ -1,15 +1,15 @@
 //! Random schedules in which daemons are cut off, frozen and killed, and orders are lost or
 //! executed late.
 
-use super::{Flaw, KEYS, Report, Restart, Store, Upstream};
+use super::{Event, Flaw, KEYS, Report, Restart, Store, Upstream};
 use balsam_decide::directory::{DiscoveredUpstream, Upstreams};
 use balsam_decide::keys::{
     Assigner, AssignerInput, AssignerOutput, Commit, CommitResult, DaemonIdentity, GrantTiming,
     Order,
 };
 use balsam_types::{
-    DaemonName, Incarnation, ServiceName, StartTime, TimeMs, UpstreamEntry, UpstreamName,
-    UpstreamState, ZoneName,
+    DaemonName, FencingToken, Incarnation, Map, Owner, ServiceName, StartTime, StoreEra, TimeMs,
+    UpstreamEntry, UpstreamName, UpstreamState, ZoneName, new_map,
 };
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -56,6 +56,14 @@
     /// incarnation.
     pub(super) late_answers: Vec<(TimeMs, usize, u64, AssignerInput)>,
     next_born: u64,
+    /// Events of a schedule without random faults, in order.
+    script: Option<VecDeque<(TimeMs, Event)>>,
+    /// Whether the store goes back to earlier copies at random times.
+    restores: bool,
+    pub(super) token_owners: Map<FencingToken, Owner>,
+    pub(super) reused_tokens: u32,
+    /// Since when each key has had no owner.
+    unheld_since: [Option<TimeMs>; KEYS.len()],
 }
 
 pub(super) fn name(at: usize) -> UpstreamName {
@@ -90,6 +98,11 @@
             delayed_commits: Vec::new(),
             late_answers: Vec::new(),
             next_born: 100,
+            script: None,
+            restores: false,
+            token_owners: new_map(),
+            reused_tokens: 0,
+            unheld_since: [None; KEYS.len()],
         };
         for upstream in &mut cluster.upstreams {
             upstream.extra_drift_percent = if flaw == Flaw::HoldNotWaitedFor {
@@ -120,6 +133,24 @@
         self
     }
 
+    /// Replaces the random faults by these events, at times since the start in milliseconds.
+    pub fn with_script(mut self, events: impl IntoIterator<Item = (u64, Event)>) -> Self {
+        let start = self.now;
+        let events = events.into_iter();
+        self.script = Some(
+            events
+                .map(|(at_ms, event)| (start.after(at_ms), event))
+                .collect(),
+        );
+        self
+    }
+
+    /// Lets the store go back to earlier copies at random times.
+    pub const fn with_restores(mut self) -> Self {
+        self.restores = true;
+        self
+    }
+
     fn start(&self, at: usize, incarnation: u64) -> Daemon {
         let mut timing = GrantTiming::new(10_000);
         timing.default_hold_ranges = self.default_hold_ranges;
@@ -167,7 +198,14 @@
         let mut report = Report::default();
         let end = self.now.after(length_ms);
         while self.now < end {
-            self.inject_faults();
+            self.store.keep_copy(self.now);
+            self.play_script();
+            if self.script.is_none() {
+                self.inject_faults();
+            }
+            if self.restores {
+                self.inject_restores();
+            }
             self.deliver_delayed();
             for at in 0..DAEMONS {
                 self.run_daemon(at);
@@ -175,10 +213,61 @@
             self.check_holders(&mut report);
             self.now = self.now.after(STEP_MS);
         }
+        report.reused_tokens = self.reused_tokens;
         report
     }
 
+    fn play_script(&mut self) {
+        let now = self.now;
+        let is_due =
+            |events: &VecDeque<(TimeMs, Event)>| events.front().is_some_and(|(at, _)| *at <= now);
+        while self.script.as_ref().is_some_and(is_due) {
+            let event = self.script.as_mut().and_then(VecDeque::pop_front);
+            match event.map(|(_, event)| event) {
+                Some(Event::Drain(at)) => self.upstreams[at].is_draining = true,
+                Some(Event::RestartDaemon(at)) => self.restart_daemon(at),
+                Some(Event::RestartAll) => (0..DAEMONS).for_each(|at| self.restart_daemon(at)),
+                Some(Event::Freeze(at, for_ms)) => {
+                    self.daemons[at].frozen_until = now.after(for_ms);
+                }
+                Some(Event::Restore(age_ms)) => self.restore(age_ms),
+                None => {}
+            }
+        }
+    }
+
+    fn restart_daemon(&mut self, at: usize) {
+        let incarnation = self.daemons[at].incarnation + 10;
+        self.daemons[at] = self.start(at, incarnation);
+    }
+
+    fn restore(&mut self, age_ms: u64) {
+        let at = self.now.before(age_ms);
+        self.store.restore(at, self.flaw == Flaw::EraHidden);
+    }
+
+    /// Restores the store now and then, sometimes twice in a row, and sometimes after an outage.
+    fn inject_restores(&mut self) {
+        if !self.chance(60) {
+            return;
+        }
+        let age_ms = self.rng.random_range(0..8_000);
+        self.restore(age_ms);
+        if self.chance(2_000) {
+            self.restore(age_ms / 2);
+        }
+        if self.chance(3_000) {
+            let until = self.random_time(100, 5_000);
+            for daemon in &mut self.daemons {
+                daemon.store_cut_until = daemon.store_cut_until.max(until);
+            }
+        }
+    }
+
     pub(super) fn chance(&mut self, per_10_000: u32) -> bool {
+        if self.script.is_some() {
+            return false;
+        }
         self.rng.random_range(0..10_000) < per_10_000
     }
 
@@ -272,6 +361,12 @@
             }
             self.daemons[at].inputs.extend(messages);
         }
+        let is_cut = self.now < self.daemons[at].store_cut_until;
+        if self.daemons[at].assigner.is_leading() && !is_cut {
+            // The leader follows the tables, and each answer shows the era.
+            let era = AssignerInput::Era(self.store.era());
+            self.daemons[at].inputs.push_back(era);
+        }
         let cluster = self.known_upstreams();
         self.daemons[at].inputs.push_back(cluster);
         self.daemons[at].inputs.push_back(AssignerInput::Tick);
@@ -329,11 +424,16 @@
             AssignerOutput::Reload if is_cut => self.deliver(at, AssignerInput::ReloadFailed),
             AssignerOutput::Reload => {
                 let (lead, mut ranges) = (self.store.lead(), self.store.ranges());
+                let era = self.store.era();
+                self.deliver(at, AssignerInput::Era(era));
+                if self.flaw == Flaw::NoRestoredWait && era > StoreEra(0) {
+                    Arc::make_mut(&mut ranges.ranges).settled_lead = era.absent();
+                }
                 if self.flaw == Flaw::LongHoldNotStored {
                     Arc::make_mut(&mut ranges.ranges).long_hold_ms = 0;
                 }
                 self.deliver(at, AssignerInput::Lead(lead));
-                if ranges.version.0 > 0 {
+                if !ranges.version.is_absent() {
                     self.deliver(at, AssignerInput::Ranges(ranges));
                 }
                 self.deliver(at, AssignerInput::Reloaded);
@@ -387,7 +487,7 @@
         self.store.commit(commit)
     }
 
-    fn check_holders(&self, report: &mut Report) {
+    fn check_holders(&mut self, report: &mut Report) {
         for key in 0..KEYS.len() {
             let holders = self
                 .upstreams
@@ -397,6 +497,12 @@
             report.looks += 1;
             report.held += u64::from(holders > 0);
             report.double_holds += u32::from(holders > 1);
+            if holders > 0 {
+                self.unheld_since[key] = None;
+            } else {
+                let since = self.unheld_since[key].get_or_insert(self.now);
+                report.longest_gap_ms = report.longest_gap_ms.max(self.now.since(*since));
+            }
         }
     }
 }
--- a/crates/balsam-edge/src/control/act.rs
+++ b/crates/balsam-edge/src/control/act.rs
@@ -10,6 +10,7 @@
 };
 use balsam_decide::crashes::{Refused, TrackerInput};
 use balsam_decide::keys::{Commit, CommitResult, Order, OrderResult, RowVersion};
+use balsam_types::StoreEra;
 use log::error;
 use std::sync::Arc;
 use tokio::sync::{mpsc, oneshot};
@@ -107,7 +108,7 @@
             }
         };
         let written = self.store.call(|reply| StoreRequest::Write {
-            expected: vec![(ClusterRowKey::Lead.text(), lead.0)],
+            expected: leads(lead),
             rows: vec![(key, value)],
             removed: Vec::new(),
             reply,
@@ -149,9 +150,10 @@
     match commit {
         Commit::TakeLead { expected, leader } => {
             let value = encode_row(&lead_key, leader)?;
+            let term = ClusterRowKey::Term(expected.era()).text();
             Ok((
                 vec![(Arc::clone(&lead_key), expected.0)],
-                vec![(lead_key, value)],
+                vec![(lead_key, value.clone()), (term, value)],
             ))
         }
         Commit::Assign {
@@ -166,12 +168,23 @@
             });
             let rows = rows.collect::<Result<Vec<Row>, RowError>>()?;
             let first = ClusterRowKey::Ranges(ranges.service.clone(), 0).text();
-            Ok((vec![(lead_key, lead.0), (first, expected.0)], rows))
+            let mut expected_rows = leads(*lead);
+            expected_rows.push((first, expected.0));
+            Ok((expected_rows, rows))
         }
     }
 }
 
-/// Returns the version of the only row of a page, or 0 if the row does not exist.
+/// Returns the condition that this daemon is still the leader that was elected with this version.
+///
+/// The row of the term makes the condition fail in a restored store that has lost the election and
+/// has given out its version again: no later leader writes the row of an earlier era.
+fn leads(lead: RowVersion) -> Expected {
+    let term = ClusterRowKey::Term(lead.era()).text();
+    vec![(ClusterRowKey::Lead.text(), lead.0), (term, lead.0)]
+}
+
+/// Returns the version of the only row of a page, which is that of a missing row if there is none.
 fn row_version(page: &Page) -> RowVersion {
     let versions = page.changes.iter().filter_map(|change| match change {
         StoreChange::Cluster {
@@ -181,5 +194,6 @@
         } => Some(*version),
         _ => None,
     });
-    RowVersion(versions.max().unwrap_or(0))
+    let absent = RowVersion::absent(StoreEra::of(page.version));
+    versions.max().map_or(absent, RowVersion)
 }
--- a/crates/balsam-edge/src/control/events.rs
+++ b/crates/balsam-edge/src/control/events.rs
@@ -24,6 +24,8 @@
     },
     /// The store no longer has the changes that this daemon missed; it reads the whole table again.
     HistoryLost { table: &'static str },
+    /// The store was restored from an older copy, and the table was read again.
+    Restored { table: &'static str, era: u16 },
     /// A row could not be decoded and was ignored.
     RowUnreadable {
         table: &'static str,
--- a/crates/balsam-edge/src/control/follow.rs
+++ b/crates/balsam-edge/src/control/follow.rs
@@ -65,9 +65,9 @@
     store: StoreClient,
     params: watch::Receiver<FollowParams>,
     version: Option<u64>,
-    /// Whether the whole table must be read, because the store has forgotten the changes that this
-    /// daemon missed.
-    is_history_lost: bool,
+    /// The version after which the store no longer has the changes. While the daemon knows nothing
+    /// newer, the whole table must be read.
+    lost_after: Option<u64>,
     /// Number of updates that were sent to the control task.
     sent: u64,
     backoff_ms: u64,
@@ -90,7 +90,7 @@
             store,
             params,
             version: None,
-            is_history_lost: false,
+            lost_after: None,
             sent: 0,
             backoff_ms: BACKOFF_MIN_MS,
             has_failed: false,
@@ -129,7 +129,7 @@
         let current = self.next_params().await?;
         // The table may be known from a snapshot of the leader without having been read here.
         let after = current.seen.max(self.version);
-        let after = after.filter(|_| !self.is_history_lost);
+        let after = after.filter(|after| self.lost_after.is_none_or(|lost| lost < *after));
         // After a failure, poll without waiting, so that the daemon learns that the store responds
         // again before the next change.
         let wait_ms = if self.has_failed { 0 } else { current.wait_ms };
@@ -147,13 +147,13 @@
                 }
                 if let TableUpdate::Listed(page) | TableUpdate::Changed(page) = &update {
                     self.version = Some(page.version);
-                    self.is_history_lost = false;
+                    self.lost_after = None;
                 }
                 Some((asked_at, update))
             }
             Err(StoreError::Stopped) => None,
             Err(error) => {
-                self.back_off(&error).await;
+                self.back_off(&error, after).await;
                 Some((asked_at, TableUpdate::Failed(error)))
             }
         }
@@ -169,9 +169,9 @@
         next_params.await.ok().map(|current| *current)
     }
 
-    async fn back_off(&mut self, error: &StoreError) {
+    async fn back_off(&mut self, error: &StoreError, after: Option<u64>) {
         match error {
-            StoreError::HistoryLost => self.is_history_lost = true,
+            StoreError::HistoryLost => self.lost_after = after,
             StoreError::Unreachable => sleep(Duration::from_millis(UNREACHABLE_RETRY_MS)).await,
             _ => {
                 sleep(Duration::from_millis(self.backoff_ms)).await;
--- a/crates/balsam-edge/src/control/path.rs
+++ b/crates/balsam-edge/src/control/path.rs
@@ -91,6 +91,7 @@
         let delays = StartDelays {
             election_ms: election_delay_ms,
             first_read_ms,
+            is_first_start: settings.first_start,
         };
         let feed = Feed::new()
             .with_first_read_at(now().after(tables_wait_ms))
--- a/crates/balsam-edge/src/control/peers.rs
+++ b/crates/balsam-edge/src/control/peers.rs
@@ -1,6 +1,7 @@
 //! Messages between the control task and other daemons.
 
 use super::events::RowSource;
+use super::snapshots::PUSHED_RANGES_PARTS_MAX;
 use super::task::ControlTask;
 use crate::clock::now;
 use crate::peer::{
@@ -14,7 +15,7 @@
     AssignerInput, LoadReport, RowVersion, StoredLead, StoredRanges, apply_delta, delta,
 };
 use balsam_decide::peers::DIRECT_RECEIVERS_MAX;
-use balsam_types::{Map, ServiceName, ServiceRanges, TimeMs};
+use balsam_types::{Map, ServiceName, ServiceRanges, TimeMs, new_set};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use tokio::sync::oneshot;
@@ -105,8 +106,9 @@
         let keyed = self.view.ranges.keys();
         let ranges = keyed.filter_map(|service| {
             let stored = self.assigner.stored(service)?;
-            // Version 0 stands for assignments that were never written, which no daemon can lack.
-            (stored.version.0 > 0).then(|| (service.clone(), stored.version.0))
+            // A missing row stands for assignments that were never written, which no daemon can lack.
+            let is_written = !stored.version.is_absent();
+            is_written.then(|| (service.clone(), stored.version.0))
         });
         Heartbeat {
             leader: self.this_daemon.clone(),
@@ -304,6 +306,7 @@
         }
         let peers = self.peer_registry.peers(now(), self.this_daemon.address);
         let mut deltas = Vec::new();
+        let mut restored = new_set();
         for (service, new) in &self.view.ranges {
             let (Some((base, old)), Some(stored)) =
                 (before.get(service), self.assigner.stored(service))
@@ -312,6 +315,9 @@
             };
             if !Arc::ptr_eq(old, new) {
                 let version = stored.version.0;
+                if old.next_fence < stored.version.era().first_fence() {
+                    restored.insert(service.clone());
+                }
                 let changed = delta(old, new);
                 let moving = changed
                     .assignments
@@ -329,10 +335,13 @@
             }
         }
         for delta in deltas {
-            if delta.changed.assignments.len() <= PUSHED_ASSIGNMENTS_MAX {
+            // The other daemons have the assignments under a version of the previous era.
+            let is_restored = restored.contains(&delta.changed.service);
+            if delta.changed.assignments.len() <= PUSHED_ASSIGNMENTS_MAX && !is_restored {
                 self.send(peers.clone(), PeerMessage::Ranges(delta));
             } else {
-                self.push_snapshot(&Topic::Ranges(delta.changed.service));
+                let topic = Topic::Ranges(delta.changed.service);
+                self.push_snapshot(&topic, PUSHED_RANGES_PARTS_MAX);
             }
         }
     }
--- a/crates/balsam-edge/src/control/snapshots.rs
+++ b/crates/balsam-edge/src/control/snapshots.rs
@@ -21,10 +21,13 @@
 
 /// Upper limit on the datagrams of a snapshot that the leader sends to all daemons unrequested. A
 /// larger snapshot would saturate the leader's link.
-const PUSHED_PARTS_MAX: usize = 4;
+pub(super) const PUSHED_PARTS_MAX: usize = 4;
+
+/// The same limit for tables of a restored store, which all daemons lack.
+pub(super) const PUSHED_RESTORED_PARTS_MAX: usize = 16;
 
 /// The same limit for assignments. All daemons would ask for them a moment later.
-const PUSHED_RANGES_PARTS_MAX: usize = 16;
+pub(super) const PUSHED_RANGES_PARTS_MAX: usize = 16;
 
 impl ControlTask {
     /// Requests snapshots from the leader of the data that did not arrive from the store in time.
@@ -73,8 +76,8 @@
         }
     }
 
-    /// Sends a snapshot to all other daemons if it fits into `PUSHED_PARTS_MAX` datagrams.
-    pub(super) fn push_snapshot(&mut self, topic: &Topic) {
+    /// Sends a snapshot to all other daemons if it fits into `parts_max` datagrams.
+    pub(super) fn push_snapshot(&mut self, topic: &Topic, parts_max: usize) {
         let Some((version, snapshot)) = self.snapshot(topic) else {
             return;
         };
@@ -87,10 +90,6 @@
             return;
         }
         let peers = self.peer_registry.peers(now(), self.this_daemon.address);
-        let parts_max = match topic {
-            Topic::Table(_) => PUSHED_PARTS_MAX,
-            Topic::Ranges(_) => PUSHED_RANGES_PARTS_MAX,
-        };
         match split_snapshot(topic, version, &snapshot) {
             Ok(parts) if parts.len() <= parts_max => {
                 for part in parts {
--- a/crates/balsam-edge/src/control/tables.rs
+++ b/crates/balsam-edge/src/control/tables.rs
@@ -2,6 +2,7 @@
 
 use super::TableUpdate;
 use super::events::{self, ControlEvent, RowSource};
+use super::snapshots::{PUSHED_PARTS_MAX, PUSHED_RESTORED_PARTS_MAX};
 use super::task::ControlTask;
 use crate::clock::now;
 use crate::peer::{Topic, UpstreamChange};
@@ -13,7 +14,7 @@
 use balsam_decide::feed::{FeedTable, StoreResponse};
 use balsam_decide::keys::{AssignerInput, RowVersion, StoredLead, StoredRanges};
 use balsam_decide::routing::RouteTable;
-use balsam_types::{RoutingConfig, ServiceName, TimeMs, UpstreamName, UpstreamRow};
+use balsam_types::{RoutingConfig, ServiceName, StoreEra, TimeMs, UpstreamName, UpstreamRow};
 use std::collections::BTreeMap;
 use std::collections::hash_map::Entry;
 use std::sync::Arc;
@@ -30,6 +31,9 @@
             TableUpdate::Listed(page) => (page, true),
             TableUpdate::Changed(page) => (page, false),
         };
+        let era = StoreEra::of(page.version);
+        let known_era = self.feed.seen(table).map(StoreEra::of);
+        let is_restored = known_era.is_some_and(|known| known < era);
         let has_changes = is_complete || !page.changes.is_empty();
         let base = self.feed.state(now()).of(table).changed;
         let response = StoreResponse {
@@ -64,11 +68,33 @@
             FeedTable::Config => {
                 self.apply_configs(page);
                 if has_changes {
-                    self.push_snapshot(&Topic::Table(FeedTable::Config));
+                    self.push_snapshot(&Topic::Table(FeedTable::Config), PUSHED_PARTS_MAX);
                 }
             }
             FeedTable::Upstreams => self.apply_upstreams(page, base, is_complete),
         }
+        if is_restored {
+            self.restored_tables.insert(table);
+            ControlEvent::Restored {
+                table: StoreTable::from(table).as_str(),
+                era: era.0,
+            }
+            .emit();
+            self.push_restored_tables();
+        }
+        // This ends the term of a leader, so it comes after the table was passed on.
+        self.decide(AssignerInput::Era(era));
+    }
+
+    /// Sends tables of a restored store to the other daemons, which would otherwise all read them.
+    /// A leader that is not elected again yet sends them when it is.
+    pub(super) fn push_restored_tables(&mut self) {
+        if !self.feed.broadcasts_changes(self.assigner.is_leading()) {
+            return;
+        }
+        for table in std::mem::take(&mut self.restored_tables) {
+            self.push_snapshot(&Topic::Table(table), PUSHED_RESTORED_PARTS_MAX);
+        }
     }
 
     fn store_failed(&mut self, table: FeedTable, error: &StoreError) {
@@ -212,7 +238,9 @@
 
     /// Applies the cluster rows: the leader, the assignments and the refused requests.
     pub(super) fn apply_cluster_rows(&mut self, page: Page) {
-        let mut has_leader_row = false;
+        let era = StoreEra::of(page.version);
+        self.decide(AssignerInput::Era(era));
+        let (mut has_leader_row, mut has_refused_row) = (false, false);
         let mut parts: BTreeMap<ServiceName, BTreeMap<u16, (RowVersion, RangesRow)>> =
             BTreeMap::new();
         for change in page.changes {
@@ -225,6 +253,7 @@
                 continue;
             };
             has_leader_row |= key == ClusterRowKey::Lead.text();
+            has_refused_row |= key == ClusterRowKey::Refused.text();
             let version = RowVersion(version);
             match self.apply_cluster_row(&key, version, value.as_deref()) {
                 Ok(Some((service, part, row))) => {
@@ -242,11 +271,15 @@
         }
         if !has_leader_row {
             let lead = StoredLead {
-                version: RowVersion(0),
+                version: RowVersion::absent(era),
                 leader: None,
             };
             self.decide(AssignerInput::Lead(lead));
         }
+        if !has_refused_row {
+            // A restored store may have lost the row, and the leader then writes it again.
+            self.watch(None, TrackerInput::RowRead(Vec::new()));
+        }
         self.publish_ranges();
     }
 
@@ -267,7 +300,7 @@
             (Some(ClusterRowKey::Refused), Some(value)) => {
                 self.watch(None, TrackerInput::RowRead(decode_row(key, value)?));
             }
-            (_, None) | (None, _) => {}
+            (Some(ClusterRowKey::Term(_)) | None, _) | (_, None) => {}
         }
         Ok(None)
     }
--- a/crates/balsam-edge/src/control/task.rs
+++ b/crates/balsam-edge/src/control/task.rs
@@ -21,8 +21,8 @@
 use balsam_decide::peers::PeerRegistry;
 use balsam_decide::room::KeeperElection;
 use balsam_types::{
-    FencingToken, Incarnation, Map, RoutingConfig, ServiceName, ServiceRanges, TimeMs, ZoneName,
-    new_map,
+    FencingToken, Incarnation, Map, RoutingConfig, ServiceName, ServiceRanges, Set, TimeMs,
+    ZoneName, new_map, new_set,
 };
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -70,6 +70,8 @@
     pub(super) outdated_since: Option<TimeMs>,
     /// Number of updates of each table that were handled.
     pub(super) updates_handled: Map<FeedTable, u64>,
+    /// Tables that were read from a restored store and not sent to the other daemons yet.
+    pub(super) restored_tables: Set<FeedTable>,
     /// Tables for which calls to the store fail, and since when.
     pub(super) unavailable_since: Map<FeedTable, TimeMs>,
     pub(super) next_heartbeat_at: TimeMs,
@@ -115,6 +117,8 @@
     pub(crate) election_ms: u64,
     /// Delay until the daemon looks up the leader, in milliseconds.
     pub(crate) first_read_ms: u64,
+    /// Whether the whole deployment starts for the first time.
+    pub(crate) is_first_start: bool,
 }
 
 impl ControlTask {
@@ -128,7 +132,8 @@
         channels: ControlChannels,
     ) -> Self {
         let assigner = Assigner::new(now(), this_daemon.clone(), timing, delays.election_ms)
-            .with_first_read_delay(delays.first_read_ms);
+            .with_first_read_delay(delays.first_read_ms)
+            .with_first_start(delays.is_first_start);
         Self {
             this_daemon,
             executor: Executor {
@@ -160,6 +165,7 @@
             serves_until: channels.serves_until,
             outdated_since: None,
             updates_handled: new_map(),
+            restored_tables: new_set(),
             unavailable_since: new_map(),
             next_heartbeat_at: now(),
             next_hello_at: now(),
@@ -332,6 +338,7 @@
             self.was_leading = leading;
             self.metrics.leader(leading);
             ControlEvent::Leading { leading }.emit();
+            self.push_restored_tables();
         }
         if let Some(stepped_down) = self.stepped_down.take_if(|_| !leading) {
             // The receiver is gone if the daemon no longer waits for the end of its leadership.
--- a/crates/balsam-edge/src/store/rows.rs
+++ b/crates/balsam-edge/src/store/rows.rs
@@ -1,7 +1,7 @@
 //! The cluster rows: the rows of the store that the daemons themselves write.
 
 use balsam_types::{
-    Assignment, FencingToken, KeyRange, Map, Owner, ServiceName, ServiceRanges, new_map,
+    Assignment, FencingToken, KeyRange, Map, Owner, ServiceName, ServiceRanges, StoreEra, new_map,
 };
 use bytes::Bytes;
 use serde::de::DeserializeOwned;
@@ -27,6 +27,8 @@
 pub enum ClusterRowKey {
     /// The leader.
     Lead,
+    /// The election of the last leader of an era of the store, written together with its row.
+    Term(StoreEra),
     /// The assignments of a service, split over rows that are numbered from 0.
     Ranges(ServiceName, u16),
     /// The requests that are refused because they crash upstreams.
@@ -34,6 +36,7 @@
 }
 
 const LEAD: &str = "lead";
+const TERM: &str = "lead/";
 const RANGES: &str = "ranges/";
 const REFUSED: &str = "refused";
 
@@ -42,6 +45,7 @@
     pub fn text(&self) -> Arc<str> {
         match self {
             Self::Lead => Arc::from(LEAD),
+            Self::Term(era) => Arc::from(format!("{TERM}{}", era.0)),
             Self::Refused => Arc::from(REFUSED),
             Self::Ranges(service, 0) => Arc::from(format!("{RANGES}{service}")),
             Self::Ranges(service, part) => Arc::from(format!("{RANGES}{service}/{part}")),
@@ -56,6 +60,9 @@
         if text == REFUSED {
             return Some(Self::Refused);
         }
+        if let Some(era) = text.strip_prefix(TERM) {
+            return Some(Self::Term(StoreEra(era.parse().ok()?)));
+        }
         let rest = text.strip_prefix(RANGES)?;
         let (service, part) = match rest.split_once('/') {
             Some((service, part)) => (service, part.parse().ok()?),
--- a/crates/balsam-edge/tests/support/store.rs
+++ b/crates/balsam-edge/tests/support/store.rs
@@ -2,6 +2,7 @@
 
 use balsam_decide::feed::StoreTimeMs;
 use balsam_edge::store::{Page, StoreChange, StoreError, StoreRequest, StoreTable, WriteOutcome};
+use balsam_types::StoreEra;
 use bytes::Bytes;
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -28,8 +29,12 @@
     Delay(usize, Duration),
     Calls(usize, oneshot::Sender<u64>),
     ClusterRow(Arc<str>, oneshot::Sender<Option<Bytes>>),
+    Copy,
+    Restore,
 }
 
+/// A row and the store's own number of its version.
+#[derive(Clone)]
 struct Row {
     version: u64,
     change: StoreChange,
@@ -45,8 +50,11 @@
 struct StoreTask {
     /// The start of the store's clock.
     started_at: Instant,
+    era: StoreEra,
     version: u64,
     rows: BTreeMap<Key, Row>,
+    /// The version and the rows of the last copy.
+    copy: (u64, BTreeMap<Key, Row>),
     access: BTreeMap<usize, Access>,
     /// Delay of the responses about upstreams, by client.
     delays: BTreeMap<usize, Duration>,
@@ -95,6 +103,16 @@
         drop(self.commands.send(Command::Put(change)));
     }
 
+    /// Makes a copy of all rows.
+    pub fn copy(&self) {
+        drop(self.commands.send(Command::Copy));
+    }
+
+    /// Goes back to the last copy, in the next era.
+    pub fn restore(&self) {
+        drop(self.commands.send(Command::Restore));
+    }
+
     /// Sets whether the calls of a daemon are served or refused.
     pub fn set_access(&self, client: usize, access: Access) {
         drop(self.commands.send(Command::Access(client, access)));
@@ -132,8 +150,10 @@
 async fn run(mut commands: mpsc::UnboundedReceiver<Command>) {
     let mut task = StoreTask {
         started_at: Instant::now(),
+        era: StoreEra(0),
         version: 0,
         rows: BTreeMap::new(),
+        copy: (0, BTreeMap::new()),
         access: BTreeMap::new(),
         delays: BTreeMap::new(),
         calls: BTreeMap::new(),
@@ -154,7 +174,15 @@
 impl StoreTask {
     fn handle(&mut self, command: Command) {
         match command {
-            Command::Put(change) => self.put(change),
+            Command::Put(change) => {
+                self.version += 1;
+                self.put(change);
+            }
+            Command::Copy => self.copy = (self.version, self.rows.clone()),
+            Command::Restore => {
+                (self.version, self.rows) = self.copy.clone();
+                self.era.0 += 1;
+            }
             Command::Access(client, access) => {
                 self.access.insert(client, access);
             }
@@ -179,19 +207,12 @@
         }
     }
 
-    fn put(&mut self, mut change: StoreChange) {
-        self.version += 1;
-        let newest = self.version;
-        let (table, key) = match &mut change {
+    /// Writes a row at the present version.
+    fn put(&mut self, change: StoreChange) {
+        let (table, key) = match &change {
             StoreChange::Config(_) => ("config", Arc::from("config")),
-            StoreChange::Upstream(row) => {
-                row.version = newest;
-                ("upstreams", Arc::from(row.entry.name.as_str()))
-            }
-            StoreChange::UpstreamRemoved { version, name } => {
-                *version = newest;
-                ("upstreams", Arc::from(name.as_str()))
-            }
+            StoreChange::Upstream(row) => ("upstreams", Arc::from(row.entry.name.as_str())),
+            StoreChange::UpstreamRemoved { name, .. } => ("upstreams", Arc::from(name.as_str())),
             StoreChange::Cluster { key, .. } => ("own", Arc::clone(key)),
             StoreChange::Unreadable { key, .. } => ("upstreams", Arc::clone(key)),
         };
@@ -218,6 +239,9 @@
                 );
                 drop(reply.send(Ok(page)));
             }
+            StoreRequest::Follow { after, reply, .. } if StoreEra::of(after) != self.era => {
+                drop(reply.send(Err(StoreError::HistoryLost)));
+            }
             StoreRequest::Follow { wait_ms, .. } => self.waiting.push(PendingFollow {
                 client,
                 until: Instant::now() + Duration::from_millis(wait_ms),
@@ -239,7 +263,7 @@
     ) -> WriteOutcome {
         let version_of = |key: &Arc<str>| {
             let row = self.rows.get(&("own", Arc::clone(key)));
-            row.map_or(0, |row| row.version)
+            self.in_era(row.map_or(0, |row| row.version))
         };
         if expected
             .iter()
@@ -247,15 +271,34 @@
         {
             return WriteOutcome::Conflict;
         }
+        self.version += 1;
         for (key, value) in rows {
-            let (version, value) = (self.version + 1, Some(value));
+            let (version, value) = (self.version, Some(value));
             self.put(StoreChange::Cluster {
                 key,
                 version,
                 value,
             });
         }
-        WriteOutcome::Done(self.version)
+        WriteOutcome::Done(self.in_era(self.version))
+    }
+
+    fn in_era(&self, number: u64) -> u64 {
+        self.era.version(number).expect("a small number")
+    }
+
+    /// Returns the change of a row with its version.
+    fn versioned(&self, row: &Row) -> StoreChange {
+        let newest = self.in_era(row.version);
+        let mut change = row.change.clone();
+        match &mut change {
+            StoreChange::Config(_) => {}
+            StoreChange::Upstream(row) => row.version = newest,
+            StoreChange::UpstreamRemoved { version, .. }
+            | StoreChange::Cluster { version, .. }
+            | StoreChange::Unreadable { version, .. } => *version = newest,
+        }
+        change
     }
 
     fn page(&self, table: StoreTable, after: u64) -> Page {
@@ -263,8 +306,8 @@
         let rows = rows
             .filter(|((row_table, _), row)| *row_table == table.as_str() && row.version > after);
         Page {
-            changes: rows.map(|(_, row)| row.change.clone()).collect(),
-            version: self.version,
+            changes: rows.map(|(_, row)| self.versioned(row)).collect(),
+            version: self.in_era(self.version),
             store_now: StoreTimeMs(self.started_at.elapsed().as_millis() as u64),
         }
     }
@@ -274,7 +317,13 @@
             let StoreRequest::Follow { table, after, .. } = &waiting.request else {
                 continue;
             };
-            let page = self.page(*table, *after);
+            if StoreEra::of(*after) != self.era {
+                if let StoreRequest::Follow { reply, .. } = waiting.request {
+                    drop(reply.send(Err(StoreError::HistoryLost)));
+                }
+                continue;
+            }
+            let page = self.page(*table, StoreEra::number(*after));
             if self.is_refused(waiting.client) {
                 refuse(waiting.request);
             } else if page.changes.is_empty() && Instant::now() < waiting.until {
--- a/crates/balsam-types/src/lib.rs
+++ b/crates/balsam-types/src/lib.rs
@@ -6,6 +6,7 @@
 mod clock_time;
 mod collections;
 mod credential;
+mod era;
 mod ids;
 mod outcome;
 mod ranges;
@@ -21,6 +22,7 @@
 pub use clock_time::TimeMs;
 pub use collections::{Map, Set, new_map, new_set};
 pub use credential::{CREDENTIAL_MAX_BYTES, CREDENTIAL_MIN_BYTES, Credential, CredentialError};
+pub use era::StoreEra;
 pub use ids::{AttemptId, Epoch, Fingerprint, Incarnation, KeyHash, Round, UnitId};
 pub use names::{
     DaemonName, MemberName, NameError, OrderId, RankName, RegionName, RouteName, ServiceName,
