--- a/crates/balsam-decide/tests/restored_tables.rs
+++ b/crates/balsam-decide/tests/restored_tables.rs
@@ -95,17 +95,17 @@
             }
             for follower in &mut followers {
                 // Two ways, because relays pass messages on.
-                let mut arrives = |rng: &mut StdRng| {
+                let arrives = |rng: &mut StdRng| {
                     (0..2).all(|_| rng.random_range(0..10_000) >= LOST_PER_10_000)
                 };
                 let has_snapshot = (0..SNAPSHOT_PARTS).all(|_| arrives(&mut rng));
                 if is_new && has_snapshot {
-                    let seen = leader.seen(table).expect("a known table");
-                    follower.feed.accept_snapshot(now, table, seen);
+                    let known = leader.seen(table).expect("a known table");
+                    follower.feed.accept_snapshot(now, table, known);
                 }
                 if is_new {
-                    let seen = leader.seen(FeedTable::Config).expect("a known table");
-                    follower.feed.accept_snapshot(now, FeedTable::Config, seen);
+                    let known = leader.seen(FeedTable::Config).expect("a known table");
+                    follower.feed.accept_snapshot(now, FeedTable::Config, known);
                 }
                 if arrives(&mut rng) {
                     deliver_heartbeat(&mut follower.feed, now, &leader);
