Reject answers with a status that HTTP does not have

Cause: heads with a status below 200 were skipped as interim answers, 000 to 099 among them, and 600 to 999 were passed on: the caller got status 600 as an answer, and waited for the deadline after a 000. Both daemons share the parser. Such a head is malformed now: a read is sent again, an order ends as unknown.

--- a/crates/balsam-edge/tests/support/upstream.rs
+++ b/crates/balsam-edge/tests/support/upstream.rs
@@ -32,6 +32,8 @@
     /// Responds with bytes until the connection is closed: a text, and another one that is
     /// repeated.
     Endless(&'static str, &'static str),
+    /// Responds with this status code.
+    Status(&'static str),
     /// Responds after a delay.
     Slow(Duration),
     /// Responds with further header fields.
@@ -166,6 +168,9 @@
                 refusal.clone()
             }
             Behavior::Announce(fields) => announce(&id, fields),
+            Behavior::Status(status) => {
+                format!("HTTP/1.1 {status} Trouble\r\nTest-Id: {id}\r\nContent-Length: 0\r\n\r\n")
+            }
             Behavior::RefuseAnnouncing(fields) => refuse(&format!("Test-Id: {id}\r\n{fields}")),
             Behavior::AnnounceToAnother(fields) => announce("another", fields) + &response(&id),
             Behavior::RepeatRefusal => refusal.clone() + &response(&id),
--- a/crates/balsam-http1/src/response.rs
+++ b/crates/balsam-http1/src/response.rs
@@ -9,6 +9,9 @@
 /// The maximum length of a response head in bytes.
 const HEAD_MAX_BYTES: usize = 64 << 10;
 
+/// The status codes of HTTP. With another one, a response cannot be told from an interim one.
+const STATUS_CODES: std::ops::Range<u16> = 100..600;
+
 /// A response head, together with the body framing and connection persistence it announces.
 #[derive(Debug)]
 pub struct ParsedResponseHead {
@@ -54,7 +57,10 @@
         ensure!(is_complete_head, BadHeadSnafu { part: "answer" });
         let part = "status line";
         let status = response.code.context(BadHeadSnafu { part })?;
-        ensure!(status != 101, BadHeadSnafu { part });
+        ensure!(
+            STATUS_CODES.contains(&status) && status != 101,
+            BadHeadSnafu { part }
+        );
         if status < 200 {
             continue;
         }
--- a/crates/balsam-http1/tests/message_heads.rs
+++ b/crates/balsam-http1/tests/message_heads.rs
@@ -48,6 +48,19 @@
     parse_response(&mut buffer, false).unwrap_err();
 }
 
+/// A status that HTTP does not have must not be taken for an interim answer, whose successor is
+/// awaited, or for an answer.
+#[rstest]
+#[case::zero("000")]
+#[case::below_interim("099")]
+#[case::above_errors("600")]
+#[case::largest("999")]
+fn status_out_of_range(#[case] status: &str) {
+    let text = format!("HTTP/1.1 {status} X\r\nContent-Length: 0\r\n\r\n");
+    let mut buffer = BytesMut::from(text.as_str());
+    parse_response(&mut buffer, false).unwrap_err();
+}
+
 /// Hop-by-hop fields are not forwarded, including those that the `Connection` field lists.
 #[test]
 fn hop_by_hop() {
