Do not take resets of a part of the answers for a restart

A reset lowers the limit now unless as many requests were answered within the last second, and six in a row count as down. recovered_upstream, cold_zone and permit_limits pass.

--- a/crates/balsam-decide/src/pace/machine.rs
+++ b/crates/balsam-decide/src/pace/machine.rs
@@ -16,8 +16,8 @@
 const REJECTED_LIMIT_FACTOR: f64 = 0.7;
 
 /// How long an answer shows that the upstream takes as many requests as were in flight with it, in
-/// milliseconds. An upstream may reject a part of its requests whatever their number is, and must not
-/// be left idle for that.
+/// milliseconds. An upstream may reject or reset a part of its requests whatever their number is, and
+/// must not be left idle for that.
 const PROVEN_MS: u64 = 1_000;
 
 /// Minimum interval between two decreases of the concurrency limit, in milliseconds, so that
@@ -52,8 +52,9 @@
 const UNREACHABLE_MAX: u32 = 2;
 
 /// Number of failures without an answer in between after which an upstream counts as down, unless it
-/// has more slots: all requests in flight may fail together.
-const FAILURES_MAX: u32 = 3;
+/// has more slots: all requests in flight may fail together. One that loses two in five answers at
+/// random seldom reaches it.
+const FAILURES_MAX: u32 = 6;
 
 /// Number of rejections without an answer in between after which an upstream counts as down, unless it
 /// has more slots. One that rejects half of its requests at random seldom reaches it.
@@ -312,7 +313,7 @@
         }
         match failure {
             Failure::TimedOut => self.decrease(now, LATE_LIMIT_FACTOR, 1.0),
-            Failure::Rejected if self.is_proven(now, in_flight) => return,
+            Failure::Rejected | Failure::Reset if self.is_proven(now, in_flight) => return,
             Failure::Rejected | Failure::Reset | Failure::Unreachable => {
                 self.decrease(now, REJECTED_LIMIT_FACTOR, LIMIT_MIN);
             }
