--- a/crates/balsam-edge/src/control/keepers.rs
+++ b/crates/balsam-edge/src/control/keepers.rs
@@ -10,13 +10,15 @@
 use std::sync::Arc;
 
 impl ControlTask {
-    /// Returns the message with which this daemon offers to be a keeper.
-    pub(super) fn capacity(&self) -> PeerMessage {
-        PeerMessage::Capacity {
+    /// Returns the message with which this daemon offers to be a keeper, or `None` if the settings
+    /// ask for no keepers.
+    pub(super) fn capacity(&self) -> Option<PeerMessage> {
+        let weight = self.keeper_weight?;
+        Some(PeerMessage::Capacity {
             zone: self.zone.clone(),
-            weight: self.keeper_weight,
+            weight,
             is_leaving: self.is_leaving,
-        }
+        })
     }
 
     /// Records the offer of a daemon. One that is new gets the present list at once.
@@ -42,13 +44,13 @@
 
     /// Chooses the keepers as the leader, and publishes them if they are due.
     pub(super) fn publish_keepers(&mut self, now: TimeMs) {
-        if !self.assigner.is_leading() {
+        let Some(weight) = self.keeper_weight.filter(|_| self.assigner.is_leading()) else {
             return;
-        }
+        };
         let daemon = KeeperDaemon {
             address: self.this_daemon.address,
             zone: self.zone.clone(),
-            weight: self.keeper_weight,
+            weight,
         };
         let is_leaving = self.is_leaving;
         let candidate = KeeperCandidate { daemon, is_leaving };
--- a/crates/balsam-edge/src/control/path.rs
+++ b/crates/balsam-edge/src/control/path.rs
@@ -103,6 +103,7 @@
         let credential = settings.peer_credential.clone();
         let zone = settings.zone.clone();
         let keeper_weight = settings.machine.keeper_weight();
+        let keeper_weight = (settings.room_daemons_per_slot > 0).then_some(keeper_weight);
         let evacuation_ms = settings.bounds.evacuation_ms();
         let thread = Arbiter::new();
         thread.spawn_fn(move || {
--- a/crates/balsam-edge/src/control/peers.rs
+++ b/crates/balsam-edge/src/control/peers.rs
@@ -75,7 +75,9 @@
                 vec![leader.address],
                 PeerMessage::Hello(self.follower_status()),
             );
-            self.send(vec![leader.address], self.capacity());
+            if let Some(capacity) = self.capacity() {
+                self.send(vec![leader.address], capacity);
+            }
             if self.feed.take_clock_request(now) {
                 let request = PeerMessage::AskClock { asked_at: now };
                 self.send(vec![leader.address], request);
--- a/crates/balsam-edge/src/control/task.rs
+++ b/crates/balsam-edge/src/control/task.rs
@@ -86,8 +86,8 @@
     pub(super) daemons: u32,
     pub(super) keeper_election: KeeperElection,
     pub(super) zone: ZoneName,
-    /// Strength of this daemon as a keeper of the room of upstreams.
-    pub(super) keeper_weight: u16,
+    /// Strength of this daemon as a keeper of the room of upstreams, if it needs keepers.
+    pub(super) keeper_weight: Option<u16>,
     /// Time after the acknowledgement of an evacuation from which on no request may reach the zone,
     /// in milliseconds.
     pub(super) evacuation_ms: u64,
@@ -111,8 +111,8 @@
     pub(crate) row_assignments_max: usize,
     /// Availability zone of this daemon.
     pub(crate) zone: ZoneName,
-    /// Strength of this daemon as a keeper of the room of upstreams.
-    pub(crate) keeper_weight: u16,
+    /// Strength of this daemon as a keeper of the room of upstreams, if it needs keepers.
+    pub(crate) keeper_weight: Option<u16>,
     /// Time after the acknowledgement of an evacuation from which on no request may reach the zone,
     /// in milliseconds.
     pub(crate) evacuation_ms: u64,
--- a/crates/balsam-edge/src/settings/file.rs
+++ b/crates/balsam-edge/src/settings/file.rs
@@ -35,8 +35,8 @@
     /// Limits of the deployment.
     pub bounds: Bounds,
     /// Number of daemons for each slot of an upstream from which on the room of upstreams is kept
-    /// for all daemons together. With 0 each daemon always goes by its own limits.
-    #[serde(default = "default_room_daemons_per_slot")]
+    /// for all daemons together. With 0, the default, each daemon always goes by its own limits.
+    #[serde(default)]
     pub room_daemons_per_slot: u32,
     /// Whether all daemons of the deployment start for the first time, so that none has any state.
     #[serde(default)]
@@ -112,12 +112,6 @@
     2.0
 }
 
-/// With 8 daemons for each slot, a daemon that counts one request in flight as its own room adds up
-/// with the others to eight times the slots, which is more than the queue of an upstream takes.
-const fn default_room_daemons_per_slot() -> u32 {
-    8
-}
-
 const fn default_level() -> LevelFilter {
     LevelFilter::Info
 }
