Give the uploads of a test time to wait for each other

A 504 at that time is right; it says nothing about memory, which the test guards. The routes of the test have 20 s now, and what it accepts is the same.

--- a/crates/balsam-edge/tests/large_uploads.rs
+++ b/crates/balsam-edge/tests/large_uploads.rs
@@ -27,9 +27,17 @@
 /// Time limit of a request that need not wait, on a busy machine.
 const PROMPT: Duration = Duration::from_millis(1_500);
 
+/// Timeout of the routes: uploads that wait for each other take a multiple of their time on a busy
+/// machine, and would end as unknown at a shorter one.
+const ROUTE_TIMEOUT_MS: u64 = 20_000;
+
 async fn start_edge(upstreams: &[&Upstream]) -> Edge {
     let mut config = config(1);
     config.limits.body_max_bytes = 64 << 20;
+    for route in &mut config.routes {
+        let route = std::sync::Arc::make_mut(route);
+        route.timeout_ms = ROUTE_TIMEOUT_MS;
+    }
     let entries = upstreams
         .iter()
         .map(|upstream| upstream_row(entry(upstream)));
