Look up the keeper of a group in a table

Cause: for each request without a key the pool computed the keeper of every group of the service, and while a keeper is silent of every upstream, by a hash for each keeper. The keepers are computed once for each list or change of upstreams.

--- a/crates/balsam-decide/src/pool/permits.rs
+++ b/crates/balsam-decide/src/pool/permits.rs
@@ -165,6 +165,9 @@
     zone: ZoneName,
     last_id: u64,
     keepers: Arc<KeeperList>,
+    /// The keeper of each group. At 300 daemons and 3,000 upstreams, a request looks at a hundred
+    /// groups, and finding a keeper takes a hash for each of the keepers.
+    keeper_addresses: Map<GroupId, SocketAddr>,
     layout: GroupLayout,
     evacuated: Arc<EvacuatedZones>,
     asking: Map<PermitId, Asking>,
@@ -183,6 +186,7 @@
             zone,
             last_id: first_id,
             keepers: Arc::default(),
+            keeper_addresses: new_map(),
             layout: GroupLayout::default(),
             evacuated: Arc::default(),
             asking: new_map(),
@@ -201,6 +205,12 @@
         layout: GroupLayout,
         evacuated: Arc<EvacuatedZones>,
     ) -> Vec<(PermitId, Asking)> {
+        let groups = layout.services().flat_map(|service| layout.groups(service));
+        let addresses = groups.filter_map(|group| {
+            let address = keepers.keeper_of(&group)?.address;
+            Some((group, address))
+        });
+        self.keeper_addresses = addresses.collect();
         self.keepers = keepers;
         self.layout = layout;
         self.evacuated = evacuated;
@@ -318,7 +328,7 @@
 
     /// Returns the keeper of a group, unless it does not answer at present.
     fn responsive_keeper(&self, now: TimeMs, group: &GroupId) -> Option<SocketAddr> {
-        let address = self.keepers.keeper_of(group)?.address;
+        let address = *self.keeper_addresses.get(group)?;
         let silent_until = self.silent_until.get(&address);
         silent_until
             .is_none_or(|until| now >= *until)
--- a/crates/balsam-decide/src/room/layout.rs
+++ b/crates/balsam-decide/src/room/layout.rs
@@ -45,6 +45,11 @@
         }
     }
 
+    /// Returns the services that have upstreams.
+    pub fn services(&self) -> impl Iterator<Item = &ServiceName> {
+        self.parts.keys()
+    }
+
     /// Returns the groups of a service.
     pub fn groups(&self, service: &ServiceName) -> Vec<GroupId> {
         let zones = self.parts.get(service).into_iter().flatten();
