Log what shows that a former owner holds no keys

The leader's log said that the next owner was granted the keys, but not why it took the former owner for gone: an acknowledged release, an expired hold and an inference from the list of upstreams looked alike.

Change: the assigner notes for each former owner of a moving range what showed that it holds no key, when the next owner is granted the range for the first time. The leader logs that as `freed`, with the upstream that gave the evidence.

--- a/crates/balsam-decide/src/keys/assigner.rs
+++ b/crates/balsam-decide/src/keys/assigner.rs
@@ -1,6 +1,7 @@
 //! State machine of the leader, which assigns keys, and of the daemons that stand by to replace it.
 
 use super::era::{EraState, RestoredTerm};
+use super::evidence::FreedRange;
 use super::orders::{ProgressMap, SentOrder};
 use super::outstanding::OutstandingGrants;
 use super::reachability::Reachability;
@@ -112,6 +113,8 @@
     pub(super) confirm_at: TimeMs,
     /// The era of the store, and what this daemon did before it began.
     pub(super) era: EraState,
+    /// The ranges whose keys have become free since the notices were last taken.
+    freed: Vec<FreedRange>,
 }
 
 impl Assigner {
@@ -143,6 +146,7 @@
             is_reloading: false,
             confirm_at: now,
             era: EraState::default(),
+            freed: Vec::new(),
         }
     }
 
@@ -189,6 +193,11 @@
         self.services.get(service).map(ServiceState::stored)
     }
 
+    /// Returns the ranges whose keys have become free for their next owners since the last call.
+    pub fn take_freed(&mut self) -> Vec<FreedRange> {
+        std::mem::take(&mut self.freed)
+    }
+
     /// Processes one input and returns the actions that follow from it.
     pub fn handle(&mut self, now: TimeMs, input: AssignerInput) -> Vec<AssignerOutput> {
         let can_wait_for_tick = self.can_wait_for_tick(&input);
@@ -475,7 +484,15 @@
                 upstreams: &upstreams,
                 keyed: &self.keyed,
             });
-            for due in due {
+            for mut due in due {
+                let freed = due.freed.drain(..).map(|(former, by)| FreedRange {
+                    service: name.clone(),
+                    range: due.range,
+                    fence: due.fence,
+                    former,
+                    by,
+                });
+                self.freed.extend(freed);
                 let id = ProgressMap::next_id(&mut self.last_order);
                 let sent = SentOrder {
                     issued_at: now,
--- a/crates/balsam-decide/src/keys/mod.rs
+++ b/crates/balsam-decide/src/keys/mod.rs
@@ -11,6 +11,7 @@
 mod assigner;
 mod delta;
 mod era;
+mod evidence;
 mod leadership;
 mod load;
 mod message;
@@ -24,6 +25,7 @@
 
 pub use assigner::Assigner;
 pub use delta::{apply_delta, delta};
+pub use evidence::{FreedBy, FreedRange};
 pub use load::KeySamples;
 pub use message::{
     AssignerInput, AssignerOutput, Commit, CommitResult, DaemonIdentity, LoadReport, Order,
--- a/crates/balsam-decide/src/keys/service.rs
+++ b/crates/balsam-decide/src/keys/service.rs
@@ -1,6 +1,7 @@
 //! The leader's state for the assignments of one service.
 
 use super::era::RestoredTerm;
+use super::evidence::FreedBy;
 use super::orders::{AssignmentKey, ProgressMap, SentOrder};
 use super::reachability::Reachability;
 use super::{
@@ -50,6 +51,9 @@
     pub(super) is_renewal: bool,
     /// Whether this is the first grant of a moving range to its next owner.
     pub(super) ends_move: bool,
+    /// What shows that the former owners hold none of the keys, if this order tries for the first
+    /// time to end a move.
+    pub(super) freed: Vec<(Owner, FreedBy)>,
 }
 
 /// The state outside a service that its orders depend on.
@@ -85,16 +89,17 @@
 }
 
 impl OrderContext<'_> {
-    /// Returns whether an owner has certainly ended, because an upstream that started later and
-    /// takes no keys uses its address. Orders that earlier leaders still send to that address have
-    /// no effect.
-    fn has_ended(&self, owner: &Owner) -> bool {
-        self.upstreams.iter().any(|found| {
+    /// Returns an upstream that shows that an owner has ended, because it started later, takes no
+    /// keys and uses its address. Orders that earlier leaders still send to that address have no
+    /// effect.
+    fn successor(&self, owner: &Owner) -> Option<&UpstreamName> {
+        let found = self.upstreams.iter().find(|found| {
             let entry = &found.entry;
             entry.address == owner.address
                 && entry.born.0 > owner.born.0.saturating_add(CLOCK_SKEW_MS)
                 && !self.keyed.contains(&entry.service)
-        })
+        });
+        found.map(|found| &found.entry.name)
     }
 }
 
@@ -222,38 +227,42 @@
                 continue;
             }
             let mut is_free = true;
+            let mut freed = Vec::new();
             // A range that moves back may have its owner among the former ones. Nobody else gets the
             // keys that the owner still holds, so it has nothing to release.
             let others = assignment.former.iter();
             for former in others.filter(|former| **former != assignment.owner) {
-                if !self.is_free(context, service, assignment, former) {
+                if let Some(by) = self.freed_by(context, service, assignment, former) {
+                    freed.push((former.clone(), by));
+                } else {
                     is_free = false;
                     due.extend(self.release(context, assignment, former));
                 }
             }
             if is_free {
-                due.extend(self.grant(context, assignment));
+                due.extend(self.grant(context, assignment, freed));
             }
         }
         due
     }
 
-    /// Returns whether a former owner certainly holds no key of an assignment's range.
-    fn is_free(
+    /// Returns what shows that a former owner holds no key of an assignment's range, or `None` if it
+    /// may hold some.
+    fn freed_by(
         &self,
         context: OrderContext<'_>,
         service: &ServiceName,
         assignment: &Assignment,
         former: &Owner,
-    ) -> bool {
-        if context.has_ended(former) {
-            return true;
+    ) -> Option<FreedBy> {
+        if let Some(listed) = context.successor(former).cloned() {
+            return Some(FreedBy::Address { listed });
         }
         if context
             .outstanding
             .may_hold(context.now, service, former, assignment.range)
         {
-            return false;
+            return None;
         }
         let progress = self.progress_map.get(assignment);
         let released_at = progress.and_then(|progress| progress.release_sent_at(former));
@@ -261,7 +270,12 @@
         // the keys. A release is conclusive only if it was sent after the last order of all earlier
         // leaders.
         let has_released = released_at.is_some_and(|sent_at| sent_at >= context.stale_orders_until);
-        has_released || context.now >= context.inherited_grants_until
+        let has_expired = context.now >= context.inherited_grants_until;
+        match (has_released, has_expired) {
+            (true, _) => Some(FreedBy::Release),
+            (false, true) => Some(FreedBy::Expiry),
+            (false, false) => None,
+        }
     }
 
     /// Returns a release for a former owner, unless one is in flight or was sent recently.
@@ -290,11 +304,17 @@
             kind: OrderKind::Release,
             is_renewal: false,
             ends_move: false,
+            freed: Vec::new(),
         })
     }
 
     /// Returns a grant or renewal for the owner, if one is due.
-    fn grant(&mut self, context: OrderContext<'_>, assignment: &Assignment) -> Option<DueOrder> {
+    fn grant(
+        &mut self,
+        context: OrderContext<'_>,
+        assignment: &Assignment,
+        mut freed: Vec<(Owner, FreedBy)>,
+    ) -> Option<DueOrder> {
         // Grants of an upstream that was removed or restarted are not renewed and expire.
         let discovered = context.upstreams.get(&assignment.owner.upstream)?;
         if discovered.entry.born != assignment.owner.born {
@@ -314,7 +334,9 @@
             return None;
         }
         progress.is_granting = true;
-        progress.granted_at = Some(context.now);
+        if progress.granted_at.replace(context.now).is_some() {
+            freed.clear();
+        }
         let handover = if progress.is_granted {
             None
         } else {
@@ -327,6 +349,7 @@
             kind: OrderKind::Grant { hold_ms, handover },
             is_renewal: progress.is_granted,
             ends_move: !progress.is_granted && assignment.is_moving(),
+            freed,
         })
     }
 
--- a/crates/balsam-edge/src/control/events.rs
+++ b/crates/balsam-edge/src/control/events.rs
@@ -1,7 +1,9 @@
 //! Structured log events of the control path.
 
 use balsam_decide::directory::{DiscoveryNotice, DiscoveryOutcome};
-use balsam_decide::keys::{AssignerOutput, Commit, CommitResult, OrderKind, OrderResult};
+use balsam_decide::keys::{
+    AssignerOutput, Commit, CommitResult, FreedBy, FreedRange, OrderKind, OrderResult,
+};
 use balsam_types::{KeyRange, ServiceName, TimeMs, UpstreamName, ZoneName};
 use serde::Serialize;
 
@@ -106,6 +108,17 @@
         service: &'a ServiceName,
         moves: usize,
     },
+    /// A former owner of a moving range holds none of its keys any more, so that the next owner is
+    /// granted them. `responder` is the upstream that shows it, if it is not the former owner.
+    Freed {
+        service: &'a ServiceName,
+        range: String,
+        fence: u64,
+        former: &'a UpstreamName,
+        born: u64,
+        evidence: &'static str,
+        responder: Option<&'a UpstreamName>,
+    },
     /// An order to an upstream, a grant or a release of a key range, has ended.
     ///
     /// Only the first grant of a moving range is logged with the result `granted`.
@@ -210,6 +223,24 @@
     ControlEvent::Committed { result, version }.emit();
 }
 
+/// Logs that a former owner of a range holds none of its keys any more.
+pub(super) fn freed(freed: &FreedRange) {
+    let responder = match &freed.by {
+        FreedBy::Address { listed } => Some(listed),
+        FreedBy::Release | FreedBy::Expiry => None,
+    };
+    ControlEvent::Freed {
+        service: &freed.service,
+        range: freed.range.to_string(),
+        fence: freed.fence.0,
+        former: &freed.former.upstream,
+        born: freed.former.born.0,
+        evidence: freed.by.as_str(),
+        responder,
+    }
+    .emit();
+}
+
 /// An order that was sent and has no result yet, as it will be logged.
 #[derive(Clone, Debug)]
 pub(super) struct PendingOrder {
--- a/crates/balsam-edge/src/control/task.rs
+++ b/crates/balsam-edge/src/control/task.rs
@@ -322,7 +322,11 @@
 
     /// Passes an input to the assigner, executes its decisions and reports changes of leadership.
     pub(super) fn decide(&mut self, input: AssignerInput) {
-        for output in self.assigner.handle(now(), input) {
+        let outputs = self.assigner.handle(now(), input);
+        for freed in self.assigner.take_freed() {
+            events::freed(&freed);
+        }
+        for output in outputs {
             events::commit_started(&output);
             match output {
                 AssignerOutput::Commit(commit) => self.executor.commit(commit),
