Take only answers as proof that an owner has ended

Another program writes an entry of an unknown service with the address of an upstream that holds keys. When that upstream leaves as planned, a quarter of the keys has two holders for 3.2 to 3.5 s, so that requests on one key run at two upstreams.

Cause: the leader took any listed upstream at an owner's address for proof that the owner has ended, if the entry told a later start and a service that is not keyed. All of that is its writer's word. The keys were granted to others without a release and before the last grants had run out.

Change: rows prove nothing about an owner's end. The leader always asks for a release. An upstream of another service at the address refuses it with 400, which one that holds keys never does, and does not say who it is. The adapter then asks for its name by the health check of the service on the same connection; another name than the owner's ends the owner, for five seconds, also while orders of earlier leaders may arrive. An upstream that answers 421 under another name may take orders, so that its answer counts when the grants of earlier leaders have run out, as before.

Tests: reused_addresses (processes) and reused_address (decisions); key_schedules lists an entry of another program at each upstream's address. The test address_taken expected the inference itself; its case `ended` is replaced by successor_answers, in which an upstream answers at the address, and its other cases by entry_proves_nothing, which also expects the release and the run of the grants.

--- a/crates/balsam-decide/src/keys/assigner.rs
+++ b/crates/balsam-decide/src/keys/assigner.rs
@@ -1,7 +1,7 @@
 //! State machine of the leader, which assigns keys, and of the daemons that stand by to replace it.
 
 use super::era::{EraState, RestoredTerm};
-use super::evidence::FreedRange;
+use super::evidence::{EndedOwners, FreedRange};
 use super::orders::{ProgressMap, SentOrder};
 use super::outstanding::OutstandingGrants;
 use super::reachability::Reachability;
@@ -101,6 +101,7 @@
     /// The zones whose upstreams should own no keys.
     pub(super) evacuated: Arc<EvacuatedZones>,
     pub(super) outstanding: OutstandingGrants,
+    pub(super) ended: EndedOwners,
     pub(super) reachability: Reachability,
     /// Orders in flight.
     pub(super) sent: Map<OrderId, SentOrder>,
@@ -138,6 +139,7 @@
             upstreams: Arc::new(Upstreams::default()),
             evacuated: Arc::default(),
             outstanding: OutstandingGrants::default(),
+            ended: EndedOwners::new(),
             reachability: Reachability::new(),
             sent: new_map(),
             last_order: 0,
@@ -352,7 +354,7 @@
                 OrderResult::NoAnswer | OrderResult::Released { .. } => {
                     self.outstanding.ended(now, &self.timing, id, false);
                 }
-                OrderResult::Ended
+                OrderResult::Ended { .. }
                 | OrderResult::Fenced
                 | OrderResult::Refused { .. }
                 | OrderResult::Unreached
@@ -360,7 +362,16 @@
             }
         }
         match result {
-            OrderResult::Ended => self.outstanding.owner_ended(&sent.to),
+            OrderResult::Ended {
+                successor,
+                takes_orders,
+            } => {
+                self.outstanding.owner_ended(&sent.to);
+                // An earlier leader could still give orders to a successor that takes them.
+                if !takes_orders || now >= self.inherited_grants_until() {
+                    self.ended.record(now, &sent.to, successor);
+                }
+            }
             OrderResult::Released { .. } => {
                 let (range, fence) = sent.key;
                 self.outstanding
@@ -368,9 +379,8 @@
             }
             _ => {}
         }
-        let has_inherited_grants = now < self.inherited_grants_until();
         let service = self.services.get_mut(&sent.service)?;
-        let fence = service.ordered(&sent, result, has_inherited_grants)?;
+        let fence = service.ordered(&sent, result)?;
         Some(AssignerOutput::Moved {
             service: sent.service,
             fence,
@@ -478,11 +488,11 @@
                 now,
                 timing: &self.timing,
                 outstanding: &self.outstanding,
+                ended: &self.ended,
                 inherited_grants_until,
                 stale_orders_until,
                 restored,
                 upstreams: &upstreams,
-                keyed: &self.keyed,
             });
             for mut due in due {
                 let freed = due.freed.drain(..).map(|(former, by)| FreedRange {
--- a/crates/balsam-decide/src/keys/evidence.rs
+++ b/crates/balsam-decide/src/keys/evidence.rs
@@ -1,6 +1,15 @@
 //! What shows that a former owner of a key range holds none of its keys any more.
+//!
+//! Rows of the platform's table are no evidence, because any program may write them. See
+//! [the platform page](../../../../docs/platform.md#ownership-of-keys).
 
-use balsam_types::{FencingToken, KeyRange, Owner, ServiceName, UpstreamName};
+use balsam_types::{
+    FencingToken, KeyRange, Map, Owner, ServiceName, TimeMs, UpstreamName, new_map,
+};
+
+/// How long the answer of a successor is relied on, in milliseconds. The process at the address is
+/// asked again afterwards, because the successor may have ended as well.
+const SUCCESSOR_VALID_MS: u64 = 5_000;
 
 /// What shows that a former owner holds no key of a range.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -9,11 +18,8 @@
     Release,
     /// All grants that the former owner may have received have expired.
     Expiry,
-    /// Another upstream is listed at the address of the former owner.
-    Address {
-        /// The upstream that is listed there.
-        listed: UpstreamName,
-    },
+    /// Another upstream has answered at the address of the former owner.
+    Successor(UpstreamName),
 }
 
 impl FreedBy {
@@ -22,7 +28,7 @@
         match self {
             Self::Release => "release",
             Self::Expiry => "expiry",
-            Self::Address { .. } => "address",
+            Self::Successor(_) => "successor",
         }
     }
 }
@@ -43,3 +49,34 @@
     /// What shows that the former owner holds none of the keys.
     pub by: FreedBy,
 }
+
+/// Owners whose processes have ended, because other upstreams answer at their addresses. No order of
+/// an earlier leader has an effect there any more.
+#[derive(Debug)]
+pub(super) struct EndedOwners {
+    /// The successor at each owner's address, and when its answer arrived.
+    successors: Map<Owner, (UpstreamName, TimeMs)>,
+}
+
+impl EndedOwners {
+    /// Creates an empty set.
+    pub(super) fn new() -> Self {
+        Self {
+            successors: new_map(),
+        }
+    }
+
+    /// Records the answer of a successor.
+    pub(super) fn record(&mut self, now: TimeMs, owner: &Owner, successor: &UpstreamName) {
+        self.successors
+            .retain(|_, (_, answered_at)| now.since(*answered_at) < SUCCESSOR_VALID_MS);
+        let answer = (successor.clone(), now);
+        self.successors.insert(owner.clone(), answer);
+    }
+
+    /// Returns the successor at the address of an owner that has ended.
+    pub(super) fn successor(&self, now: TimeMs, owner: &Owner) -> Option<&UpstreamName> {
+        let (successor, answered_at) = self.successors.get(owner)?;
+        (now.since(*answered_at) < SUCCESSOR_VALID_MS).then_some(successor)
+    }
+}
--- a/crates/balsam-decide/src/keys/message.rs
+++ b/crates/balsam-decide/src/keys/message.rs
@@ -127,7 +127,12 @@
     /// The upstream has seen a higher fencing token on one of the keys.
     Fenced,
     /// The upstream's process has ended: another upstream responds at its address.
-    Ended,
+    Ended {
+        /// The upstream that responds there.
+        successor: UpstreamName,
+        /// Whether the successor may execute an order that was meant for its predecessor.
+        takes_orders: bool,
+    },
     /// No connection could be opened, so the order did not arrive.
     ///
     /// This does not show that the upstream has ended, because a busy upstream refuses connections
--- a/crates/balsam-decide/src/keys/reachability.rs
+++ b/crates/balsam-decide/src/keys/reachability.rs
@@ -39,7 +39,7 @@
                     record.avoid_until = now.after(AVOID_MS);
                 }
             }
-            OrderResult::Ended => {
+            OrderResult::Ended { .. } => {
                 let record = self.records.entry(owner.clone()).or_default();
                 record.avoid_until = now.after(AVOID_MS);
             }
--- a/crates/balsam-decide/src/keys/service.rs
+++ b/crates/balsam-decide/src/keys/service.rs
@@ -1,7 +1,7 @@
 //! The leader's state for the assignments of one service.
 
 use super::era::RestoredTerm;
-use super::evidence::FreedBy;
+use super::evidence::{EndedOwners, FreedBy};
 use super::orders::{AssignmentKey, ProgressMap, SentOrder};
 use super::reachability::Reachability;
 use super::{
@@ -33,10 +33,6 @@
 /// the new owners already hold their keys.
 const MOVE_END_INTERVAL_MS: u64 = 500;
 
-/// How much later than an owner another upstream must have started at the same address to show that
-/// the owner has ended, in milliseconds. The clocks of the machines may differ by less.
-const CLOCK_SKEW_MS: u64 = 5_000;
-
 /// Weight of an upstream that is still warming up, in percent of its slots.
 const WARMUP_WEIGHT_PERCENT: f64 = 50.0;
 
@@ -62,6 +58,7 @@
     pub(super) now: TimeMs,
     pub(super) timing: &'a GrantTiming,
     pub(super) outstanding: &'a super::outstanding::OutstandingGrants,
+    pub(super) ended: &'a EndedOwners,
     /// When all grants of earlier leaders have expired.
     pub(super) inherited_grants_until: TimeMs,
     /// When orders of earlier leaders can no longer arrive.
@@ -69,8 +66,6 @@
     /// Which grants are permitted, if the store has lost assignments by which keys may be held.
     pub(super) restored: Option<RestoredTerm>,
     pub(super) upstreams: &'a Upstreams,
-    /// The services whose keys have one owner each.
-    pub(super) keyed: &'a [ServiceName],
 }
 
 /// The state outside a service that its plan depends on.
@@ -88,21 +83,6 @@
     pub(super) is_restored: bool,
 }
 
-impl OrderContext<'_> {
-    /// Returns an upstream that shows that an owner has ended, because it started later, takes no
-    /// keys and uses its address. Orders that earlier leaders still send to that address have no
-    /// effect.
-    fn successor(&self, owner: &Owner) -> Option<&UpstreamName> {
-        let found = self.upstreams.iter().find(|found| {
-            let entry = &found.entry;
-            entry.address == owner.address
-                && entry.born.0 > owner.born.0.saturating_add(CLOCK_SKEW_MS)
-                && !self.keyed.contains(&entry.service)
-        });
-        found.map(|found| &found.entry.name)
-    }
-}
-
 /// What is known of the upstreams that may own keys.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct KnownUpstreams<'a> {
@@ -255,8 +235,8 @@
         assignment: &Assignment,
         former: &Owner,
     ) -> Option<FreedBy> {
-        if let Some(listed) = context.successor(former).cloned() {
-            return Some(FreedBy::Address { listed });
+        if let Some(successor) = context.ended.successor(context.now, former) {
+            return Some(FreedBy::Successor(successor.clone()));
         }
         if context
             .outstanding
@@ -359,7 +339,6 @@
         &mut self,
         sent: &SentOrder,
         result: &OrderResult,
-        has_inherited_grants: bool,
     ) -> Option<FencingToken> {
         let progress = self.progress_map.get_mut(&sent.key)?;
         self.is_plan_requested |= !sent.is_renewal;
@@ -374,7 +353,9 @@
                     return (!sent.is_renewal && is_moving).then_some(sent.key.1);
                 }
                 OrderResult::Fenced => progress.is_fenced = true,
-                OrderResult::Ended | OrderResult::Refused { .. } => progress.is_granted = false,
+                OrderResult::Ended { .. } | OrderResult::Refused { .. } => {
+                    progress.is_granted = false;
+                }
                 OrderResult::Released { .. }
                 | OrderResult::Unreached
                 | OrderResult::NotSent
@@ -383,16 +364,8 @@
             return None;
         }
         progress.releasing.retain(|former| *former != sent.to);
-        let has_released = match result {
-            OrderResult::Released { handover } => {
-                progress.handover = handover.clone().or(progress.handover.take());
-                true
-            }
-            // An earlier leader could still give orders to the next process at this address.
-            OrderResult::Ended => !has_inherited_grants,
-            _ => false,
-        };
-        if has_released {
+        if let OrderResult::Released { handover } = result {
+            progress.handover = handover.clone().or(progress.handover.take());
             progress.record_release(&sent.to, sent.issued_at);
         }
         None
--- a/crates/balsam-decide/tests/key_world/delivery.rs
+++ b/crates/balsam-decide/tests/key_world/delivery.rs
@@ -70,7 +70,10 @@
             OrderResult::NoAnswer
         } else if self.chance(300) {
             if self.flaw == Flaw::RefusalIsEnd {
-                OrderResult::Ended
+                OrderResult::Ended {
+                    successor: name(to),
+                    takes_orders: true,
+                }
             } else {
                 OrderResult::Unreached
             }
--- a/crates/balsam-decide/tests/key_world/world.rs
+++ b/crates/balsam-decide/tests/key_world/world.rs
@@ -35,6 +35,10 @@
     unsent_orders: Vec<Order>,
 }
 
+/// How much later than an upstream the process started that a foreign entry claims at its address,
+/// in milliseconds.
+const FOREIGN_BORN_MS: u64 = 60_000;
+
 /// Simulated daemons, upstreams and their store.
 pub struct Cluster {
     pub(super) rng: StdRng,
@@ -405,11 +409,35 @@
             })
         });
         AssignerInput::Cluster {
-            upstreams: Arc::new(Upstreams::new(known_upstreams)),
+            upstreams: Arc::new(Upstreams::new(
+                known_upstreams.chain(self.foreign_entries()),
+            )),
             keyed: vec![self.service.clone()],
         }
     }
 
+    /// Returns entries of another program, which name the addresses of the upstreams and later start
+    /// times.
+    fn foreign_entries(&self) -> impl Iterator<Item = Arc<DiscoveredUpstream>> {
+        let upstreams = self.upstreams.iter().enumerate();
+        upstreams.map(|(at, upstream)| {
+            let foreign_name = format!("foreign-{at}");
+            Arc::new(DiscoveredUpstream {
+                entry: UpstreamEntry {
+                    name: UpstreamName::new(foreign_name).expect("a valid name"),
+                    born: StartTime(upstream.born + FOREIGN_BORN_MS),
+                    service: ServiceName::new("elsewhere").expect("a valid name"),
+                    zone: ZoneName::new("z").expect("a valid name"),
+                    address: SocketAddr::from(([127, 0, 0, 1], 9_000 + at as u16)),
+                    slots: 3,
+                    state: UpstreamState::Ready,
+                    warmup_left_ms: 0,
+                },
+                warmup_ends_at: TimeMs(0),
+            })
+        })
+    }
+
     fn handle_output(&mut self, at: usize, output: AssignerOutput) {
         let is_cut = self.now < self.daemons[at].store_cut_until;
         match output {
--- a/crates/balsam-edge/src/control/act.rs
+++ b/crates/balsam-edge/src/control/act.rs
@@ -80,12 +80,17 @@
     }
 
     /// Starts sending an order to an upstream.
-    pub(super) fn order(&self, order: Order) {
+    pub(super) fn order(&self, order: Order, health_check: Option<Arc<str>>) {
         let executor = self.clone();
         actix_rt::spawn(async move {
             let id = order.id;
             let (reply, response) = oneshot::channel();
-            let result = match executor.orders.send(OrderRequest { order, reply }).await {
+            let request = OrderRequest {
+                order,
+                health_check,
+                reply,
+            };
+            let result = match executor.orders.send(request).await {
                 Ok(()) => response.await.unwrap_or(OrderResult::NoAnswer),
                 Err(_) => OrderResult::NotSent,
             };
--- a/crates/balsam-edge/src/control/events.rs
+++ b/crates/balsam-edge/src/control/events.rs
@@ -129,6 +129,9 @@
         order: &'static str,
         result: &'static str,
         took_ms: u64,
+        /// The upstream that answers at the address instead.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        responder: Option<&'a UpstreamName>,
     },
 }
 
@@ -226,7 +229,7 @@
 /// Logs that a former owner of a range holds none of its keys any more.
 pub(super) fn freed(freed: &FreedRange) {
     let responder = match &freed.by {
-        FreedBy::Address { listed } => Some(listed),
+        FreedBy::Successor(successor) => Some(successor),
         FreedBy::Release | FreedBy::Expiry => None,
     };
     ControlEvent::Freed {
@@ -259,12 +262,16 @@
         OrderKind::Grant { .. } => "grant",
         OrderKind::Release => "release",
     };
+    let responder = match result {
+        OrderResult::Ended { successor, .. } => Some(successor),
+        _ => None,
+    };
     let result = match result {
         OrderResult::Granted if !pending.ends_move => return,
         OrderResult::Granted => "granted",
         OrderResult::Released { .. } => "released",
         OrderResult::Fenced => "fenced",
-        OrderResult::Ended => "ended",
+        OrderResult::Ended { .. } => "ended",
         OrderResult::Unreached => "unreached",
         OrderResult::Refused { .. } => "refused",
         OrderResult::NotSent => "not-sent",
@@ -278,6 +285,7 @@
         order,
         result,
         took_ms: now.since(pending.decided_at),
+        responder,
     }
     .emit();
 }
--- a/crates/balsam-edge/src/control/tables.rs
+++ b/crates/balsam-edge/src/control/tables.rs
@@ -14,7 +14,9 @@
 use balsam_decide::feed::{FeedTable, StoreResponse};
 use balsam_decide::keys::{AssignerInput, RowVersion, StoredLead, StoredRanges};
 use balsam_decide::routing::RouteTable;
-use balsam_types::{RoutingConfig, ServiceName, StoreEra, TimeMs, UpstreamName, UpstreamRow};
+use balsam_types::{
+    RoutingConfig, ServiceName, ServicePolicy, StoreEra, TimeMs, UpstreamName, UpstreamRow,
+};
 use std::collections::BTreeMap;
 use std::collections::hash_map::Entry;
 use std::sync::Arc;
@@ -139,7 +141,7 @@
     pub(super) fn apply_config(&mut self, config: RoutingConfig) {
         let version = config.version;
         let in_force = self.view.table.as_ref().map(|table| table.version());
-        let in_force = in_force.filter(|_| !self.lacks_warmups_of(&config));
+        let in_force = in_force.filter(|_| !self.lacks_terms_of(&config));
         if let Some(in_force) = in_force.filter(|in_force| *in_force >= version) {
             if in_force > version {
                 let (version, in_force) = (version.0, in_force.0);
@@ -159,16 +161,22 @@
         self.publish();
     }
 
-    /// Returns whether `config` is the configuration in force with limits of cold upstreams, which
-    /// the one in force lacks because a daemon of an earlier build has sent it.
-    fn lacks_warmups_of(&self, config: &RoutingConfig) -> bool {
-        let has_warmups = |config: &RoutingConfig| {
-            let mut policies = config.services.values();
-            policies.any(|policy| policy.warmup.is_some())
+    /// Returns whether `config` is the configuration in force with terms of services which the one
+    /// in force lacks because a daemon of an earlier build has sent it.
+    fn lacks_terms_of(&self, config: &RoutingConfig) -> bool {
+        let has = |config: &RoutingConfig, has_term: fn(&ServicePolicy) -> bool| {
+            config.services.values().any(has_term)
         };
+        let terms: [fn(&ServicePolicy) -> bool; 2] = [
+            |policy| policy.warmup.is_some(),
+            |policy| policy.health_check.is_some(),
+        ];
         let known = self.config.as_ref();
         let known = known.filter(|known| known.version == config.version);
-        known.is_some_and(|known| !has_warmups(known) && has_warmups(config))
+        known.is_some_and(|known| {
+            let mut terms = terms.into_iter();
+            terms.any(|term| !has(known, term) && has(config, term))
+        })
     }
 
     fn apply_upstreams(&mut self, page: Page, base: u64, is_complete: bool) {
--- a/crates/balsam-edge/src/control/task.rs
+++ b/crates/balsam-edge/src/control/task.rs
@@ -345,7 +345,10 @@
                         decided_at: now(),
                     };
                     self.pending_orders.insert(order.id, pending_order);
-                    self.executor.order(order);
+                    let table = self.view.table.as_ref();
+                    let policy = table.and_then(|table| table.service(&order.service));
+                    let health_check = policy.and_then(|policy| policy.health_check.clone());
+                    self.executor.order(order, health_check);
                 }
             }
         }
--- a/crates/balsam-edge/src/order.rs
+++ b/crates/balsam-edge/src/order.rs
@@ -2,6 +2,7 @@
 //! to the adapter.
 
 use balsam_decide::keys::{Order, OrderResult};
+use std::sync::Arc;
 use tokio::sync::oneshot;
 
 /// An order together with the channel for its result.
@@ -12,6 +13,9 @@
     /// The adapter must not send it after [`Order::send_before`]. If no response arrives within
     /// [`Order::timeout_ms`], it must reset the connection so that the order cannot arrive later.
     pub order: Order,
+    /// The path of health checks of the order's service, if the configuration names one. By it the
+    /// adapter learns which upstream has refused an order.
+    pub health_check: Option<Arc<str>>,
     /// Receives the result of the order.
     pub reply: oneshot::Sender<OrderResult>,
 }
--- a/crates/balsam-edge/src/peer/snapshot.rs
+++ b/crates/balsam-edge/src/peer/snapshot.rs
@@ -9,6 +9,7 @@
 use bincode::error::{DecodeError, EncodeError};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeSet;
+use std::sync::Arc;
 
 /// Length of one part in bytes. Together with its header fields it must fit into a datagram.
 const PART_BYTES: usize = 6 << 10;
@@ -52,6 +53,13 @@
     warmups: Vec<(ServiceName, WarmupTerms)>,
 }
 
+/// What follows [`ConfigSupplement`], for the same reason.
+#[derive(Serialize, Deserialize)]
+struct HealthChecks {
+    /// The paths of health checks, which the encoding of the configuration leaves out.
+    paths: Vec<(ServiceName, Arc<str>)>,
+}
+
 /// Encodes a snapshot.
 ///
 /// # Errors
@@ -61,10 +69,18 @@
     let (encoded, supplement) = match snapshot {
         Snapshot::Config { config, evacuated } => {
             let services = config.iter().flat_map(|config| &config.services);
-            let warmups =
-                services.filter_map(|(service, policy)| Some((service.clone(), policy.warmup?)));
+            let warmups = services
+                .clone()
+                .filter_map(|(service, policy)| Some((service.clone(), policy.warmup?)));
             let warmups = warmups.collect();
-            let supplement = evacuated.map(|evacuated| ConfigSupplement { evacuated, warmups });
+            let paths = services.filter_map(|(service, policy)| {
+                Some((service.clone(), policy.health_check.clone()?))
+            });
+            let paths = paths.collect();
+            let supplement = evacuated.map(|evacuated| {
+                let supplement = ConfigSupplement { evacuated, warmups };
+                (supplement, HealthChecks { paths })
+            });
             let encoded = config.map_or(EncodedSnapshot::NoConfig, EncodedSnapshot::Config);
             (encoded, supplement)
         }
@@ -97,9 +113,21 @@
         let evacuated = None;
         return Ok(Snapshot::Config { config, evacuated });
     }
-    let (supplement, _): (ConfigSupplement, usize) =
+    let (supplement, length): (ConfigSupplement, usize) =
         bincode::serde::decode_from_slice(rest, limits)?;
+    let rest = rest.get(length..).unwrap_or_default();
+    let paths = if rest.is_empty() {
+        Vec::new()
+    } else {
+        let (checks, _): (HealthChecks, usize) = bincode::serde::decode_from_slice(rest, limits)?;
+        checks.paths
+    };
     let config = config.map(|mut config| {
+        for (service, path) in paths {
+            if let Some(policy) = config.services.get_mut(&service) {
+                policy.health_check = Some(path);
+            }
+        }
         for (service, warmup) in supplement.warmups {
             if let Some(policy) = config.services.get_mut(&service) {
                 policy.warmup = Some(warmup);
--- a/crates/balsam-types/src/routing.rs
+++ b/crates/balsam-types/src/routing.rs
@@ -99,6 +99,10 @@
     /// which earlier builds read by position.
     #[serde(skip)]
     pub warmup: Option<WarmupTerms>,
+    /// The path at which an upstream tells who it is, if the operator names one. Not part of the
+    /// encoding between daemons, like `warmup`.
+    #[serde(skip)]
+    pub health_check: Option<Arc<str>>,
 }
 
 impl ServicePolicy {
@@ -107,6 +111,7 @@
         Self {
             is_keyed,
             warmup: None,
+            health_check: None,
         }
     }
 
@@ -116,6 +121,13 @@
         self.warmup = warmup;
         self
     }
+
+    /// Sets the path of health checks.
+    #[must_use]
+    pub fn with_health_check(mut self, health_check: Option<Arc<str>>) -> Self {
+        self.health_check = health_check;
+        self
+    }
 }
 
 /// Size and time limits for caller connections.
