Leave entries of unknown services out of the list of upstreams

Seen: after another program had overwritten the row of an upstream once, with an unknown service and a later start, no request reached that upstream any more, although it wrote its own entry again.

Change: the directory knows the services of the configuration in force and lists only their upstreams. Rows of other services are kept and passed on, since the configuration may arrive after the row and other daemons may have a newer one; their start times count for nothing. Such rows are logged as `unknown-service`, and again when a configuration lists or hides them. Before there is a configuration all rows are listed, so that a leader that starts can renew grants.

--- a/crates/balsam-decide/src/directory/machine.rs
+++ b/crates/balsam-decide/src/directory/machine.rs
@@ -38,6 +38,8 @@
     },
     /// A call to the store failed, or the store has just become available again.
     StoreFailed,
+    /// The services of the configuration in force.
+    Services(Set<ServiceName>),
     /// A zone that was evacuated is taken back into use. Its upstreams have had no requests, so that
     /// they are cold whatever their rows say.
     ZoneTakenBack {
@@ -78,9 +80,16 @@
 }
 
 /// The upstreams that this daemon considers to exist.
+///
+/// A row of a service that the configuration does not name describes no upstream: another program
+/// may have written it. It is kept, because the configuration that names the service may arrive
+/// later than the row, but it is not listed.
 #[derive(Debug)]
 pub struct Directory {
+    /// The newest rows, listed or not.
     upstreams: Map<UpstreamName, KnownUpstream>,
+    /// The services of the configuration, once one is known.
+    services: Option<Set<ServiceName>>,
     /// Upstreams that were removed.
     removed: Map<UpstreamName, RemovedUpstream>,
     /// Upstreams that are kept although their rows have disappeared.
@@ -106,6 +115,7 @@
     pub fn new() -> Self {
         Self {
             upstreams: new_map(),
+            services: None,
             removed: new_map(),
             missing: new_map(),
             cold_until: new_map(),
@@ -133,17 +143,59 @@
                 self.failed_at = Some(now);
                 false
             }
+            DirectoryInput::Services(services) => self.adopt_services(services),
             DirectoryInput::ZoneTakenBack { zone, warmups_ms } => {
                 self.take_back(now, &zone, warmups_ms)
             }
             DirectoryInput::Tick => false,
         };
         let expired = self.expire(now);
-        let current = self.upstreams.values();
-        let current = current.map(|known| Arc::clone(&known.current));
+        let known = self.upstreams.values();
+        let known = known.filter(|known| self.has_service(&known.current.entry));
+        let current = known.map(|known| Arc::clone(&known.current));
         (changed || expired).then(|| Upstreams::new(current))
     }
 
+    /// Returns whether the configuration names the service of an entry, or none is known yet.
+    fn has_service(&self, entry: &UpstreamEntry) -> bool {
+        let services = self.services.as_ref();
+        services.is_none_or(|services| services.contains(&entry.service))
+    }
+
+    /// Adopts the services of a configuration. Returns whether that lists or hides any upstream.
+    fn adopt_services(&mut self, services: Set<ServiceName>) -> bool {
+        let previous = self.services.replace(services);
+        let was_listed = |entry: &UpstreamEntry| {
+            let previous = previous.as_ref();
+            previous.is_none_or(|services| services.contains(&entry.service))
+        };
+        let known = self.upstreams.values();
+        let changed = known.filter(|known| {
+            let entry = &known.current.entry;
+            was_listed(entry) != self.has_service(entry)
+        });
+        let notices: Vec<DiscoveryNotice> = changed
+            .map(|known| DiscoveryNotice {
+                upstream: known.current.entry.name.clone(),
+                born: known.current.entry.born,
+                version: known.version,
+                outcome: self.outcome_of(&known.current.entry),
+            })
+            .collect();
+        let has_changed = !notices.is_empty();
+        self.notices.extend(notices);
+        has_changed
+    }
+
+    /// Returns how an adopted row is handled.
+    fn outcome_of(&self, entry: &UpstreamEntry) -> DiscoveryOutcome {
+        match (self.has_service(entry), entry.is_ready()) {
+            (false, _) => DiscoveryOutcome::UnknownService,
+            (true, true) => DiscoveryOutcome::Ready,
+            (true, false) => DiscoveryOutcome::Draining,
+        }
+    }
+
     /// Returns until when an upstream is kept whose row disappears now, or `None` if there was no
     /// outage shortly before.
     fn kept_until(&self, now: TimeMs) -> Option<TimeMs> {
@@ -210,11 +262,7 @@
             known.version = version;
             return false;
         }
-        let outcome = if entry.is_ready() {
-            DiscoveryOutcome::Ready
-        } else {
-            DiscoveryOutcome::Draining
-        };
+        let outcome = self.outcome_of(&entry);
         self.record_outcome(&entry.name, entry.born, version, outcome);
         let cold_until = (entry.zone.clone(), entry.service.clone());
         let cold_until = self.cold_until.get(&cold_until).copied();
@@ -259,14 +307,15 @@
     ///
     /// Responses of the store, changes relayed by the leader and the leader's snapshots may arrive
     /// in any order. The start times are compared as well, because a late write of an earlier
-    /// incarnation of the upstream has a newer version.
+    /// incarnation of the upstream has a newer version. The start time of a row of an unknown
+    /// service says nothing about the upstream.
     fn is_older(&self, entry: &UpstreamEntry, version: u64) -> bool {
         let is_removed = |removed: &RemovedUpstream| removed.version >= version;
         let known = self.upstreams.get(&entry.name);
         let is_newer = |known: &KnownUpstream| {
             let current = &known.current.entry;
             known.version > version
-                || current.born > entry.born
+                || current.born > entry.born && self.has_service(current)
                 || known.version == version && entry.is_ready() && !current.is_ready()
         };
         known.is_some_and(is_newer) || self.removed.get(&entry.name).is_some_and(is_removed)
--- a/crates/balsam-decide/src/directory/outcome.rs
+++ b/crates/balsam-decide/src/directory/outcome.rs
@@ -9,6 +9,9 @@
     Ready,
     /// The row was adopted, and the upstream is leaving and takes no new work.
     Draining,
+    /// The row was adopted, but is not listed, because the configuration in force does not name its
+    /// service.
+    UnknownService,
     /// The upstream was removed.
     Removed,
     /// The store has no row of the upstream any more, but the upstream is kept for a while because
@@ -29,6 +32,7 @@
         match self {
             Self::Ready => "ready",
             Self::Draining => "draining",
+            Self::UnknownService => "unknown-service",
             Self::Removed => "removed",
             Self::Kept { .. } => "kept",
             Self::Lapsed => "lapsed",
--- a/crates/balsam-decide/tests/upstream_list.rs
+++ b/crates/balsam-decide/tests/upstream_list.rs
@@ -5,6 +5,7 @@
     ServiceName, StartTime, TimeMs, UpstreamEntry, UpstreamName, UpstreamRow, UpstreamState,
     ZoneName,
 };
+use rstest::rstest;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 
@@ -46,6 +47,21 @@
     list.map(|list| list.len())
 }
 
+/// Returns the services of a configuration.
+fn services(names: &[&str]) -> DirectoryInput {
+    let services = names.iter();
+    let services = services.map(|name| ServiceName::new(*name).expect("a valid name"));
+    DirectoryInput::Services(services.collect())
+}
+
+/// Returns an entry that another program could write: of a service that no configuration names.
+fn foreign(name: &str, born: u64) -> UpstreamEntry {
+    UpstreamEntry {
+        service: ServiceName::new("elsewhere").expect("a valid name"),
+        ..entry(name, born, UpstreamState::Ready)
+    }
+}
+
 /// Returns the removal of an upstream, with a newer version than all rows before it.
 fn removed(name: &str) -> DirectoryInput {
     let name = UpstreamName::new(name).expect("a valid name");
@@ -168,3 +184,61 @@
     let kept = directory.listed().into_iter().map(|row| row.entry);
     assert!(kept.eq([leaving]));
 }
+
+/// Guards against decisions that rest on entries of services that the configuration does not name,
+/// whether the entry or the configuration is known first.
+#[rstest]
+#[case::entry_first(true)]
+#[case::config_first(false)]
+fn unknown_service(#[case] is_entry_first: bool) {
+    let mut directory = Directory::new();
+    directory.handle(TimeMs(0), changed(ready("a")));
+    let inputs = [changed(foreign("b", 9)), services(&["files"])];
+    let [first, second] = if is_entry_first {
+        inputs
+    } else {
+        let [entry, services] = inputs;
+        [services, entry]
+    };
+    directory.handle(TimeMs(1), first);
+    let list = directory.handle(TimeMs(2), second).expect("a new list");
+    let names: Vec<&str> = list.iter().map(|found| found.entry.name.as_str()).collect();
+    assert_eq!(names, ["a"]);
+}
+
+/// Guards against upstreams of a new service that stay unknown because they have registered before
+/// the configuration names their service.
+#[test]
+fn service_added() {
+    let mut directory = Directory::new();
+    directory.handle(TimeMs(0), services(&["files"]));
+    directory.handle(TimeMs(1), listed_rows([ready("a"), foreign("b", 9)]));
+    let unchanged = directory.handle(TimeMs(2), services(&["files", "more"]));
+    assert_eq!(count(unchanged), None);
+    let added = directory.handle(TimeMs(3), services(&["files", "elsewhere"]));
+    assert_eq!(count(added), Some(2));
+    let removed = directory.handle(TimeMs(4), services(&["files"]));
+    assert_eq!(count(removed), Some(1));
+}
+
+/// Guards against an upstream that is never used again after another program has overwritten its
+/// entry and claimed a later start.
+#[test]
+fn overwritten_entry() {
+    let mut directory = Directory::new();
+    directory.handle(TimeMs(0), services(&["files"]));
+    directory.handle(TimeMs(1), changed(ready("a")));
+    let overwritten = directory.handle(TimeMs(2), changed(foreign("a", u64::MAX)));
+    assert_eq!(count(overwritten), Some(0));
+    let written_again = directory.handle(TimeMs(3), changed(ready("a")));
+    assert_eq!(count(written_again), Some(1));
+}
+
+/// Guards against snapshots without entries whose service only the receiver's configuration names.
+#[test]
+fn unlisted_rows_passed() {
+    let mut directory = Directory::new();
+    directory.handle(TimeMs(0), services(&["files"]));
+    directory.handle(TimeMs(1), changed(foreign("b", 9)));
+    assert_eq!(directory.listed().len(), 1);
+}
--- a/crates/balsam-edge/src/control/events.rs
+++ b/crates/balsam-edge/src/control/events.rs
@@ -182,6 +182,8 @@
     Leader,
     /// A snapshot of the whole list from the leader.
     Snapshot,
+    /// A configuration that names other services than the one before.
+    Config,
     /// The time limit of an entry that was kept after its removal or expiry has passed.
     Clock,
 }
@@ -193,6 +195,7 @@
             Self::List => "list",
             Self::Leader => "leader",
             Self::Snapshot => "snapshot",
+            Self::Config => "config",
             Self::Clock => "clock",
         }
     }
--- a/crates/balsam-edge/src/control/tables.rs
+++ b/crates/balsam-edge/src/control/tables.rs
@@ -154,9 +154,17 @@
             routes: config.routes.len(),
         }
         .emit();
+        let services = config.services.keys().cloned().collect();
         self.config = Some(config.clone());
         self.view.table = Some(Arc::new(RouteTable::new(config)));
         self.view.table_adopted_at = now();
+        let listed = self
+            .directory
+            .handle(now(), DirectoryInput::Services(services));
+        self.log_upstream_notices(RowSource::Config);
+        if let Some(upstreams) = listed {
+            self.view.upstreams = Arc::new(upstreams);
+        }
         self.refresh_assigner();
         self.publish();
     }
