--- a/crates/balsam-decide/src/keys/assigner.rs
+++ b/crates/balsam-decide/src/keys/assigner.rs
@@ -101,6 +101,7 @@
     /// The zones whose upstreams should own no keys.
     pub(super) evacuated: Arc<EvacuatedZones>,
     pub(super) outstanding: OutstandingGrants,
+    /// Owners at whose addresses other upstreams have answered.
     pub(super) ended: EndedOwners,
     pub(super) reachability: Reachability,
     /// Orders in flight.
@@ -114,7 +115,7 @@
     pub(super) confirm_at: TimeMs,
     /// The era of the store, and what this daemon did before it began.
     pub(super) era: EraState,
-    /// The ranges whose keys have become free since the notices were last taken.
+    /// The ranges that have become free since they were last taken.
     freed: Vec<FreedRange>,
 }
 
@@ -495,14 +496,7 @@
                 upstreams: &upstreams,
             });
             for mut due in due {
-                let freed = due.freed.drain(..).map(|(former, by)| FreedRange {
-                    service: name.clone(),
-                    range: due.range,
-                    fence: due.fence,
-                    former,
-                    by,
-                });
-                self.freed.extend(freed);
+                self.freed.append(&mut due.freed);
                 let id = ProgressMap::next_id(&mut self.last_order);
                 let sent = SentOrder {
                     issued_at: now,
--- a/crates/balsam-decide/src/keys/service.rs
+++ b/crates/balsam-decide/src/keys/service.rs
@@ -1,7 +1,7 @@
 //! The leader's state for the assignments of one service.
 
 use super::era::RestoredTerm;
-use super::evidence::{EndedOwners, FreedBy};
+use super::evidence::{EndedOwners, FreedBy, FreedRange};
 use super::orders::{AssignmentKey, ProgressMap, SentOrder};
 use super::reachability::Reachability;
 use super::{
@@ -47,9 +47,9 @@
     pub(super) is_renewal: bool,
     /// Whether this is the first grant of a moving range to its next owner.
     pub(super) ends_move: bool,
-    /// What shows that the former owners hold none of the keys, if this order tries for the first
-    /// time to end a move.
-    pub(super) freed: Vec<(Owner, FreedBy)>,
+    /// What shows that the former owners hold none of the keys, if this is the first attempt to end
+    /// the move.
+    pub(super) freed: Vec<FreedRange>,
 }
 
 /// The state outside a service that its orders depend on.
@@ -213,7 +213,13 @@
             let others = assignment.former.iter();
             for former in others.filter(|former| **former != assignment.owner) {
                 if let Some(by) = self.freed_by(context, service, assignment, former) {
-                    freed.push((former.clone(), by));
+                    freed.push(FreedRange {
+                        service: service.clone(),
+                        range: assignment.range,
+                        fence: assignment.fence,
+                        former: former.clone(),
+                        by,
+                    });
                 } else {
                     is_free = false;
                     due.extend(self.release(context, assignment, former));
@@ -293,7 +299,7 @@
         &mut self,
         context: OrderContext<'_>,
         assignment: &Assignment,
-        mut freed: Vec<(Owner, FreedBy)>,
+        mut freed: Vec<FreedRange>,
     ) -> Option<DueOrder> {
         // Grants of an upstream that was removed or restarted are not renewed and expire.
         let discovered = context.upstreams.get(&assignment.owner.upstream)?;
--- a/crates/balsam-edge/src/control/tables.rs
+++ b/crates/balsam-edge/src/control/tables.rs
@@ -14,9 +14,7 @@
 use balsam_decide::feed::{FeedTable, StoreResponse};
 use balsam_decide::keys::{AssignerInput, RowVersion, StoredLead, StoredRanges};
 use balsam_decide::routing::RouteTable;
-use balsam_types::{
-    RoutingConfig, ServiceName, ServicePolicy, StoreEra, TimeMs, UpstreamName, UpstreamRow,
-};
+use balsam_types::{RoutingConfig, ServiceName, StoreEra, TimeMs, UpstreamName, UpstreamRow};
 use std::collections::BTreeMap;
 use std::collections::hash_map::Entry;
 use std::sync::Arc;
@@ -169,21 +167,22 @@
         self.publish();
     }
 
-    /// Returns whether `config` is the configuration in force with terms of services which the one
+    /// Returns whether `config` is the configuration in force with terms of services that the one
     /// in force lacks because a daemon of an earlier build has sent it.
     fn lacks_terms_of(&self, config: &RoutingConfig) -> bool {
-        let has = |config: &RoutingConfig, has_term: fn(&ServicePolicy) -> bool| {
-            config.services.values().any(has_term)
+        let has_warmups = |config: &RoutingConfig| {
+            let mut policies = config.services.values();
+            policies.any(|policy| policy.warmup.is_some())
+        };
+        let has_health_checks = |config: &RoutingConfig| {
+            let mut policies = config.services.values();
+            policies.any(|policy| policy.health_check.is_some())
         };
-        let terms: [fn(&ServicePolicy) -> bool; 2] = [
-            |policy| policy.warmup.is_some(),
-            |policy| policy.health_check.is_some(),
-        ];
         let known = self.config.as_ref();
         let known = known.filter(|known| known.version == config.version);
         known.is_some_and(|known| {
-            let mut terms = terms.into_iter();
-            terms.any(|term| !has(known, term) && has(config, term))
+            !has_warmups(known) && has_warmups(config)
+                || !has_health_checks(known) && has_health_checks(config)
         })
     }
 
