Judge the answer of a successor in each term anew

Seen: in a test only. A leader is told by an upstream at a former owner's address that it is another one, loses the lead and leads again within five seconds. It then took the answer for proof, although the daemon that led between may have made that upstream hold the keys.

Change: the answer is kept with whether its upstream takes orders, and the grants of earlier leaders are looked at when a range is to be freed. A successor that refuses orders counts in any term.

--- a/crates/balsam-decide/src/keys/assigner.rs
+++ b/crates/balsam-decide/src/keys/assigner.rs
@@ -368,10 +368,7 @@
                 takes_orders,
             } => {
                 self.outstanding.owner_ended(&sent.to);
-                // An earlier leader could still give orders to a successor that takes them.
-                if !takes_orders || now >= self.inherited_grants_until() {
-                    self.ended.record(now, &sent.to, successor);
-                }
+                self.ended.record(now, &sent.to, successor, *takes_orders);
             }
             OrderResult::Released { .. } => {
                 let (range, fence) = sent.key;
--- a/crates/balsam-decide/src/keys/evidence.rs
+++ b/crates/balsam-decide/src/keys/evidence.rs
@@ -50,33 +50,60 @@
     pub by: FreedBy,
 }
 
-/// Owners whose processes have ended, because other upstreams answer at their addresses. No order of
-/// an earlier leader has an effect there any more.
+/// The answer of another upstream at the address of an owner.
+#[derive(Debug)]
+struct SuccessorAnswer {
+    successor: UpstreamName,
+    takes_orders: bool,
+    answered_at: TimeMs,
+}
+
+/// Owners whose processes have ended, because other upstreams answer at their addresses.
 #[derive(Debug)]
 pub(super) struct EndedOwners {
-    /// The successor at each owner's address, and when its answer arrived.
-    successors: Map<Owner, (UpstreamName, TimeMs)>,
+    answers: Map<Owner, SuccessorAnswer>,
 }
 
 impl EndedOwners {
     /// Creates an empty set.
     pub(super) fn new() -> Self {
-        Self {
-            successors: new_map(),
-        }
+        Self { answers: new_map() }
     }
 
     /// Records the answer of a successor.
-    pub(super) fn record(&mut self, now: TimeMs, owner: &Owner, successor: &UpstreamName) {
-        self.successors
-            .retain(|_, (_, answered_at)| now.since(*answered_at) < SUCCESSOR_VALID_MS);
-        let answer = (successor.clone(), now);
-        self.successors.insert(owner.clone(), answer);
+    pub(super) fn record(
+        &mut self,
+        now: TimeMs,
+        owner: &Owner,
+        successor: &UpstreamName,
+        takes_orders: bool,
+    ) {
+        self.answers.retain(|_, answer| answer.is_valid(now));
+        let answer = SuccessorAnswer {
+            successor: successor.clone(),
+            takes_orders,
+            answered_at: now,
+        };
+        self.answers.insert(owner.clone(), answer);
     }
 
-    /// Returns the successor at the address of an owner that has ended.
-    pub(super) fn successor(&self, now: TimeMs, owner: &Owner) -> Option<&UpstreamName> {
-        let (successor, answered_at) = self.successors.get(owner)?;
-        (now.since(*answered_at) < SUCCESSOR_VALID_MS).then_some(successor)
+    /// Returns the successor at the address of an owner, if that shows that no upstream holds keys by
+    /// the owner's grants.
+    pub(super) fn successor(
+        &self,
+        now: TimeMs,
+        owner: &Owner,
+        inherited_grants_until: TimeMs,
+    ) -> Option<&UpstreamName> {
+        let answer = self.answers.get(owner)?;
+        // An earlier leader could still give orders to a successor that takes them.
+        let may_hold = answer.takes_orders && now < inherited_grants_until;
+        (answer.is_valid(now) && !may_hold).then_some(&answer.successor)
+    }
+}
+
+impl SuccessorAnswer {
+    fn is_valid(&self, now: TimeMs) -> bool {
+        now.since(self.answered_at) < SUCCESSOR_VALID_MS
     }
 }
--- a/crates/balsam-decide/src/keys/service.rs
+++ b/crates/balsam-decide/src/keys/service.rs
@@ -241,7 +241,9 @@
         assignment: &Assignment,
         former: &Owner,
     ) -> Option<FreedBy> {
-        if let Some(successor) = context.ended.successor(context.now, former) {
+        let inherited_grants_until = context.inherited_grants_until;
+        let ended = context.ended;
+        if let Some(successor) = ended.successor(context.now, former, inherited_grants_until) {
             return Some(FreedBy::Successor(successor.clone()));
         }
         if context
@@ -256,7 +258,7 @@
         // the keys. A release is conclusive only if it was sent after the last order of all earlier
         // leaders.
         let has_released = released_at.is_some_and(|sent_at| sent_at >= context.stale_orders_until);
-        let has_expired = context.now >= context.inherited_grants_until;
+        let has_expired = context.now >= inherited_grants_until;
         match (has_released, has_expired) {
             (true, _) => Some(FreedBy::Release),
             (false, true) => Some(FreedBy::Expiry),
--- a/crates/balsam-decide/tests/reused_address.rs
+++ b/crates/balsam-decide/tests/reused_address.rs
@@ -184,6 +184,25 @@
         }
     }
 
+    /// Ends the leader's term by the election of another daemon, and runs until it leads again.
+    fn depose(&mut self) {
+        self.version += 1;
+        let version = RowVersion(self.version);
+        self.deliver(AssignerInput::Confirmed {
+            asked_at: self.now,
+            version: Some(version),
+        });
+        self.deliver(AssignerInput::Lead(StoredLead {
+            version,
+            leader: Some(daemon(2)),
+        }));
+        assert!(!self.assigner.is_leading());
+        self.freed.clear();
+        while !self.assigner.is_leading() {
+            self.run(STEP_MS);
+        }
+    }
+
     /// Returns what has shown that the owner holds no keys, without repetitions.
     fn evidence(&self) -> Vec<FreedBy> {
         let mut evidence: Vec<FreedBy> = Vec::new();
@@ -235,16 +254,34 @@
 /// its address, and against reassigning its keys too early: orders of an earlier leader may make a
 /// successor that takes orders hold them.
 #[rstest]
-#[case::refuses_orders(false, FreedBy::Successor(successor()))]
-#[case::takes_orders(true, FreedBy::Expiry)]
-fn successor_answers(#[case] takes_orders: bool, #[case] expected: FreedBy) {
+#[case::refuses_orders(false)]
+#[case::takes_orders(true)]
+fn successor_answers(#[case] takes_orders: bool) {
     let mut sim = LeaderSim::start(Some(daemon(2)));
     sim.responder = Responder::Successor { takes_orders };
     sim.list(None, None);
     sim.run(1_000);
     assert_eq!(sim.evidence().is_empty(), takes_orders);
     sim.run(14_000);
-    assert_eq!(sim.evidence(), [expected]);
+    assert_eq!(sim.evidence(), [FreedBy::Successor(successor())]);
+}
+
+/// Guards against keys with two owners after another daemon has led for a moment: it may have made a
+/// successor that takes orders hold the keys.
+#[rstest]
+#[case::refuses_orders(false)]
+#[case::takes_orders(true)]
+fn next_term(#[case] takes_orders: bool) {
+    let mut sim = LeaderSim::start(None);
+    sim.responder = Responder::Successor { takes_orders };
+    sim.is_other_full = true;
+    sim.list(None, None);
+    sim.run(1_000);
+    assert_eq!(sim.evidence(), [FreedBy::Successor(successor())]);
+    sim.depose();
+    sim.is_other_full = false;
+    sim.run(1_000);
+    assert_eq!(sim.evidence().is_empty(), takes_orders);
 }
 
 /// Guards against relying on the answer of a successor that may have ended since: while its keys
