--- a/crates/balsam-edge/src/peer/snapshot.rs
+++ b/crates/balsam-edge/src/peer/snapshot.rs
@@ -53,7 +53,8 @@
     warmups: Vec<(ServiceName, WarmupTerms)>,
 }
 
-/// What follows [`ConfigSupplement`], for the same reason.
+/// What follows [`ConfigSupplement`], for the same reason, if any service has a path. Without that
+/// condition a snapshot that lacks its last byte could pass for one of an earlier build.
 #[derive(Serialize, Deserialize)]
 struct HealthChecks {
     /// The paths of health checks, which the encoding of the configuration leaves out.
@@ -76,11 +77,10 @@
             let paths = services.filter_map(|(service, policy)| {
                 Some((service.clone(), policy.health_check.clone()?))
             });
-            let paths = paths.collect();
-            let supplement = evacuated.map(|evacuated| {
-                let supplement = ConfigSupplement { evacuated, warmups };
-                (supplement, HealthChecks { paths })
-            });
+            let paths: Vec<(ServiceName, Arc<str>)> = paths.collect();
+            let checks = (!paths.is_empty()).then_some(HealthChecks { paths });
+            let supplement = evacuated.map(|evacuated| ConfigSupplement { evacuated, warmups });
+            let supplement = supplement.map(|supplement| (supplement, checks));
             let encoded = config.map_or(EncodedSnapshot::NoConfig, EncodedSnapshot::Config);
             (encoded, supplement)
         }
@@ -88,8 +88,11 @@
         Snapshot::Ranges(ranges) => (EncodedSnapshot::Ranges(ranges), None),
     };
     let mut bytes = bincode::serde::encode_to_vec(encoded, standard())?;
-    if let Some(supplement) = supplement {
+    if let Some((supplement, checks)) = supplement {
         bytes.extend(bincode::serde::encode_to_vec(supplement, standard())?);
+        if let Some(checks) = checks {
+            bytes.extend(bincode::serde::encode_to_vec(checks, standard())?);
+        }
     }
     Ok(bytes)
 }
