Show that an entry with fields missing draws orders to a foreign program

Cause: `decode` fills in missing fields of an entry, so that a row of another writer names a target; and a failure without a target's signature is delivered to the caller as a target's answer.

--- a/review/standins-3/caller.rs
+++ b/review/standins-3/caller.rs
@@ -11,18 +11,20 @@
 /// Time limit for a new connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// How long a caller waits for its answer.
-const DEADLINE: Duration = Duration::from_millis(3_000);
-
 /// What the callers send, and what became of it.
 pub struct Load {
     pub host: String,
     pub path: String,
+    pub method: &'static str,
+    /// How long a caller waits for its answer.
+    pub deadline: Duration,
     pub per_s: f64,
     pub callers: usize,
     pub is_over: AtomicBool,
     pub sent: AtomicU64,
     pub served: AtomicU64,
+    /// Answers 4xx, other than 408, 421 and 429, without a target's signature.
+    pub unsigned: AtomicU64,
 }
 
 impl Load {
@@ -76,13 +78,19 @@
             place += 1;
             continue;
         };
+        let body = if load.method == "POST" {
+            "Content-Length: 8\r\n\r\nan order"
+        } else {
+            "\r\n"
+        };
         let request = format!(
-            "GET {}{key} HTTP/1.1\r\nHost: {}\r\nX-Balsamswitch-Attempt-Id: {id}\r\nX-Balsamswitch-Deadline-Ms: {}\r\nX-Balsamswitch-Shard-Key: {key}\r\n\r\n",
+            "{} {}{key} HTTP/1.1\r\nHost: {}\r\nX-Balsamswitch-Attempt-Id: {id}\r\nX-Balsamswitch-Deadline-Ms: {}\r\nX-Balsamswitch-Shard-Key: {key}\r\n{body}",
+            load.method,
             load.path,
             load.host,
-            DEADLINE.as_millis()
+            load.deadline.as_millis()
         );
-        open.set_read_timeout(DEADLINE);
+        open.set_read_timeout(load.deadline);
         let answer = open
             .write(request.as_bytes())
             .and_then(|()| open.read(true));
@@ -90,6 +98,11 @@
             Ok(answer) => {
                 let status = answer.status();
                 record.line(&format!("caller gets {status} for {id}, key {key}"));
+                let is_signed = answer.field("x-balsamswitch-response-signature").is_some();
+                if (400..500).contains(&status) && ![408, 421, 429].contains(&status) && !is_signed
+                {
+                    load.unsigned.fetch_add(1, Ordering::Relaxed);
+                }
                 if status == 200 {
                     load.served.fetch_add(1, Ordering::Relaxed);
                     if answer.body != format!("body of {id}").as_bytes() {
--- a/review/standins-3/cases.rs
+++ b/review/standins-3/cases.rs
@@ -14,24 +14,59 @@
 /// Number of daemons. Fewer than at the site, because they share the machine with their callers.
 const DAEMONS: usize = 3;
 
-/// Targets, requests and their work as at the site `swanfill-gw`, service `beadstock`.
-const TARGETS: usize = 22;
-const REQUESTS_PER_S: f64 = 427.0;
-const BEHAVIOUR: Behaviour = Behaviour {
-    slots: 6,
-    work_mean_ms: 160,
-    work_max_ms: 1_200,
-    extra_share: 0.03,
+/// A service with its route and its load, as at the site `swanfill-gw`.
+#[derive(Clone, Copy)]
+struct Scene {
+    service: &'static str,
+    targets: usize,
+    requests_per_s: f64,
+    behaviour: Behaviour,
+    /// Settings of the route.
+    route: &'static str,
+    method: &'static str,
+    deadline: Duration,
+}
+
+const LOOKUPS: Scene = Scene {
+    service: "beadstock",
+    targets: 22,
+    requests_per_s: 427.0,
+    behaviour: Behaviour {
+        slots: 6,
+        is_keyed: true,
+        work_mean_ms: 160,
+        work_max_ms: 1_200,
+    },
+    route: "\"route_type\":\"idempotent\",\"timeout_s\":1.5,\"aim_s\":0.5,\"priority\":1",
+    method: "GET",
+    deadline: Duration::from_millis(3_000),
+};
+
+const ORDERS: Scene = Scene {
+    service: "refillbook",
+    targets: 9,
+    requests_per_s: 128.0,
+    behaviour: Behaviour {
+        slots: 6,
+        is_keyed: false,
+        work_mean_ms: 210,
+        work_max_ms: 1_200,
+    },
+    route: "\"route_type\":\"non_idempotent\",\"timeout_s\":2,\"aim_s\":1.2,\"priority\":2",
+    method: "POST",
+    deadline: Duration::from_millis(4_000),
 };
 
 /// Entries of another writer, each within the `row_bytes` of the settings, 65,536.
 const ODD_ENTRIES: usize = 16;
 const ODD_ENTRY_BYTES: usize = 65_000;
 
+const MANY_ENTRIES: usize = 128;
+
 /// `recovery_s` of the site.
 const RECOVERY: Duration = Duration::from_secs(15);
 
-/// A deployment with one service that is divided by key.
+/// A deployment with one service.
 struct Deployment {
     store: Arc<Store>,
     service: Arc<Service>,
@@ -52,31 +87,33 @@
 ) -> Result<(), String> {
     match case {
         "odd-entries" => odd_entries(has_trouble, files, record),
-        "repeated-answers" => repeated_answers(has_trouble, files, record),
+        "many-changes" => many_changes(has_trouble, files, record),
+        "missing-fields" => missing_fields(has_trouble, files, record),
         _ if case.starts_with("soak-") => soak(&case[5..], files, record),
         _ => Err(format!("no case {case}")),
     }
 }
 
-fn config(service: &str) -> String {
+fn config(scene: Scene) -> String {
+    let Scene { service, route, .. } = scene;
+    let keys = if scene.behaviour.is_keyed {
+        ",\"sharded\":true,\"warm_s\":5.0,\"grants\":\"call\""
+    } else {
+        ""
+    };
     format!(
-        "{{\"config_version\":\"00000005\",\"routes\":{{\"r-one\":{{\"hostname\":\"one.example\",\"prefix\":\"/look/\",\"route_type\":\"idempotent\",\"timeout_s\":1.5,\"aim_s\":0.5,\"priority\":0,\"service\":\"{service}\",\"max_attempts\":2}}}},\
-        \"services\":{{\"{service}\":{{\"health_check\":\"/health\",\"max_conns\":130,\"protocol\":\"h1\",\"tls\":false,\"sharded\":true,\"warm_s\":5.0,\"grants\":\"call\"}}}},\
+        "{{\"config_version\":\"00000005\",\"routes\":{{\"r-one\":{{\"hostname\":\"one.example\",\"prefix\":\"/one/\",{route},\"service\":\"{service}\",\"max_attempts\":2}}}},\
+        \"services\":{{\"{service}\":{{\"health_check\":\"/health\",\"max_conns\":130,\"protocol\":\"h1\",\"tls\":false{keys}}}}},\
         \"limits\":{{\"max_header_bytes\":16384,\"max_body_bytes\":67108864,\"header_timeout_s\":3,\"idle_timeout_s\":15}},\"base_version\":\"00000004\"}}"
     )
 }
 
 impl Deployment {
-    fn start(
-        files: &Path,
-        record: &Arc<Record>,
-        behaviour: Behaviour,
-        per_s: f64,
-    ) -> Result<Self, String> {
+    fn start(files: &Path, record: &Arc<Record>, scene: Scene) -> Result<Self, String> {
         let store = Store::start(record);
-        let service = Service::new("beadstock", behaviour, record, &store);
-        store.put("op", "config", Some(&config(&service.name)));
-        let targets: Vec<Target> = (0..TARGETS)
+        let service = Service::new(scene.service, scene.behaviour, record, &store);
+        store.put("op", "config", Some(&config(scene)));
+        let targets: Vec<Target> = (0..scene.targets)
             .map(|number| service.start(&format!("i-{number:04}")))
             .collect();
         let daemons: Vec<Daemon> = (0..DAEMONS)
@@ -91,12 +128,15 @@
         thread::sleep(Duration::from_secs(4));
         let load = Arc::new(Load {
             host: "one.example".to_owned(),
-            path: "/look/".to_owned(),
-            per_s,
+            path: "/one/".to_owned(),
+            method: scene.method,
+            deadline: scene.deadline,
+            per_s: scene.requests_per_s,
             callers: 120,
             is_over: AtomicBool::new(false),
             sent: AtomicU64::new(0),
             served: AtomicU64::new(0),
+            unsigned: AtomicU64::new(0),
         });
         let addresses: Vec<_> = daemons.iter().map(|daemon| daemon.callers).collect();
         let callers = caller::start(&load, &addresses, record);
@@ -148,26 +188,10 @@
     }
 }
 
-/// Targets are replaced one after the other, while some targets send answers twice.
-fn repeated_answers(has_trouble: bool, files: &Path, record: &Arc<Record>) -> Result<(), String> {
-    let mut deployment = Deployment::start(files, record, BEHAVIOUR, REQUESTS_PER_S)?;
-    let end = Instant::now() + Duration::from_secs(100);
-    let mut second = 0;
-    while Instant::now() < end {
-        if has_trouble && second % 5 == 0 {
-            deployment.service.set_spoiling(0.6);
-        }
-        deployment.replace_oldest();
-        second += 1;
-        thread::sleep(Duration::from_secs(1));
-    }
-    deployment.end()
-}
-
 /// Another writer has entries in the table of the targets, under keys with a space. All processes
 /// are killed at the end, and traffic goes on through the recovery.
 fn odd_entries(has_trouble: bool, files: &Path, record: &Arc<Record>) -> Result<(), String> {
-    let mut deployment = Deployment::start(files, record, BEHAVIOUR, REQUESTS_PER_S)?;
+    let mut deployment = Deployment::start(files, record, LOOKUPS)?;
     thread::sleep(Duration::from_secs(8));
     // `PLAIN` is for comparison only: the same entries under keys without a space.
     let space = if std::env::var("PLAIN").is_ok() {
@@ -219,6 +243,77 @@
     }
 }
 
+/// Another writer has one entry in the table of the targets, with fields missing. At its address
+/// there is a program that is no target and knows none of the paths.
+fn missing_fields(has_trouble: bool, files: &Path, record: &Arc<Record>) -> Result<(), String> {
+    let deployment = Deployment::start(files, record, ORDERS)?;
+    thread::sleep(Duration::from_secs(8));
+    let unsigned = || deployment.load.unsigned.load(Ordering::Relaxed);
+    if unsigned() > 0 {
+        return Err("refused before the trouble".to_owned());
+    }
+    let other = crate::other::start(record);
+    if has_trouble {
+        let entry = format!(
+            "{{\"address\":\"{other}\",\"info\":{{\"service\":\"refillbook\",\"zone\":\"a\",\"slots\":6}},\"status\":{{\"state\":\"ready\"}}}}"
+        );
+        record.line(&format!("another writer: batch-worker-1 {entry}"));
+        deployment
+            .store
+            .put("servers", "batch-worker-1", Some(&entry));
+    }
+    thread::sleep(Duration::from_secs(40));
+    let (sent, _) = deployment.load.counts();
+    let refused = unsigned();
+    record.line(&format!(
+        "{sent} sent, {refused} answered 4xx without a target's signature"
+    ));
+    println!("{sent} sent, {refused} answered 4xx without a target's signature");
+    if refused > 5 + sent / 500 {
+        record.violation(&format!(
+            "DENIED: {refused} of {sent} proper requests end with a 4xx that is no target's"
+        ));
+    }
+    deployment.end()
+}
+
+/// Another writer writes many large entries at once in the table of the targets. Then targets are
+/// replaced one after the other.
+fn many_changes(has_trouble: bool, files: &Path, record: &Arc<Record>) -> Result<(), String> {
+    let mut deployment = Deployment::start(files, record, LOOKUPS)?;
+    thread::sleep(Duration::from_secs(8));
+    if has_trouble {
+        let value = "x".repeat(ODD_ENTRY_BYTES);
+        record.line(&format!(
+            "another writer: {MANY_ENTRIES} entries of {ODD_ENTRY_BYTES} bytes"
+        ));
+        for number in 0..MANY_ENTRIES {
+            let key = format!("batch-worker-{number:04}");
+            deployment.store.put("servers", &key, Some(&value));
+            // Eleven such rows fill a call, and each call takes `tx_s`.
+            if number % 11 == 10 {
+                thread::sleep(Duration::from_millis(5));
+            }
+        }
+    }
+    thread::sleep(Duration::from_secs(3));
+    for _ in 0..30 {
+        deployment.replace_oldest();
+        thread::sleep(Duration::from_secs(1));
+    }
+    let (sent_before, served_before) = deployment.load.counts();
+    thread::sleep(Duration::from_secs(10));
+    let (sent, served) = deployment.load.counts();
+    let (sent, served) = (sent - sent_before, served - served_before);
+    record.line(&format!("in the last 10 s: {sent} sent, {served} served"));
+    println!("in the last 10 s: {sent} sent, {served} served");
+    if !has_trouble && served * 2 < sent {
+        return Err("less than half was served without the trouble".to_owned());
+    }
+    deployment.stop();
+    Ok(())
+}
+
 /// Plays one kind of disruption again and again, while targets are replaced.
 fn soak(kind: &str, files: &Path, record: &Arc<Record>) -> Result<(), String> {
     let seed = std::env::var("SEED")
@@ -226,7 +321,7 @@
         .and_then(|seed| seed.parse().ok())
         .unwrap_or(1);
     let mut random = crate::record::Random::new(seed);
-    let mut deployment = Deployment::start(files, record, BEHAVIOUR, REQUESTS_PER_S)?;
+    let mut deployment = Deployment::start(files, record, LOOKUPS)?;
     let end = Instant::now() + Duration::from_secs(100);
     let mut number = 0;
     let mut next = Instant::now() + Duration::from_secs(3);
@@ -296,7 +391,7 @@
                     let wait = Duration::from_millis(200 + random.below(1_800));
                     thread::spawn(move || {
                         thread::sleep(wait);
-                        store.put("op", "config", Some(&config(&service.name)));
+                        store.put("op", "config", Some(&config(LOOKUPS)));
                         service.write_again();
                     });
                 }
--- a/review/standins-3/checks.rs
+++ b/review/standins-3/checks.rs
@@ -8,7 +8,32 @@
 /// Time for which two targets may hold the same keys.
 const OVERLAP_MAX_MS: u64 = 500;
 
+/// `drain_s`.
+const DRAIN_MS: u64 = 2_000;
+
 impl Service {
+    /// Checks that a request does not reach a target too long after it has begun to drain. The first
+    /// such request of each target is a violation; the others are recorded only.
+    pub fn check_drain(&self, state: &mut TargetState, id: &str) {
+        let Some(since_ms) = state.draining_since_ms else {
+            return;
+        };
+        let late_ms = self.now_ms().saturating_sub(since_ms);
+        if late_ms <= DRAIN_MS {
+            return;
+        }
+        let name = &state.name;
+        let line = format!(
+            "DRAIN: {id} reaches target {name} {late_ms} ms after the store has acknowledged that it drains"
+        );
+        if state.has_late_requests {
+            self.record.line(&line);
+        } else {
+            self.record.violation(&line);
+        }
+        state.has_late_requests = true;
+    }
+
     /// Checks a grant that a target accepts against what another one holds and does.
     pub fn check_grant(
         &self,
--- a/review/standins-3/holds.rs
+++ b/review/standins-3/holds.rs
@@ -30,7 +30,10 @@
     /// The entry as the target last wrote it, until it is removed.
     pub entry: Option<String>,
     pub is_up: bool,
-    pub is_spoiling: bool,
+    /// When the store has accepted that the target is draining.
+    pub draining_since_ms: Option<u64>,
+    /// Whether a request was seen that came too late for that.
+    pub has_late_requests: bool,
     pub holds: Vec<Hold>,
     /// The highest tokens that were seen, by keys.
     pub seen: Vec<(Keys, u64)>,
--- a/review/standins-3/main.rs
+++ b/review/standins-3/main.rs
@@ -12,6 +12,7 @@
 mod holds;
 mod http;
 mod json;
+mod other;
 mod record;
 mod store;
 mod target;
--- a/review/standins-3/store.rs
+++ b/review/standins-3/store.rs
@@ -17,7 +17,7 @@
 const COPY_INTERVAL: Duration = Duration::from_millis(100);
 const COPIES_MAX: usize = 100;
 
-/// Upper limit on the rows of one response, in bytes.
+/// Upper limit on the rows that one read returns, in bytes.
 const PAGE_MAX_BYTES: usize = 1_000_000;
 
 type Rows = BTreeMap<(String, String), (u64, Option<String>)>;
@@ -281,12 +281,18 @@
                 quote(key)
             )
         });
-        // At most so many rows and bytes a response; at least one row.
+        // A read returns at most so many rows and bytes, and at least one row. What has changed is
+        // returned whole, because the answer names the newest version.
+        let max_bytes = if limit == usize::MAX {
+            limit
+        } else {
+            PAGE_MAX_BYTES
+        };
         let mut bytes = 0;
         let all: Vec<String> = rows.collect();
         let fitting = all.iter().take(limit).take_while(|row| {
             bytes += row.len();
-            bytes <= PAGE_MAX_BYTES
+            bytes <= max_bytes
         });
         let count = fitting.count().max(1).min(all.len());
         let has_more = count < all.len();
--- a/review/standins-3/target.rs
+++ b/review/standins-3/target.rs
@@ -17,10 +17,10 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Behaviour {
     pub slots: usize,
+    /// Whether requests run only at the target that holds their key.
+    pub is_keyed: bool,
     pub work_mean_ms: u64,
     pub work_max_ms: u64,
-    /// The share of the answers of a spoiling target that are sent once more, late.
-    pub extra_share: f64,
 }
 
 /// All targets of one service divided by key, with one lock, so that the checks see one moment.
@@ -124,6 +124,9 @@
             .line(&format!("target {} is {state}", target.name));
         self.lock()[target.place].entry = Some(entry.clone());
         self.store.put("servers", &target.name, Some(&entry));
+        if state == "draining" {
+            self.lock()[target.place].draining_since_ms = Some(self.now_ms());
+        }
     }
 
     /// Writes all entries again, as the targets do after the store has lost some. The entries of
@@ -170,43 +173,18 @@
         drop(TcpStream::connect(target.address));
     }
 
-    /// Sets which targets send some of their answers once more.
-    pub fn set_spoiling(&self, share: f64) {
-        let mut random = self.random.lock().expect("random numbers");
-        for state in self.lock().iter_mut() {
-            state.is_spoiling = random.share() < share;
-        }
-    }
-
     pub fn now_ms(&self) -> u64 {
         self.record.ms()
     }
 
     fn serve(self: Arc<Self>, place: usize, mut wire: Wire) {
-        let mut extra: Option<Vec<u8>> = None;
         while let Ok(request) = wire.read(false) {
-            // An extra response arrives late, where the next response is expected.
-            if let Some(bytes) = extra.take() {
-                let (_, target) = request.request_line();
-                self.record.line(&format!(
-                    "target {} repeats an earlier answer before that to {target}",
-                    self.lock()[place].name
-                ));
-                if wire.write(&bytes).is_err() {
-                    return;
-                }
-            }
             let Some(answer) = self.answer(place, &request) else {
                 return;
             };
             if wire.write(&answer).is_err() {
                 return;
             }
-            let is_spoiling = self.lock()[place].is_spoiling;
-            let mut random = self.random.lock().expect("random numbers");
-            if is_spoiling && random.share() < self.behaviour.extra_share {
-                extra = Some(answer);
-            }
         }
     }
 
@@ -233,6 +211,9 @@
             ));
         }
         match target {
+            "/v1/grant" | "/v1/release" if !self.behaviour.is_keyed => {
+                Some(response(400, &[], b""))
+            }
             "/v1/grant" => Some(self.grant(place, request)),
             "/v1/release" => self.release(place, request),
             _ => self.run(place, request),
@@ -347,9 +328,10 @@
         };
         let end = Instant::now() + Duration::from_millis(deadline_ms);
         let mut targets = self.lock();
-        if !targets[place].holds(key, self.now_ms()) {
+        if self.behaviour.is_keyed && !targets[place].holds(key, self.now_ms()) {
             return not_run(421);
         }
+        self.check_drain(&mut targets[place], &id);
         if targets[place].work.len() >= self.behaviour.slots {
             if targets[place].waiting >= QUEUE {
                 return not_run(503);
@@ -370,7 +352,7 @@
         if Instant::now() >= end {
             return not_run(503);
         }
-        if !targets[place].holds(key, self.now_ms()) {
+        if self.behaviour.is_keyed && !targets[place].holds(key, self.now_ms()) {
             return not_run(421);
         }
         let mut random = self.random.lock().expect("random numbers");
