Let the soak of the third review disturb the store and connections in more ways

Change: each daemon has its own address of the store, so that it can be refused, cut off or left without an answer alone; the store can lose answers and perform writes late; all open connections can fall silent; a share of the grants can be applied seconds late. Disruptions may last into the next one. The soak has a file of its own. Daemons listen on ports below those of outgoing connections.

--- a/review/standins-3/cases.rs
+++ b/review/standins-3/cases.rs
@@ -12,22 +12,22 @@
 use std::time::{Duration, Instant};
 
 /// Number of daemons. Fewer than at the site, because they share the machine with their callers.
-const DAEMONS: usize = 3;
+pub const DAEMONS: usize = 3;
 
 /// A service with its route and its load, as at the site `swanfill-gw`.
 #[derive(Clone, Copy)]
-struct Scene {
+pub struct Scene {
     service: &'static str,
     targets: usize,
     requests_per_s: f64,
-    behaviour: Behaviour,
+    pub behaviour: Behaviour,
     /// Settings of the route.
     route: &'static str,
     method: &'static str,
     deadline: Duration,
 }
 
-const LOOKUPS: Scene = Scene {
+pub const LOOKUPS: Scene = Scene {
     service: "beadstock",
     targets: 22,
     requests_per_s: 427.0,
@@ -36,6 +36,7 @@
         is_keyed: true,
         work_mean_ms: 160,
         work_max_ms: 1_200,
+        delayed_grants_percent: 0,
     },
     route: "\"route_type\":\"idempotent\",\"timeout_s\":1.5,\"aim_s\":0.5,\"priority\":1",
     method: "GET",
@@ -51,6 +52,7 @@
         is_keyed: false,
         work_mean_ms: 210,
         work_max_ms: 1_200,
+        delayed_grants_percent: 0,
     },
     route: "\"route_type\":\"non_idempotent\",\"timeout_s\":2,\"aim_s\":1.2,\"priority\":2",
     method: "POST",
@@ -67,11 +69,11 @@
 const RECOVERY: Duration = Duration::from_secs(15);
 
 /// A deployment with one service.
-struct Deployment {
-    store: Arc<Store>,
-    service: Arc<Service>,
-    targets: Vec<Target>,
-    daemons: Vec<Daemon>,
+pub struct Deployment {
+    pub store: Arc<Store>,
+    pub service: Arc<Service>,
+    pub targets: Vec<Target>,
+    pub daemons: Vec<Daemon>,
     load: Arc<Load>,
     callers: Vec<thread::JoinHandle<()>>,
     started: usize,
@@ -89,12 +91,12 @@
         "odd-entries" => odd_entries(has_trouble, files, record),
         "many-changes" => many_changes(has_trouble, files, record),
         "missing-fields" => missing_fields(has_trouble, files, record),
-        _ if case.starts_with("soak-") => soak(&case[5..], files, record),
+        _ if case.starts_with("soak-") => crate::soak::play(&case[5..], files, record),
         _ => Err(format!("no case {case}")),
     }
 }
 
-fn config(scene: Scene) -> String {
+pub fn config(scene: Scene) -> String {
     let Scene { service, route, .. } = scene;
     let keys = if scene.behaviour.is_keyed {
         ",\"sharded\":true,\"warm_s\":5.0,\"grants\":\"call\""
@@ -109,7 +111,7 @@
 }
 
 impl Deployment {
-    fn start(files: &Path, record: &Arc<Record>, scene: Scene) -> Result<Self, String> {
+    pub fn start(files: &Path, record: &Arc<Record>, scene: Scene) -> Result<Self, String> {
         let store = Store::start(record);
         let service = Service::new(scene.service, scene.behaviour, record, &store);
         store.put("op", "config", Some(&config(scene)));
@@ -117,7 +119,10 @@
             .map(|number| service.start(&format!("i-{number:04}")))
             .collect();
         let daemons: Vec<Daemon> = (0..DAEMONS)
-            .map(|number| Daemon::start(files, &format!("edge-{number}"), store.address, record))
+            .map(|number| {
+                let name = format!("edge-{number}");
+                Daemon::start(files, &name, store.addresses[number], record)
+            })
             .collect();
         for daemon in &daemons {
             if !daemon.wait_ready(Duration::from_secs(15)) {
@@ -154,7 +159,7 @@
     }
 
     /// Replaces the oldest target: a new one starts, and the old one drains and leaves.
-    fn replace_oldest(&mut self) {
+    pub fn replace_oldest(&mut self) {
         self.targets
             .push(self.service.start(&format!("i-{:04}", self.started)));
         self.started += 1;
@@ -168,6 +173,15 @@
         });
     }
 
+    /// Replaces targets for so long.
+    pub fn replace_for(&mut self, time: Duration) {
+        let end = Instant::now() + time;
+        while Instant::now() < end {
+            self.replace_oldest();
+            thread::sleep(Duration::from_millis(900));
+        }
+    }
+
     fn stop(&mut self) {
         self.load.is_over.store(true, Ordering::Relaxed);
         for caller in self.callers.drain(..) {
@@ -175,7 +189,7 @@
         }
     }
 
-    fn end(mut self) -> Result<(), String> {
+    pub fn end(mut self) -> Result<(), String> {
         self.stop();
         let (sent, served) = self.load.counts();
         self.record
@@ -313,109 +327,3 @@
     deployment.stop();
     Ok(())
 }
-
-/// Plays one kind of disruption again and again, while targets are replaced.
-fn soak(kind: &str, files: &Path, record: &Arc<Record>) -> Result<(), String> {
-    let seed = std::env::var("SEED")
-        .ok()
-        .and_then(|seed| seed.parse().ok())
-        .unwrap_or(1);
-    let mut random = crate::record::Random::new(seed);
-    let mut deployment = Deployment::start(files, record, LOOKUPS)?;
-    let end = Instant::now() + Duration::from_secs(100);
-    let mut number = 0;
-    let mut next = Instant::now() + Duration::from_secs(3);
-    while Instant::now() < end {
-        deployment.replace_oldest();
-        thread::sleep(Duration::from_millis(600 + random.below(900)));
-        if Instant::now() < next {
-            continue;
-        }
-        let pause_ms = if kind.contains("restore") {
-            22_000
-        } else {
-            5_000
-        };
-        next = Instant::now() + Duration::from_millis(pause_ms + random.below(6_000));
-        number += 1;
-        let leader = deployment.daemons.iter().position(Daemon::leads);
-        let place = if random.share() < 0.8 { leader } else { None };
-        let place = place.unwrap_or(random.below(DAEMONS as u64) as usize);
-        let length = Duration::from_millis(500 + random.below(9_500));
-        record.line(&format!(
-            "disruption {number}: {kind}, daemon {place}, leader {leader:?}, {length:?}"
-        ));
-        for part in kind.split('+') {
-            match part {
-                "kill" => {
-                    deployment.daemons[place].kill();
-                    thread::sleep(Duration::from_millis(200 + random.below(1_500)));
-                    deployment.daemons[place].start_again();
-                }
-                "term" => {
-                    deployment.daemons[place].signal("TERM");
-                    for _ in 0..70 {
-                        thread::sleep(Duration::from_millis(100));
-                        if deployment.daemons[place].has_ended() {
-                            break;
-                        }
-                    }
-                    deployment.daemons[place].kill();
-                    deployment.daemons[place].start_again();
-                }
-                "freeze" => {
-                    deployment.daemons[place].signal("STOP");
-                    let thaw = Instant::now() + length;
-                    while Instant::now() < thaw {
-                        deployment.replace_oldest();
-                        thread::sleep(Duration::from_millis(900));
-                    }
-                    deployment.daemons[place].signal("CONT");
-                }
-                "away" => {
-                    deployment.store.set_away(true);
-                    thread::sleep(length);
-                    deployment.store.set_away(false);
-                    deployment.service.write_again();
-                }
-                "restore" => {
-                    let age = Duration::from_millis(300 + random.below(6_000));
-                    deployment.store.set_away(true);
-                    thread::sleep(Duration::from_millis(100 + random.below(900)));
-                    deployment.store.restore(age);
-                    deployment.store.set_away(false);
-                    let (service, store) = (
-                        Arc::clone(&deployment.service),
-                        Arc::clone(&deployment.store),
-                    );
-                    let wait = Duration::from_millis(200 + random.below(1_800));
-                    thread::spawn(move || {
-                        thread::sleep(wait);
-                        store.put("op", "config", Some(&config(LOOKUPS)));
-                        service.write_again();
-                    });
-                }
-                "restart" => {
-                    for _ in 0..3 {
-                        let index = random.below(deployment.targets.len() as u64) as usize;
-                        let old = deployment.targets[index].clone();
-                        deployment.service.end_silently(&old);
-                        thread::sleep(Duration::from_millis(100 + random.below(1_500)));
-                        let listener = std::net::TcpListener::bind(old.address);
-                        let Ok(listener) = listener else {
-                            record.line("the address is in use");
-                            deployment.service.end(&old);
-                            deployment.targets[index] =
-                                deployment.service.start(&format!("{}x", old.name));
-                            continue;
-                        };
-                        deployment.targets[index] =
-                            deployment.service.start_at(&old.name, listener);
-                    }
-                }
-                _ => return Err(format!("no kind {part}")),
-            }
-        }
-    }
-    deployment.end()
-}
--- a/review/standins-3/daemon.rs
+++ b/review/standins-3/daemon.rs
@@ -6,6 +6,7 @@
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -15,6 +16,13 @@
 /// The program of the deploy file.
 const PROGRAM: &str = "target/release/balsam-edge";
 
+/// The ports on which daemons listen.
+const PORTS_FIRST: u32 = 12_000;
+const PORTS_COUNT: u32 = 18_000;
+
+/// Distance between the first ports of two scripts, larger than what a script needs.
+const PORTS_STEP: u32 = 16;
+
 /// A daemon. Its process ends with it.
 pub struct Daemon {
     pub name: String,
@@ -23,14 +31,22 @@
     settings: PathBuf,
     output: PathBuf,
     child: Child,
+    /// The id of the process while it runs.
+    process: Arc<AtomicU32>,
     record: Arc<Record>,
 }
 
+/// Returns an address whose port is free. It lies below the ports that the system gives to outgoing
+/// connections, one of which could take it before the daemon listens.
 fn free_address() -> SocketAddr {
+    static TAKEN: AtomicU32 = AtomicU32::new(0);
+    // Scripts that run beside each other look for ports at different places.
+    let first = std::process::id() % PORTS_COUNT;
     loop {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
-        let address = listener.local_addr().expect("an address");
-        if UdpSocket::bind(address).is_ok() {
+        let taken = TAKEN.fetch_add(1, Ordering::Relaxed);
+        let port = PORTS_FIRST + (first * PORTS_STEP + taken) % PORTS_COUNT;
+        let address = SocketAddr::from(([127, 0, 0, 1], port as u16));
+        if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
             return address;
         }
     }
@@ -67,6 +83,7 @@
             readiness,
             settings,
             output,
+            process: Arc::new(AtomicU32::new(child.id())),
             child,
             record: Arc::clone(record),
         }
@@ -76,16 +93,28 @@
     pub fn signal(&self, signal: &str) {
         self.record
             .line(&format!("daemon {} gets SIG{signal}", self.name));
-        let sent = Command::new("kill")
-            .arg(format!("-{signal}"))
-            .arg(self.child.id().to_string())
-            .status();
-        drop(sent);
+        send_signal(self.child.id(), signal);
+    }
+
+    /// Suspends the process, and continues it after `time` in the background.
+    pub fn freeze(&self, time: Duration) {
+        self.signal("STOP");
+        let (frozen, name) = (self.child.id(), self.name.clone());
+        let process = Arc::clone(&self.process);
+        let record = Arc::clone(&self.record);
+        thread::spawn(move || {
+            thread::sleep(time);
+            if process.load(Ordering::Relaxed) == frozen {
+                record.line(&format!("daemon {name} goes on"));
+                send_signal(frozen, "CONT");
+            }
+        });
     }
 
     /// Kills the process and waits for its end.
     pub fn kill(&mut self) {
         self.record.line(&format!("daemon {} is killed", self.name));
+        self.process.store(0, Ordering::Relaxed);
         let _ = self.child.kill();
         let _ = self.child.wait();
     }
@@ -95,6 +124,7 @@
         self.record
             .line(&format!("daemon {} starts again", self.name));
         self.child = spawn(&self.settings, &self.output);
+        self.process.store(self.child.id(), Ordering::Relaxed);
     }
 
     /// Returns whether the process has ended by itself.
@@ -141,11 +171,20 @@
 
 impl Drop for Daemon {
     fn drop(&mut self) {
+        self.process.store(0, Ordering::Relaxed);
         let _ = self.child.kill();
         let _ = self.child.wait();
     }
 }
 
+fn send_signal(process: u32, signal: &str) {
+    let sent = Command::new("kill")
+        .arg(format!("-{signal}"))
+        .arg(process.to_string())
+        .status();
+    drop(sent);
+}
+
 fn spawn(settings: &Path, output: &Path) -> Child {
     let log = File::options()
         .create(true)
--- a/review/standins-3/main.rs
+++ b/review/standins-3/main.rs
@@ -14,6 +14,7 @@
 mod json;
 mod other;
 mod record;
+mod soak;
 mod store;
 mod target;
 
--- a/review/standins-3/store.rs
+++ b/review/standins-3/store.rs
@@ -2,10 +2,10 @@
 
 use crate::http::{Message, Wire, response};
 use crate::json::{Json, quote, to_base64};
-use crate::record::Record;
+use crate::record::{Random, Record};
 use std::collections::{BTreeMap, VecDeque};
 use std::net::{SocketAddr, TcpListener};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -20,6 +20,12 @@
 /// Upper limit on the rows that one read returns, in bytes.
 const PAGE_MAX_BYTES: usize = 1_000_000;
 
+/// Number of addresses of the store. Each daemon has its own, so that it can be turned away alone.
+const DOORS: usize = 3;
+
+/// Time for which a connection stays open that delivers nothing further.
+const SILENT_TIME: Duration = Duration::from_secs(5);
+
 type Rows = BTreeMap<(String, String), (u64, Option<String>)>;
 
 #[derive(Default)]
@@ -30,6 +36,21 @@
     copies: VecDeque<(Instant, u64, Rows)>,
 }
 
+/// How the calls to one address of the store are treated.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Access {
+    Served,
+    /// Answered with 503.
+    Refused,
+    /// The connection is closed.
+    Closed,
+    /// There is no answer.
+    Silent,
+    /// Half of the answers are lost. Writes without an answer are performed at once, seconds later
+    /// or not at all.
+    Lossy,
+}
+
 /// The store. Row values are kept in base64, as they are sent.
 pub struct Store {
     state: Mutex<State>,
@@ -37,29 +58,39 @@
     started_at: Instant,
     /// Whether calls get no answer at present.
     is_away: AtomicBool,
+    access: Mutex<[Access; DOORS]>,
+    /// How often all open connections have fallen silent for good.
+    pub silences: AtomicU64,
+    random: Mutex<Random>,
     record: Arc<Record>,
-    pub address: SocketAddr,
+    pub addresses: Vec<SocketAddr>,
 }
 
 impl Store {
-    /// Starts the store on a free loopback port.
+    /// Starts the store on free loopback ports.
     pub fn start(record: &Arc<Record>) -> Arc<Self> {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let listeners = [(); DOORS].map(|()| TcpListener::bind("127.0.0.1:0").expect("a port"));
+        let address = |listener: &TcpListener| listener.local_addr().expect("an address");
         let store = Arc::new(Self {
             state: Mutex::default(),
             changed: Condvar::new(),
             started_at: Instant::now(),
             is_away: AtomicBool::new(false),
+            access: Mutex::new([Access::Served; DOORS]),
+            silences: AtomicU64::new(0),
+            random: Mutex::new(Random::new(11)),
             record: Arc::clone(record),
-            address: listener.local_addr().expect("an address"),
-        });
-        let accepting = Arc::clone(&store);
-        thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
-                let store = Arc::clone(&accepting);
-                thread::spawn(move || store.serve(Wire::new(stream)));
-            }
+            addresses: listeners.iter().map(address).collect(),
         });
+        for (door, listener) in listeners.into_iter().enumerate() {
+            let accepting = Arc::clone(&store);
+            thread::spawn(move || {
+                for stream in listener.incoming().flatten() {
+                    let store = Arc::clone(&accepting);
+                    thread::spawn(move || store.serve(door, Wire::new(stream)));
+                }
+            });
+        }
         let copying = Arc::clone(&store);
         thread::spawn(move || {
             loop {
@@ -105,6 +136,13 @@
         self.changed.notify_all();
     }
 
+    /// Treats the calls to one address differently from now on.
+    pub fn set_access(&self, door: usize, access: Access) {
+        self.access.lock().expect("the access")[door] = access;
+        self.record
+            .line(&format!("store: calls of daemon {door} are {access:?}"));
+    }
+
     /// Goes back to a copy of this age, in the next era. Returns the age of the copy.
     pub fn restore(&self, age: Duration) -> Duration {
         let mut state = self.state.lock().expect("rows");
@@ -128,11 +166,40 @@
         at.elapsed()
     }
 
-    fn serve(&self, mut wire: Wire) {
+    fn serve(self: Arc<Self>, door: usize, mut wire: Wire) {
+        let silences = self.silences.load(Ordering::Relaxed);
         while let Ok(request) = wire.read(false) {
+            if self.silences.load(Ordering::Relaxed) != silences {
+                loop {
+                    thread::park();
+                }
+            }
+            let access = self.access.lock().expect("the access")[door];
+            match access {
+                Access::Refused => {
+                    thread::sleep(ANSWER_TIME);
+                    let era = self.state.lock().expect("rows").era.to_string();
+                    let fields = [("Store-Era", era.as_str())];
+                    if wire.write(&response(503, &fields, b"")).is_err() {
+                        return;
+                    }
+                    continue;
+                }
+                Access::Closed => return,
+                Access::Silent => {
+                    thread::sleep(SILENT_TIME);
+                    return;
+                }
+                Access::Lossy if self.random.lock().expect("random numbers").share() < 0.5 => {
+                    self.lose(request);
+                    thread::sleep(SILENT_TIME);
+                    return;
+                }
+                Access::Lossy | Access::Served => {}
+            }
             if self.is_away.load(Ordering::Relaxed) {
                 // The call gets no answer, and the connection delivers nothing further.
-                thread::sleep(Duration::from_secs(5));
+                thread::sleep(SILENT_TIME);
                 return;
             }
             thread::sleep(ANSWER_TIME);
@@ -154,6 +221,37 @@
         }
     }
 
+    /// Performs a write without an answer: now, later in the same era, or not at all.
+    fn lose(self: &Arc<Self>, request: Message) {
+        if !request.request_line().1.starts_with("/v1/rows-tx") {
+            return;
+        }
+        let mut random = self.random.lock().expect("random numbers");
+        let (share, wait) = (
+            random.share(),
+            Duration::from_millis(500 + random.below(4_500)),
+        );
+        drop(random);
+        let store = Arc::clone(self);
+        let era = self.state.lock().expect("rows").era;
+        let perform = move || {
+            if store.state.lock().expect("rows").era == era {
+                let (status, ..) = store.write(&request.body);
+                store
+                    .record
+                    .line(&format!("store: a write without an answer, {status}"));
+            }
+        };
+        if share < 0.4 {
+            perform();
+        } else if share < 0.8 {
+            thread::spawn(move || {
+                thread::sleep(wait);
+                perform();
+            });
+        }
+    }
+
     fn answer(&self, request: &Message) -> (u16, String, u64) {
         let (_, target) = request.request_line();
         let (path, query) = target.split_once('?').unwrap_or((target, ""));
--- a/review/standins-3/target.rs
+++ b/review/standins-3/target.rs
@@ -6,6 +6,7 @@
 use crate::record::{Random, Record};
 use crate::store::Store;
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::Ordering;
 use std::sync::{Arc, Condvar, Mutex, MutexGuard};
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -21,6 +22,8 @@
     pub is_keyed: bool,
     pub work_mean_ms: u64,
     pub work_max_ms: u64,
+    /// Share of the grants that get no answer and are applied seconds later.
+    pub delayed_grants_percent: u64,
 }
 
 /// All targets of one service divided by key, with one lock, so that the checks see one moment.
@@ -178,7 +181,13 @@
     }
 
     fn serve(self: Arc<Self>, place: usize, mut wire: Wire) {
+        let silences = self.store.silences.load(Ordering::Relaxed);
         while let Ok(request) = wire.read(false) {
+            if self.store.silences.load(Ordering::Relaxed) != silences {
+                loop {
+                    thread::park();
+                }
+            }
             let Some(answer) = self.answer(place, &request) else {
                 return;
             };
@@ -189,7 +198,7 @@
     }
 
     /// Answers a request, or returns `None` if the target has ended meanwhile.
-    fn answer(&self, place: usize, request: &Message) -> Option<Vec<u8>> {
+    fn answer(self: &Arc<Self>, place: usize, request: &Message) -> Option<Vec<u8>> {
         let name = {
             let targets = self.lock();
             if !targets[place].is_up {
@@ -214,18 +223,41 @@
             "/v1/grant" | "/v1/release" if !self.behaviour.is_keyed => {
                 Some(response(400, &[], b""))
             }
-            "/v1/grant" => Some(self.grant(place, request)),
+            "/v1/grant" => self.grant_or_delay(place, request),
             "/v1/release" => self.release(place, request),
             _ => self.run(place, request),
         }
     }
 
-    fn grant(&self, place: usize, request: &Message) -> Vec<u8> {
+    /// Applies a grant, or returns `None` and applies it seconds later, after newer ones.
+    fn grant_or_delay(self: &Arc<Self>, place: usize, request: &Message) -> Option<Vec<u8>> {
+        let arrived_ms = self.now_ms();
+        let mut random = self.random.lock().expect("random numbers");
+        let is_delayed = random.below(100) < self.behaviour.delayed_grants_percent;
+        let delay = Duration::from_millis(300 + random.below(4_000));
+        drop(random);
+        if !is_delayed {
+            return Some(self.grant(place, request, arrived_ms));
+        }
+        let (service, request) = (Arc::clone(self), request.clone());
+        thread::spawn(move || {
+            thread::sleep(delay);
+            service.record.line(&format!("a grant is {delay:?} late"));
+            service.grant(place, &request, arrived_ms);
+        });
+        None
+    }
+
+    /// Applies a grant. Its time counts from its arrival.
+    fn grant(&self, place: usize, request: &Message, arrived_ms: u64) -> Vec<u8> {
         let Some((keys, fence, order)) = order(request) else {
             return response(400, &[], b"");
         };
         let now_ms = self.now_ms();
         let mut targets = self.lock();
+        if !targets[place].is_up {
+            return response(503, &[], b"");
+        }
         if fence < targets[place].highest_seen(keys) {
             return response(409, &[], b"");
         }
@@ -246,17 +278,23 @@
             self.check_grant(&name, keys, fence, state, now_ms);
         }
         let state = &mut targets[place];
+        let same = state
+            .holds
+            .iter()
+            .filter(|hold| hold.keys == keys && hold.fence == fence);
+        let held_until_ms = same.map(|hold| hold.until_ms).max().unwrap_or(0);
+        let until_ms = held_until_ms.max(arrived_ms + hold_ms);
         state.drop_keys(keys);
         state.seen.push((keys, fence));
         state.holds.push(Hold {
             keys,
             fence,
-            until_ms: now_ms + hold_ms,
+            until_ms,
         });
         state
             .would_run_out
             .retain(|(of, until_ms)| *until_ms > now_ms && *of != keys);
-        state.would_run_out.push((keys, now_ms + hold_ms));
+        state.would_run_out.push((keys, until_ms));
         if is_new {
             state.taken.push((keys, fence));
         }
