Tell calls that fail each time from a store that is lost

Each daemon logs `store-lost`, "the store cannot be reached", for the table of upstreams, and counts 270 reads as `unreachable` in 35 s, while its other calls to the same address are answered (follow 22, 24 and 61, read-row 20 at the leader).

Cause of the misleading line: the client made `Unreachable` of each failure before a byte was sent, a refused connection and a request that cannot be encoded alike, and `NoAnswer` of an answer that is too long. Neither can be mended by another attempt. Failed reads of the daemons' own table had no line at all, and neither had a second cause.

Change: `Unsendable` and `AnswerTooLong` are errors of their own, which name the call; an order that cannot be encoded counts as not sent. `store-lost` is logged for each of the three tables, and again when the kind of the error changes.

--- a/crates/balsam-edge/src/control/tables.rs
+++ b/crates/balsam-edge/src/control/tables.rs
@@ -16,9 +16,16 @@
 use balsam_decide::routing::RouteTable;
 use balsam_types::{RoutingConfig, ServiceName, StoreEra, TimeMs, UpstreamName, UpstreamRow};
 use std::collections::BTreeMap;
-use std::collections::hash_map::Entry;
 use std::sync::Arc;
 
+/// A span of time in which the reads of a table fail.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct TableOutage {
+    since: TimeMs,
+    /// The kind of the last error, see [`StoreError::as_str`].
+    cause: &'static str,
+}
+
 impl ControlTask {
     /// Handles an update of a followed table.
     pub(super) fn follow(&mut self, table: FeedTable, asked_at: TimeMs, update: TableUpdate) {
@@ -53,17 +60,10 @@
             // they lack.
             self.next_heartbeat_at = now();
         }
-        if let Some(lost_at) = self.unavailable_since.remove(&table) {
+        if self.end_outage(StoreTable::from(table), page.version) {
             // Contact the leader at once: it knows whether the store was unavailable to the other
             // daemons as well.
             self.next_hello_at = now();
-            let lost_ms = now().since(lost_at);
-            ControlEvent::StoreBack {
-                table: StoreTable::from(table).as_str(),
-                version: page.version,
-                lost_ms,
-            }
-            .emit();
         }
         match table {
             FeedTable::Config => {
@@ -101,14 +101,38 @@
     fn store_failed(&mut self, table: FeedTable, error: &StoreError) {
         self.feed.record_failure(now(), table);
         self.directory.handle(now(), DirectoryInput::StoreFailed);
-        if let Entry::Vacant(unavailable_since) = self.unavailable_since.entry(table) {
-            unavailable_since.insert(now());
-            ControlEvent::StoreLost {
-                table: StoreTable::from(table).as_str(),
-                error: error.to_string(),
+        self.record_outage(StoreTable::from(table), error);
+    }
+
+    /// Records that a read of a table has failed, and logs it if the read before succeeded or failed
+    /// for another reason.
+    pub(super) fn record_outage(&mut self, table: StoreTable, error: &StoreError) {
+        let cause = error.as_str();
+        let known = self.outages.get(&table).copied();
+        if known.is_some_and(|outage| outage.cause == cause) {
+            return;
+        }
+        let since = known.map_or_else(now, |outage| outage.since);
+        self.outages.insert(table, TableOutage { since, cause });
+        ControlEvent::StoreLost {
+            table: table.as_str(),
+            error: error.to_string(),
+        }
+        .emit();
+    }
+
+    /// Records that a table was read at a version. Returns whether reads of it had failed before.
+    pub(super) fn end_outage(&mut self, table: StoreTable, version: u64) -> bool {
+        let outage = self.outages.remove(&table);
+        if let Some(TableOutage { since, .. }) = outage {
+            ControlEvent::StoreBack {
+                table: table.as_str(),
+                version,
+                lost_ms: now().since(since),
             }
             .emit();
         }
+        outage.is_some()
     }
 
     pub(super) fn log_bad_row(table: StoreTable, key: &str, reason: &str) {
--- a/crates/balsam-edge/src/control/task.rs
+++ b/crates/balsam-edge/src/control/task.rs
@@ -5,10 +5,11 @@
 use super::events::{self, ControlEvent, PendingOrder, RowSource};
 use super::follow::{FollowParams, TableFollower};
 use super::moved;
+use super::tables::TableOutage;
 use crate::clock::now;
 use crate::metrics::EdgeMetrics;
 use crate::peer::{PeerOutput, SnapshotAssembler};
-use crate::store::{StoreClient, StoreRequest};
+use crate::store::{StoreClient, StoreRequest, StoreTable};
 use crate::view::{SyncStatus, View};
 use balsam_decide::crashes::{CrashTracker, TrackerInput};
 use balsam_decide::directory::{Directory, DirectoryInput};
@@ -72,8 +73,8 @@
     pub(super) updates_handled: Map<FeedTable, u64>,
     /// Tables that were read from a restored store and not sent to the other daemons yet.
     pub(super) restored_tables: Set<FeedTable>,
-    /// Tables for which calls to the store fail, and since when.
-    pub(super) unavailable_since: Map<FeedTable, TimeMs>,
+    /// Tables whose reads from the store fail.
+    pub(super) outages: Map<StoreTable, TableOutage>,
     pub(super) next_heartbeat_at: TimeMs,
     pub(super) next_hello_at: TimeMs,
     /// Whether this daemon was the leader after the last input.
@@ -176,7 +177,7 @@
             outdated_since: None,
             updates_handled: new_map(),
             restored_tables: new_set(),
-            unavailable_since: new_map(),
+            outages: new_map(),
             next_heartbeat_at: now(),
             next_hello_at: now(),
             was_leading: false,
@@ -246,10 +247,16 @@
                 read: Ok(page),
             } => {
                 self.feed.record_clock(now(), asked_at, page.store_now);
+                self.end_outage(StoreTable::Cluster, page.version);
                 self.apply_cluster_rows(page);
                 self.decide(AssignerInput::Reloaded);
             }
-            ControlInput::Reloaded { read: Err(_), .. } => self.decide(AssignerInput::ReloadFailed),
+            ControlInput::Reloaded {
+                read: Err(error), ..
+            } => {
+                self.record_outage(StoreTable::Cluster, &error);
+                self.decide(AssignerInput::ReloadFailed);
+            }
             ControlInput::Ordered { id, result } => {
                 if let Some(pending_order) = self.pending_orders.remove(&id) {
                     events::ordered(now(), &pending_order, &result);
--- a/crates/balsam-edge/src/store/message.rs
+++ b/crates/balsam-edge/src/store/message.rs
@@ -131,6 +131,22 @@
     /// No connection could be opened. The call was not executed.
     #[snafu(display("the store cannot be reached"))]
     Unreachable,
+    /// The call cannot be encoded, so that no attempt can send it.
+    #[snafu(display("the call to {target} cannot be sent: {reason}"))]
+    Unsendable {
+        /// The target of the call.
+        target: String,
+        /// The cause.
+        reason: String,
+    },
+    /// The response is longer than accepted, and so would be that to the same call.
+    #[snafu(display("the store's answer to {target} has more than {max_bytes} bytes"))]
+    AnswerTooLong {
+        /// The target of the call.
+        target: String,
+        /// The accepted length in bytes.
+        max_bytes: usize,
+    },
     /// No response arrived. The call may have been executed, or may still be.
     #[snafu(display("the store did not answer"))]
     NoAnswer,
@@ -152,6 +168,8 @@
             Self::Refused { .. } => "refused",
             Self::HistoryLost => "history-lost",
             Self::Unreachable => "unreachable",
+            Self::Unsendable { .. } => "unsendable",
+            Self::AnswerTooLong { .. } => "answer-too-long",
             Self::NoAnswer => "no-answer",
             Self::BadAnswer { .. } => "bad-answer",
             Self::Stopped => "stopped",
@@ -160,7 +178,10 @@
 
     /// Returns whether a write that failed with this error was certainly not applied.
     pub const fn is_not_applied(&self) -> bool {
-        matches!(self, Self::Refused { .. } | Self::Unreachable)
+        matches!(
+            self,
+            Self::Refused { .. } | Self::Unreachable | Self::Unsendable { .. }
+        )
     }
 }
 
