Read the table when its changes are too long for one answer

Cause: the platform returns all changes of a table in one answer, and the client gives up one of more than 4 MiB. That counted as no answer, and the follower asked for the same changes without end.

Change: an answer that is too long loses the changes like 410 does, and the whole table is read in pages. The control task gets `ChangesLost` for both, so that neither counts as an outage of the store, for which vanished entries are kept.

--- a/crates/balsam-edge/src/control/events.rs
+++ b/crates/balsam-edge/src/control/events.rs
@@ -36,8 +36,11 @@
         source: &'static str,
         kept_ms: Option<u64>,
     },
-    /// The store no longer has the changes that this daemon missed; it reads the whole table again.
-    HistoryLost { table: &'static str },
+    /// The store cannot return the changes that this daemon missed; it reads the whole table again.
+    HistoryLost {
+        table: &'static str,
+        cause: &'static str,
+    },
     /// The store was restored from an older copy, and the table was read again.
     Restored { table: &'static str, era: u16 },
     /// A row could not be decoded and was ignored.
--- a/crates/balsam-edge/src/control/follow.rs
+++ b/crates/balsam-edge/src/control/follow.rs
@@ -65,7 +65,7 @@
     store: StoreClient,
     params: watch::Receiver<FollowParams>,
     version: Option<u64>,
-    /// The version after which the store no longer has the changes. While the daemon knows nothing
+    /// The version after which the store cannot return the changes. While the daemon knows nothing
     /// newer, the whole table must be read.
     lost_after: Option<u64>,
     /// Number of updates that were sent to the control task.
@@ -152,8 +152,15 @@
                 Some((asked_at, update))
             }
             Err(StoreError::Stopped) => None,
+            // The same call would fail again.
+            Err(error @ (StoreError::HistoryLost | StoreError::AnswerTooLong { .. }))
+                if after.is_some() =>
+            {
+                self.lost_after = after;
+                Some((asked_at, TableUpdate::ChangesLost(error)))
+            }
             Err(error) => {
-                self.back_off(&error, after).await;
+                self.back_off(&error).await;
                 Some((asked_at, TableUpdate::Failed(error)))
             }
         }
@@ -169,15 +176,13 @@
         next_params.await.ok().map(|current| *current)
     }
 
-    async fn back_off(&mut self, error: &StoreError, after: Option<u64>) {
-        match error {
-            StoreError::HistoryLost => self.lost_after = after,
-            StoreError::Unreachable => sleep(Duration::from_millis(UNREACHABLE_RETRY_MS)).await,
-            _ => {
-                sleep(Duration::from_millis(self.backoff_ms)).await;
-                self.backoff_ms = (self.backoff_ms * 2).min(REFUSED_BACKOFF_MAX_MS);
-            }
+    async fn back_off(&mut self, error: &StoreError) {
+        if *error == StoreError::Unreachable {
+            sleep(Duration::from_millis(UNREACHABLE_RETRY_MS)).await;
+            return;
         }
+        sleep(Duration::from_millis(self.backoff_ms)).await;
+        self.backoff_ms = (self.backoff_ms * 2).min(REFUSED_BACKOFF_MAX_MS);
     }
 
     async fn read(&self) -> Result<Page, StoreError> {
--- a/crates/balsam-edge/src/control/message.rs
+++ b/crates/balsam-edge/src/control/message.rs
@@ -16,6 +16,8 @@
     Listed(Page),
     /// The changes since the previous result.
     Changed(Page),
+    /// The store cannot return the changes, so that the whole table is read next.
+    ChangesLost(StoreError),
     /// The call failed.
     Failed(StoreError),
 }
--- a/crates/balsam-edge/src/control/tables.rs
+++ b/crates/balsam-edge/src/control/tables.rs
@@ -30,9 +30,9 @@
     /// Handles an update of a followed table.
     pub(super) fn follow(&mut self, table: FeedTable, asked_at: TimeMs, update: TableUpdate) {
         let (page, is_complete) = match update {
-            TableUpdate::Failed(StoreError::HistoryLost) => {
-                let table = StoreTable::from(table).as_str();
-                return ControlEvent::HistoryLost { table }.emit();
+            TableUpdate::ChangesLost(error) => {
+                let (table, cause) = (StoreTable::from(table).as_str(), error.as_str());
+                return ControlEvent::HistoryLost { table, cause }.emit();
             }
             TableUpdate::Failed(error) => return self.store_failed(table, &error),
             TableUpdate::Listed(page) => (page, true),
