Limit a table by the memory that its rows take

Cause: the limit on a read of a whole table counted the bytes received, although entries that name no upstream are not kept.

Change: the limit counts the memory of the decoded rows.

--- a/crates/balsam-edge/src/store/message.rs
+++ b/crates/balsam-edge/src/store/message.rs
@@ -95,6 +95,35 @@
     },
 }
 
+impl StoreChange {
+    /// Returns about how much memory the change takes in a list of changes, in bytes.
+    ///
+    /// The parts of a configuration are not counted, because a table has one at most.
+    pub fn memory_bytes(&self) -> usize {
+        let text_bytes = match self {
+            Self::Config(_) => 0,
+            Self::Evacuation { zone, state } => match state {
+                EvacuationState::Requested | EvacuationState::Removed => zone.as_str().len(),
+                EvacuationState::Unreadable { key, reason } => {
+                    zone.as_str().len() + key.len() + reason.len()
+                }
+            },
+            Self::Upstream(UpstreamRow { entry, .. }) => {
+                let names = [
+                    entry.name.as_str(),
+                    entry.service.as_str(),
+                    entry.zone.as_str(),
+                ];
+                names.map(str::len).iter().sum()
+            }
+            Self::UpstreamRemoved { name, .. } => name.as_str().len(),
+            Self::Cluster { key, value, .. } => key.len() + value.as_ref().map_or(0, Bytes::len),
+            Self::Unreadable { key, reason, .. } => key.len() + reason.len(),
+        };
+        size_of::<Self>() + text_bytes
+    }
+}
+
 /// Rows as they were at one point in time.
 #[derive(Clone, Debug)]
 pub struct Page {
